--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,5 +1,6 @@
 #include "app/checkcommand.h"
 #include "app/codescommand.h"
+#include "app/daemoncommands.h"
 #include "app/democommand.h"
 #include "app/entrycommand.h"
 #include "app/exitcode.h"
@@ -16,6 +17,7 @@
     app.require_subcommand(1);
     Basilbend::addCheckCommand(app);
     Basilbend::addCodesCommand(app);
+    Basilbend::addDaemonCommands(app);
     Basilbend::addReplayCommand(app);
     Basilbend::addEntryCommand(app);
     Basilbend::addSidecarCommand(app);
--- a/src/base/systemclock.h
+++ b/src/base/systemclock.h
@@ -5,7 +5,8 @@
 namespace Basilbend
 {
 
-/// The process clock: Unix time read once at the first call, advanced by the monotonic clock, so that it never goes back.
+/// The process clock: Unix time read once at the first call, then advanced by a clock that never goes back and goes on while
+/// the host is suspended. A later step of the time of day does not move it.
 Timestamp systemNow();
 
 }
--- /dev/null
+++ b/src/batches/batchrecords.cpp
@@ -0,0 +1,146 @@
+#include "batches/batchrecords.h"
+
+#include <charconv>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace Basilbend::BatchRecords
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr const char *SubmissionPrefix = "batch/submission/";
+constexpr const char *ResultPrefix = "batch/result/";
+
+std::string paddedNumber(std::size_t number)
+{
+    char text[24];
+    std::snprintf(text, sizeof text, "%08zu", number);
+    return text;
+}
+
+template <typename T, typename Decode>
+Result<T> decodeRecord(std::string_view text, Decode decode)
+{
+    try {
+        return decode(json::parse(text));
+    } catch (const json::exception &error) {
+        return Error{ResultCode::MalformedRequest, error.what()};
+    }
+}
+
+ItemResult decodeResult(const json &object)
+{
+    ItemResult result;
+    result.id = object.at("id").get<std::string>();
+    result.outcome = object.at("terminated").get<bool>() ? ItemOutcome::Terminated : ItemOutcome::Completed;
+    result.text = object.at("text").get<std::string>();
+    result.versions = object.at("versions").get<std::vector<std::uint64_t>>();
+    return result;
+}
+
+}
+
+std::string indexKey(const std::string &id)
+{
+    return IndexPrefix + id;
+}
+
+std::string submissionPrefix(const std::string &id)
+{
+    return SubmissionPrefix + id + "/";
+}
+
+std::string submissionKey(const std::string &id, std::size_t part)
+{
+    return submissionPrefix(id) + paddedNumber(part);
+}
+
+std::string resultPrefix(const std::string &id)
+{
+    return ResultPrefix + id + "/";
+}
+
+std::string resultKey(const std::string &id, std::size_t position)
+{
+    return resultPrefix(id) + paddedNumber(position);
+}
+
+std::optional<std::size_t> positionOfResultKey(std::string_view key)
+{
+    const auto slash = key.rfind('/');
+    if (slash == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = key.substr(slash + 1);
+    std::size_t position = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), position);
+    const bool isNumber = !digits.empty() && ec == std::errc{} && end == digits.data() + digits.size();
+    return isNumber ? std::optional(position) : std::nullopt;
+}
+
+std::string encodeIndex(const BatchIndex &index)
+{
+    return json{{"id", index.id},
+                {"route", index.route},
+                {"host", index.host},
+                {"workspace", index.workspace},
+                {"submitted_at_ms", index.submittedAtMs},
+                {"items", index.itemCount},
+                {"parts", index.parts},
+                {"ended", index.ended}}
+        .dump();
+}
+
+Result<BatchIndex> decodeIndex(std::string_view text)
+{
+    return decodeRecord<BatchIndex>(text, [](const json &object) {
+        BatchIndex index;
+        index.id = object.at("id").get<std::string>();
+        index.route = object.at("route").get<std::string>();
+        index.host = object.at("host").get<std::string>();
+        index.workspace = object.at("workspace").get<std::string>();
+        index.submittedAtMs = object.at("submitted_at_ms").get<std::int64_t>();
+        index.itemCount = object.at("items").get<std::size_t>();
+        index.parts = object.at("parts").get<std::size_t>();
+        index.ended = object.at("ended").get<bool>();
+        return index;
+    });
+}
+
+std::string encodeResults(const std::vector<ItemResult> &results)
+{
+    auto list = json::array();
+    for (const auto &result : results) {
+        list.push_back(
+            {{"id", result.id}, {"terminated", result.outcome == ItemOutcome::Terminated}, {"text", result.text}, {"versions", result.versions}});
+    }
+    return list.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<std::vector<ItemResult>> decodeResults(std::string_view text)
+{
+    return decodeRecord<std::vector<ItemResult>>(text, [](const json &list) {
+        std::vector<ItemResult> results;
+        for (const auto &object : list) {
+            results.push_back(decodeResult(object));
+        }
+        return results;
+    });
+}
+
+std::vector<std::string> splitSubmission(std::string_view body, std::size_t partBytes)
+{
+    std::vector<std::string> parts;
+    do {
+        parts.emplace_back(body.substr(0, partBytes));
+        body.remove_prefix(parts.back().size());
+    } while (!body.empty());
+    return parts;
+}
+
+}
--- /dev/null
+++ b/src/batches/batchrecords.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/result.h"
+#include "batches/batch.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// How batches lie in the metadata store:
+///   batch/index/ID              BatchIndex, from the acceptance on; changed once, when the batch is ended
+///   batch/submission/ID/PART    the submission as it came, in parts below the size of a value
+///   batch/result/ID/POSITION    consecutive results from that position on; never changed
+/// A batch exists when its index exists. The position is written with leading zeros, so that key order is list order.
+namespace BatchRecords
+{
+inline constexpr const char *IndexPrefix = "batch/index/";
+
+std::string indexKey(const std::string &id);
+std::string submissionKey(const std::string &id, std::size_t part);
+std::string submissionPrefix(const std::string &id);
+std::string resultKey(const std::string &id, std::size_t position);
+std::string resultPrefix(const std::string &id);
+
+/// The position in a result key; nothing when the key has none.
+std::optional<std::size_t> positionOfResultKey(std::string_view key);
+
+std::string encodeIndex(const BatchIndex &index);
+Result<BatchIndex> decodeIndex(std::string_view text);
+
+std::string encodeResults(const std::vector<ItemResult> &results);
+Result<std::vector<ItemResult>> decodeResults(std::string_view text);
+
+/// Cuts a submission into values of at most partBytes; at least one part.
+std::vector<std::string> splitSubmission(std::string_view body, std::size_t partBytes);
+}
+
+}
--- /dev/null
+++ b/src/billing/usagecounter.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/timestamp.h"
+#include "billing/usagecounts.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// The counts of a usage window that is over.
+struct ClosedWindow {
+    std::int64_t window = 0;
+    UsageCounts counts;
+};
+
+/// Counts the requests that began to run, by usage window and workspace. Window k begins k times the window's span after
+/// the start of 1970.
+class UsageCounter
+{
+public:
+    explicit UsageCounter(Milliseconds span);
+
+    void noteBegan(const std::string &workspace, Timestamp at);
+
+    /// Takes out the windows that ended before the time; with SettleTime for requests whose beginning is learned late.
+    std::vector<ClosedWindow> takeClosed(Timestamp now);
+
+    /// Takes out all windows, for the end of the process.
+    std::vector<ClosedWindow> takeAll();
+
+    std::int64_t windowAt(Timestamp at) const;
+    Timestamp endOf(std::int64_t window) const;
+
+    static constexpr Milliseconds SettleTime{1500};
+
+private:
+    Milliseconds m_span;
+    std::map<std::int64_t, UsageCounts> m_windows;
+};
+
+}
--- /dev/null
+++ b/src/billing/usageduty.cpp
@@ -0,0 +1,228 @@
+#include "billing/usageduty.h"
+
+#include "billing/usagerecords.h"
+#include "election/leaderelection.h"
+#include "http/socketoptions.h"
+#include "platform/dutycalls.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds RetryPause{300};
+constexpr Milliseconds AnswerTimeout{1500};
+constexpr Milliseconds ConnectTimeout{500};
+/// A new system starts to report with the window in which it starts; a successor looks back this many windows at most.
+constexpr std::int64_t MaxWindowsBehind = 12;
+/// Sealed figures are kept for this many windows, longer than a report can be on its way.
+constexpr std::int64_t SealedWindowsKept = 24;
+/// Removals in one change of the store, beside the write.
+constexpr std::size_t MaxRemovals = 30;
+
+}
+
+UsageDuty::UsageDuty(
+    MetadataStore &store, EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, UsageDutySettings settings, UsageDutyHooks hooks)
+    : m_store(store)
+    , m_loop(std::move(loop))
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_client(client)
+    , m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_server(socketEndpoint(m_settings.address))
+{
+}
+
+Timestamp UsageDuty::endOf(std::int64_t window) const
+{
+    return Timestamp((window + 1) * m_settings.windowSpan.count());
+}
+
+void UsageDuty::later(Milliseconds pause, void (UsageDuty::*step)())
+{
+    m_loop.runAfter(pause, [this, step, generation = m_generation] {
+        if (generation == m_generation) {
+            (this->*step)();
+        }
+    });
+}
+
+void UsageDuty::activate()
+{
+    ++m_generation;
+    readPosition();
+}
+
+void UsageDuty::deactivate()
+{
+    ++m_generation;
+    m_call.cancel();
+}
+
+void UsageDuty::readPosition()
+{
+    m_store.get(UsageRecords::ReportedKey, [this, generation = m_generation](const MetadataReply &reply) {
+        if (generation != m_generation) {
+            return;
+        }
+        const auto current = m_loop.now().milliseconds() / m_settings.windowSpan.count();
+        if (reply.status == MetadataStatus::NotFound) {
+            m_window = current;
+        } else if (reply.status == MetadataStatus::Done && !reply.items.empty()) {
+            const auto &text = reply.items.front().value;
+            std::int64_t reported = 0;
+            std::from_chars(text.data(), text.data() + text.size(), reported);
+            m_window = std::max(reported + 1, current - MaxWindowsBehind);
+        } else {
+            later(RetryPause, &UsageDuty::readPosition);
+            return;
+        }
+        poll();
+    });
+}
+
+void UsageDuty::poll()
+{
+    const auto now = m_loop.now();
+    const auto readyAt = endOf(m_window) + CollectTime;
+    if (now < readyAt) {
+        later(readyAt - now, &UsageDuty::poll);
+    } else if (!m_hooks.mayAct()) {
+        later(RetryPause, &UsageDuty::poll);
+    } else {
+        collect();
+    }
+}
+
+void UsageDuty::collect()
+{
+    m_store.list(UsageRecords::countPrefix(m_window), {}, [this, generation = m_generation](const MetadataReply &reply) {
+        if (generation != m_generation) {
+            return;
+        }
+        if (reply.status != MetadataStatus::Done) {
+            later(RetryPause, &UsageDuty::poll);
+            return;
+        }
+        UsageCounts sum;
+        m_countKeys.clear();
+        for (const auto &item : reply.items) {
+            m_countKeys.push_back(item.key);
+            const auto counts = UsageRecords::decodeCounts(item.value);
+            if (!counts) {
+                m_log.warning("usage_unreadable", {{"key", item.key}});
+                continue;
+            }
+            for (const auto &[workspace, n] : *counts) {
+                sum[workspace] += n;
+            }
+        }
+        seal(sum);
+    });
+}
+
+void UsageDuty::seal(const UsageCounts &counts)
+{
+    const auto key = UsageRecords::sealedKey(m_window);
+    const MetadataChange change{
+        {{key, 0}, {LeaderElection::holderKey(), m_hooks.term()}}, {{key, UsageRecords::encodeCounts(counts), 0}}, {}};
+    m_store.commit(change, [this, generation = m_generation, counts](const MetadataReply &reply) {
+        if (generation != m_generation) {
+            return;
+        }
+        if (reply.status == MetadataStatus::Done) {
+            send(counts);
+        } else {
+            // Another leader, or a lost answer, may have sealed the window with other figures.
+            readSealed();
+        }
+    });
+}
+
+void UsageDuty::readSealed()
+{
+    m_store.get(UsageRecords::sealedKey(m_window), [this, generation = m_generation](const MetadataReply &reply) {
+        if (generation != m_generation) {
+            return;
+        }
+        const auto counts =
+            reply.status == MetadataStatus::Done && !reply.items.empty() ? UsageRecords::decodeCounts(reply.items.front().value) : std::nullopt;
+        if (counts) {
+            send(*counts);
+        } else {
+            later(RetryPause, &UsageDuty::poll);
+        }
+    });
+}
+
+void UsageDuty::send(const UsageCounts &counts)
+{
+    if (!m_hooks.mayAct()) {
+        later(RetryPause, &UsageDuty::poll);
+        return;
+    }
+    const auto message = makeUsageReport(m_settings.address, m_settings.holder, m_hooks.term(), m_window, counts);
+    auto status = std::make_shared<int>(0);
+    auto isOpen = std::make_shared<bool>(true);
+    const auto generation = m_generation;
+    CallHooks hooks;
+    hooks.onHead = [status](const ResponseHead &head) { *status = head.status; };
+    hooks.onEnd = [this, generation, status, isOpen, counts](CallEnd end) {
+        const bool wasOpen = *isOpen;
+        *isOpen = false;
+        if (wasOpen && generation == m_generation) {
+            acceptAnswer(end, *status, counts);
+        }
+    };
+    m_call = m_client.send(m_server, message, std::move(hooks), ConnectTimeout);
+    m_loop.runAfter(AnswerTimeout, [this, generation, isOpen, counts] {
+        if (*isOpen && generation == m_generation) {
+            *isOpen = false;
+            m_call.cancel();
+            acceptAnswer(CallEnd::ClosedUnanswered, 0, counts);
+        }
+    });
+}
+
+void UsageDuty::acceptAnswer(CallEnd end, int status, const UsageCounts &counts)
+{
+    std::uint64_t total = 0;
+    for (const auto &[workspace, n] : counts) {
+        total += n;
+    }
+    const auto age = m_loop.now() - endOf(m_window);
+    if (end == CallEnd::Complete && status == 200) {
+        m_log.info("usage_reported", {{"window", m_window}, {"requests", total}, {"token", m_hooks.term()}, {"age_ms", age}});
+        m_metrics.count("basilbend_usage_reports_total");
+        noteReported();
+        return;
+    }
+    m_log.warning("usage_not_reported", {{"window", m_window}, {"end", callEndName(end)}, {"status", status}, {"age_ms", age}});
+    later(RetryPause, &UsageDuty::readSealed);
+}
+
+void UsageDuty::noteReported()
+{
+    MetadataChange change;
+    change.preconditions.push_back({LeaderElection::holderKey(), m_hooks.term()});
+    change.writes.push_back({UsageRecords::ReportedKey, std::to_string(m_window), 0});
+    m_countKeys.resize(std::min(m_countKeys.size(), MaxRemovals));
+    change.removals = m_countKeys;
+    change.removals.push_back(UsageRecords::sealedKey(m_window - SealedWindowsKept));
+    m_store.commit(change, [this, generation = m_generation, window = m_window](const MetadataReply &reply) {
+        // A successor that does not find the position reports the window again with its sealed figures.
+        if (generation == m_generation && reply.status != MetadataStatus::Done) {
+            m_log.warning("usage_position_not_written", {{"window", window}, {"store", metadataStatusName(reply.status)}});
+        }
+    });
+    ++m_window;
+    poll();
+}
+
+}
--- /dev/null
+++ b/src/billing/usageduty.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/eventloop.h"
+#include "billing/usagecounts.h"
+#include "http/webclient.h"
+#include "log/eventlog.h"
+#include "metadata/metadatastore.h"
+#include "net/metrics.h"
+
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Basilbend
+{
+
+struct UsageDutySettings {
+    std::string holder;
+    /// "IP:PORT" of the platform's API.
+    std::string address;
+    Milliseconds windowSpan{5000};
+    /// A report is due this long after the end of its window.
+    Milliseconds dueAfter{10000};
+};
+
+struct UsageDutyHooks {
+    std::function<bool()> mayAct;
+    std::function<std::uint64_t()> term;
+};
+
+/// Reports usage windows while this process leads: adds up what the processes counted, seals the figures in the metadata
+/// store, and sends them. Only sealed figures are sent, so a window is never reported with two figures, whoever reports it
+/// and however often.
+class UsageDuty
+{
+public:
+    UsageDuty(MetadataStore &store, EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, UsageDutySettings settings, UsageDutyHooks hooks);
+
+    /// Goes on behind the newest reported window.
+    void activate();
+    void deactivate();
+
+    /// Time after the end of a window at which its counts are taken to be complete.
+    static constexpr Milliseconds CollectTime{4500};
+
+private:
+    void readPosition();
+    void poll();
+    void collect();
+    void seal(const UsageCounts &counts);
+    void readSealed();
+    void send(const UsageCounts &counts);
+    void acceptAnswer(CallEnd end, int status, const UsageCounts &counts);
+    void noteReported();
+    void later(Milliseconds pause, void (UsageDuty::*step)());
+    Timestamp endOf(std::int64_t window) const;
+
+    MetadataStore &m_store;
+    EventLoop m_loop;
+    EventLog &m_log;
+    Metrics &m_metrics;
+    WebClient &m_client;
+    UsageDutySettings m_settings;
+    UsageDutyHooks m_hooks;
+    asio::ip::tcp::endpoint m_server;
+    std::int64_t m_window = 0;
+    std::vector<std::string> m_countKeys;
+    std::uint64_t m_generation = 0;
+    ClientCall m_call;
+};
+
+}
--- /dev/null
+++ b/src/billing/usagepublisher.cpp
@@ -0,0 +1,63 @@
+#include "billing/usagepublisher.h"
+
+#include "billing/usagerecords.h"
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds RetryPause{250};
+/// Windows that wait for the store; older ones could not be reported in time any more.
+constexpr std::size_t MaxWaiting = 64;
+
+}
+
+UsagePublisher::UsagePublisher(MetadataStore &store, EventLoop loop, EventLog &log, std::string writer)
+    : m_store(store)
+    , m_loop(std::move(loop))
+    , m_log(log)
+    , m_writer(std::move(writer))
+{
+}
+
+void UsagePublisher::publish(ClosedWindow window)
+{
+    if (m_queue.size() >= MaxWaiting) {
+        m_log.warning("usage_dropped", {{"window", m_queue.front().window}});
+        m_queue.pop_front();
+    }
+    m_queue.push_back(std::move(window));
+    if (!m_isWriting) {
+        writeNext();
+    }
+}
+
+void UsagePublisher::writeNext()
+{
+    if (m_queue.empty()) {
+        m_isWriting = false;
+        return;
+    }
+    m_isWriting = true;
+    const auto &next = m_queue.front();
+    // The number keeps two parts of one window apart, which a stop of the process can make.
+    const auto key = UsageRecords::countKey(next.window, m_writer + "." + std::to_string(m_lastNumber + 1));
+    const MetadataChange change{{{key, 0}}, {{key, UsageRecords::encodeCounts(next.counts), 0}}, {}};
+    m_store.commit(change, [this, window = next.window](const MetadataReply &reply) {
+        // A conflict shows that an earlier try has been executed.
+        const bool isWritten = reply.status == MetadataStatus::Done || reply.status == MetadataStatus::Conflict;
+        if (!isWritten) {
+            m_log.warning("usage_not_written", {{"window", window}, {"store", metadataStatusName(reply.status)}});
+            m_loop.runAfter(RetryPause, [this] { writeNext(); });
+            return;
+        }
+        m_log.info("usage_written", {{"window", window}});
+        ++m_lastNumber;
+        m_queue.pop_front();
+        writeNext();
+    });
+}
+
+}
--- /dev/null
+++ b/src/catalog/systemview.cpp
@@ -0,0 +1,200 @@
+#include "catalog/systemview.h"
+
+#include "platform/configurationcodec.h"
+#include "platform/operatorkeys.h"
+
+namespace Basilbend
+{
+
+SystemView::SystemView(MetadataStore &store, EventLoop loop, EventLog &log, Milliseconds operatorSpan, Milliseconds endpointSpan)
+    : m_loop(std::move(loop))
+    , m_log(log)
+    , m_operatorFeed(store, m_loop, operatorPrefix(), operatorSpan, operatorHooks())
+    , m_endpointFeed(store, m_loop, endpointPrefix(), endpointSpan, endpointHooks())
+{
+}
+
+void SystemView::start()
+{
+    m_operatorFeed.start();
+    m_endpointFeed.start();
+}
+
+void SystemView::stop()
+{
+    m_operatorFeed.stop();
+    m_endpointFeed.stop();
+}
+
+std::uint64_t SystemView::publishedVersion(const std::string &model) const
+{
+    const auto it = m_publishedVersions.find(model);
+    return it == m_publishedVersions.end() ? 0 : it->second;
+}
+
+PrefixFeedHooks SystemView::operatorHooks()
+{
+    return {[this](const std::vector<MetadataItem> &items) {
+                for (const auto &item : items) {
+                    applyOperatorItem(item);
+                }
+            },
+            [this](const MetadataItem &item) { applyOperatorItem(item); },
+            [this](bool reachable) {
+                m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "operator"}, {"version", m_routes ? m_routes->version() : 0}});
+            }};
+}
+
+PrefixFeedHooks SystemView::endpointHooks()
+{
+    return {[this](const std::vector<MetadataItem> &items) {
+                std::vector<EndpointRecord> records;
+                for (const auto &item : items) {
+                    auto record = decodeEndpointRecord(item.key, item.value);
+                    if (record) {
+                        records.push_back(std::move(record.value()));
+                    } else {
+                        m_log.warning("endpoint_unreadable", {{"key", item.key}, {"reason", record.error().message}});
+                    }
+                }
+                m_endpoints.replaceAll(records, m_loop.now());
+                m_log.info("endpoints_listed", {{"count", records.size()}});
+                if (onEndpointsChanged) {
+                    onEndpointsChanged();
+                }
+            },
+            [this](const MetadataItem &item) { applyEndpoint(item); },
+            [this](bool reachable) {
+                m_endpoints.noteStoreReachable(reachable, m_loop.now());
+                m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "endpoints"}, {"endpoints", m_endpoints.size()}});
+            }};
+}
+
+void SystemView::applyOperatorItem(const MetadataItem &item)
+{
+    switch (operatorKeyKind(item.key)) {
+    case OperatorKeyKind::Configuration:
+        applyConfiguration(item);
+        break;
+    case OperatorKeyKind::PublishedVersion:
+        applyVersion(item);
+        break;
+    case OperatorKeyKind::HostToEmpty:
+        applyRetirement(item);
+        break;
+    case OperatorKeyKind::Other:
+        break;
+    }
+}
+
+void SystemView::applyConfiguration(const MetadataItem &item)
+{
+    if (item.isRemoval) {
+        m_log.warning("configuration_removed", {{"revision", item.revision}});
+        return;
+    }
+    auto configuration = decodeConfiguration(item.value);
+    if (!configuration) {
+        m_log.warning("configuration_unreadable", {{"revision", item.revision}, {"reason", configuration.error().message}});
+        return;
+    }
+    const auto version = configuration.value().version;
+    if (m_routes && version <= m_routes->version()) {
+        return;
+    }
+    m_routes = std::make_unique<RouteTable>(std::move(configuration.value()));
+    m_log.info("configuration_in_force",
+               {{"version", version}, {"revision", item.revision}, {"routes", m_routes->configuration().routes.size()}});
+    if (onConfigurationChanged) {
+        onConfigurationChanged();
+    }
+}
+
+void SystemView::applyVersion(const MetadataItem &item)
+{
+    if (item.isRemoval) {
+        return;
+    }
+    const auto published = decodePublishedVersion(item.value);
+    if (!published) {
+        m_log.warning("published_version_unreadable", {{"key", item.key}, {"reason", published.error().message}});
+        return;
+    }
+    auto &version = m_publishedVersions[published.value().model];
+    if (published.value().version <= version) {
+        return;
+    }
+    version = published.value().version;
+    m_log.info("version_published", {{"model", published.value().model}, {"version", version}});
+    if (onVersionPublished) {
+        onVersionPublished();
+    }
+}
+
+void SystemView::applyRetirement(const MetadataItem &item)
+{
+    const auto host = hostOfRetireKey(item.key);
+    if (item.isRemoval) {
+        m_hostsToEmpty.erase(host);
+    } else {
+        m_hostsToEmpty[host] = item.revision;
+        m_log.info("host_to_empty", {{"host", host}, {"revision", item.revision}});
+    }
+    if (onHostsToEmptyChanged) {
+        onHostsToEmptyChanged();
+    }
+}
+
+void SystemView::applyEndpoint(const MetadataItem &item)
+{
+    const auto id = endpointIdOfKey(item.key);
+    if (item.isRemoval) {
+        m_log.info("endpoint_removed", {{"endpoint", id}, {"revision", item.revision}});
+        dropEndpoint(id);
+        return;
+    }
+    auto record = decodeEndpointRecord(item.key, item.value);
+    if (!record) {
+        m_log.warning("endpoint_unreadable", {{"key", item.key}, {"reason", record.error().message}});
+        dropEndpoint(id);
+        return;
+    }
+    const auto *known = m_endpoints.find(id);
+    if (known == nullptr || known->isDraining != record.value().isDraining) {
+        m_log.info(record.value().isDraining ? "endpoint_draining" : "endpoint_seen",
+                   {{"endpoint", id}, {"service", record.value().service}, {"address", record.value().address}, {"revision", item.revision}});
+    }
+    m_endpoints.put(record.value(), m_loop.now());
+    if (onEndpointsChanged) {
+        onEndpointsChanged();
+    }
+}
+
+void SystemView::dropEndpoint(const std::string &id)
+{
+    const auto *known = m_endpoints.find(id);
+    if (known == nullptr) {
+        return;
+    }
+    const auto record = *known;
+    m_endpoints.remove(id, m_loop.now());
+    if (m_endpoints.find(id) == nullptr && onEndpointGone) {
+        onEndpointGone(record);
+    }
+    if (onEndpointsChanged) {
+        onEndpointsChanged();
+    }
+}
+
+void SystemView::expireEndpoints()
+{
+    const auto dropped = m_endpoints.expire(m_loop.now());
+    for (const auto &id : dropped) {
+        m_log.info("endpoint_lapsed", {{"endpoint", id}});
+    }
+    if (!dropped.empty() && onEndpointsChanged) {
+        onEndpointsChanged();
+    }
+}
+
+}
--- /dev/null
+++ b/src/daemon/daemonruntime.cpp
@@ -0,0 +1,195 @@
+#include "daemon/daemonruntime.h"
+
+#include "base/systemclock.h"
+#include "http/socketoptions.h"
+
+#include <asio/steady_timer.hpp>
+#include <cerrno>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <poll.h>
+#include <random>
+#include <sstream>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds LogFlushInterval{250};
+/// The platform may change the settings file without a signal.
+constexpr int FlushesPerSettingsCheck = 4;
+
+std::string readFile(const std::string &fileName)
+{
+    std::ifstream input(fileName);
+    std::ostringstream text;
+    text << input.rdbuf();
+    return text.str();
+}
+
+EventLoop makeLoop(asio::io_context &io)
+{
+    EventLoop loop;
+    loop.now = systemNow;
+    loop.runAfter = [&io](Milliseconds span, std::function<void()> function) {
+        if (span.count() <= 0) {
+            asio::post(io, std::move(function));
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(io, span);
+        timer->async_wait([timer, function = std::move(function)](const asio::error_code &ec) {
+            if (!ec) {
+                function();
+            }
+        });
+    };
+    return loop;
+}
+
+std::string makeIncarnation()
+{
+    std::random_device device;
+    std::ostringstream text;
+    text << std::hex << systemNow().milliseconds() << "-" << device();
+    return text.str();
+}
+
+/// As many connections as the system allows.
+void raiseDescriptorLimit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+}
+
+DaemonRuntime::DaemonRuntime(std::string settingsFile, DaemonSettings settings)
+    : m_settingsFile(std::move(settingsFile))
+    , m_settingsText(readFile(m_settingsFile))
+    , m_settings(std::move(settings))
+    , m_incarnation(makeIncarnation())
+    , m_io(1)
+    , m_loop(makeLoop(m_io))
+    , m_log(EventLogSettings{m_settings.node, m_incarnation}, systemNow, writeLog)
+    , m_random(std::hash<std::string>()(m_incarnation))
+    , m_client(m_io, systemNow)
+    , m_store(m_client, m_loop, socketEndpoint(m_settings.store))
+    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+{
+    raiseDescriptorLimit();
+    std::signal(SIGPIPE, SIG_IGN);
+    m_log.info("process_started",
+               {{"role", m_settings.role}, {"zone", m_settings.zone}, {"settings_digest", std::hash<std::string>()(m_settingsText)}});
+    serveMetrics();
+    waitForSignal();
+    housekeep();
+}
+
+DaemonRuntime::~DaemonRuntime() = default;
+
+std::size_t DaemonRuntime::writeLog(std::string_view bytes)
+{
+    // A reader that does not read leaves the descriptor unwritable; the lines then wait in the log's bounded buffer.
+    pollfd descriptor{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&descriptor, 1, 0) <= 0) {
+        return 0;
+    }
+    // A pipe that is writable takes this much without waiting.
+    const auto n = ::write(STDOUT_FILENO, bytes.data(), std::min<std::size_t>(bytes.size(), 4096));
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+}
+
+void DaemonRuntime::serveMetrics()
+{
+    ServerHooks hooks;
+    hooks.onRequest = [this](const std::shared_ptr<ServerExchange> &exchange) {
+        if (targetPath(exchange->request().target) != "/metrics") {
+            exchange->respond({404, {}, {}});
+            return;
+        }
+        if (onMetrics) {
+            onMetrics();
+        }
+        m_metrics.setGauge("basilbend_log_lines_dropped", static_cast<double>(m_log.droppedLines()));
+        m_metrics.setGauge("basilbend_outgoing_connections_opened", static_cast<double>(m_client.counts().connects));
+        m_metrics.setGauge("basilbend_store_calls", static_cast<double>(m_store.counts().calls));
+        m_metrics.setGauge("basilbend_store_calls_unanswered", static_cast<double>(m_store.counts().unanswered));
+        exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.toText()});
+    };
+    hooks.refusal = [](int status) { return ResponseMessage{status, {}, {}}; };
+    hooks.limits = [] { return ServerLimits(); };
+    hooks.isDraining = [] { return false; };
+    m_metricsServer = std::make_unique<WebServer>(m_io, m_settings.metrics, std::move(hooks));
+}
+
+void DaemonRuntime::waitForSignal()
+{
+    m_signals.async_wait([this](const asio::error_code &ec, int signal) {
+        if (ec) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload("signal");
+        } else if (!m_stopping) {
+            m_stopping = true;
+            m_log.info("process_stopping", {{"signal", signal}});
+            onStop();
+        }
+        waitForSignal();
+    });
+}
+
+void DaemonRuntime::housekeep()
+{
+    auto flushes = std::make_shared<int>(0);
+    auto step = std::make_shared<std::function<void()>>();
+    *step = [this, flushes, step] {
+        m_log.flush();
+        if (++*flushes % FlushesPerSettingsCheck == 0) {
+            reload("changed");
+        }
+        m_loop.runAfter(LogFlushInterval, *step);
+    };
+    m_loop.runAfter(LogFlushInterval, *step);
+}
+
+void DaemonRuntime::reload(const char *why)
+{
+    auto text = readFile(m_settingsFile);
+    if (text == m_settingsText) {
+        return;
+    }
+    m_settingsText = std::move(text);
+    auto settings = readDaemonSettings(m_settingsFile, m_settings.role);
+    if (!settings) {
+        m_log.warning("settings_refused", {{"why", why}, {"reason", settings.error().message}});
+        return;
+    }
+    m_settings = std::move(settings.value());
+    m_log.info("settings_reloaded", {{"why", why}, {"settings_digest", std::hash<std::string>()(m_settingsText)}});
+    if (onSettingsChanged) {
+        onSettingsChanged();
+    }
+}
+
+void DaemonRuntime::run()
+{
+    m_io.run();
+    m_log.info("process_stopped", {});
+    m_log.flush();
+}
+
+void DaemonRuntime::finish()
+{
+    m_io.stop();
+}
+
+}
--- /dev/null
+++ b/src/daemon/daemonruntime.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "base/eventloop.h"
+#include "base/random.h"
+#include "daemon/daemonsettings.h"
+#include "http/webclient.h"
+#include "http/webserver.h"
+#include "log/eventlog.h"
+#include "net/metrics.h"
+#include "platform/platformstore.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Basilbend
+{
+
+/// What every daemon has: the loop, the log, metrics and their address, the clients, and the handling of signals and of
+/// changed settings files.
+class DaemonRuntime
+{
+public:
+    DaemonRuntime(std::string settingsFile, DaemonSettings settings);
+    ~DaemonRuntime();
+    DaemonRuntime(const DaemonRuntime &) = delete;
+    DaemonRuntime &operator=(const DaemonRuntime &) = delete;
+
+    /// Runs until the process is told to stop and onStop has called finish().
+    void run();
+
+    /// Ends run().
+    void finish();
+
+    asio::io_context &io()
+    {
+        return m_io;
+    }
+    const DaemonSettings &settings() const
+    {
+        return m_settings;
+    }
+    const std::string &incarnation() const
+    {
+        return m_incarnation;
+    }
+    const EventLoop &loop() const
+    {
+        return m_loop;
+    }
+    EventLog &log()
+    {
+        return m_log;
+    }
+    Metrics &metrics()
+    {
+        return m_metrics;
+    }
+    Random &random()
+    {
+        return m_random;
+    }
+    WebClient &client()
+    {
+        return m_client;
+    }
+    PlatformStore &store()
+    {
+        return m_store;
+    }
+
+    /// SIGTERM or SIGINT.
+    std::function<void()> onStop;
+    /// The settings file has changed and is valid.
+    std::function<void()> onSettingsChanged;
+    /// Called before metrics are read.
+    std::function<void()> onMetrics;
+
+private:
+    void waitForSignal();
+    void housekeep();
+    void reload(const char *why);
+    void serveMetrics();
+    static std::size_t writeLog(std::string_view bytes);
+
+    std::string m_settingsFile;
+    std::string m_settingsText;
+    DaemonSettings m_settings;
+    std::string m_incarnation;
+    asio::io_context m_io;
+    EventLoop m_loop;
+    EventLog m_log;
+    Metrics m_metrics;
+    Random m_random;
+    WebClient m_client;
+    PlatformStore m_store;
+    asio::signal_set m_signals;
+    std::unique_ptr<WebServer> m_metricsServer;
+    bool m_stopping = false;
+};
+
+}
--- /dev/null
+++ b/src/daemon/daemonsettings.cpp
@@ -0,0 +1,85 @@
+#include "daemon/daemonsettings.h"
+
+#include "config/settingsreader.h"
+
+#include <cmath>
+#include <fstream>
+#include <sstream>
+#include <tuple>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr double LongestSeconds = 3600;
+constexpr double ShortestSeconds = 0.1;
+
+Milliseconds secondsOr(SettingsReader &reader, const std::string &key, Milliseconds fallback)
+{
+    const double seconds = reader.fractionOr(key, static_cast<double>(fallback.count()) / 1000, ShortestSeconds, LongestSeconds);
+    return Milliseconds(std::llround(seconds * 1000));
+}
+
+std::string addressText(SettingsReader &reader, const std::string &key)
+{
+    const auto address = reader.address(key);
+    return address.address + ":" + std::to_string(address.port);
+}
+
+}
+
+bool operator==(const DaemonSettings &a, const DaemonSettings &b)
+{
+    const auto tie = [](const DaemonSettings &s) {
+        return std::tie(s.role,
+                        s.node,
+                        s.zone,
+                        s.clients,
+                        s.readiness,
+                        s.metrics,
+                        s.store,
+                        s.reports,
+                        s.withdrawalBound,
+                        s.gracePeriod,
+                        s.usageWindow,
+                        s.usageDue,
+                        s.leaderTurnTime);
+    };
+    return tie(a) == tie(b);
+}
+
+Result<DaemonSettings> readDaemonSettings(const std::string &fileName, const std::string &role)
+{
+    std::ifstream input(fileName);
+    if (!input) {
+        return Error{ResultCode::SettingsInvalid, fileName + ": can't be read"};
+    }
+    std::ostringstream text;
+    text << input.rdbuf();
+    SettingsReader reader(text.str(), fileName);
+    DaemonSettings settings;
+    settings.role = reader.oneOf("role", {"gateway", "scheduler"}, role);
+    if (!role.empty() && settings.role != role) {
+        reader.reject("role", "must be " + role);
+    }
+    settings.node = reader.text("node");
+    settings.zone = reader.text("zone");
+    settings.metrics = addressText(reader, "metrics");
+    settings.store = addressText(reader, "store");
+    settings.reports = addressText(reader, "reports");
+    if (settings.role == "gateway") {
+        settings.clients = addressText(reader, "clients");
+        settings.readiness = addressText(reader, "readiness");
+    }
+    settings.withdrawalBound = secondsOr(reader, "withdrawal_seconds", settings.withdrawalBound);
+    settings.gracePeriod = secondsOr(reader, "grace_seconds", settings.gracePeriod);
+    settings.usageWindow = secondsOr(reader, "usage_window_seconds", settings.usageWindow);
+    settings.usageDue = secondsOr(reader, "usage_due_seconds", settings.usageDue);
+    settings.leaderTurnTime = secondsOr(reader, "leader_turn_seconds", settings.leaderTurnTime);
+    BOOST_OUTCOME_TRYV(reader.finish());
+    return settings;
+}
+
+}
--- /dev/null
+++ b/src/daemon/daemonsettings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/result.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Basilbend
+{
+
+/// Settings of a process on the platform. Addresses are "IP:PORT".
+struct DaemonSettings {
+    std::string role;
+    std::string node;
+    std::string zone;
+    /// Gateways: where clients and the platform's readiness checks come in.
+    std::string clients;
+    std::string readiness;
+    /// Metrics and status of the process.
+    std::string metrics;
+    /// The platform's metadata store and its API for reports.
+    std::string store;
+    std::string reports;
+    /// A withdrawn key must not work longer than this.
+    Milliseconds withdrawalBound{5000};
+    /// From SIGTERM to the end of the process.
+    Milliseconds gracePeriod{8000};
+    Milliseconds usageWindow{5000};
+    Milliseconds usageDue{10000};
+    /// Receivers of orders must not see two leaders take turns within this time.
+    Milliseconds leaderTurnTime{3000};
+};
+
+bool operator==(const DaemonSettings &a, const DaemonSettings &b);
+
+/// Reads and checks a settings file for the given role, "gateway" or "scheduler"; an empty role accepts either. Fails with
+/// SettingsInvalid and one line for each fault: file, line, key, and what is allowed.
+Result<DaemonSettings> readDaemonSettings(const std::string &fileName, const std::string &role);
+
+}
--- /dev/null
+++ b/src/forwarding/admission.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/result.h"
+#include "catalog/routetable.h"
+
+#include <optional>
+#include <string>
+
+namespace Basilbend
+{
+
+/// How old the configuration may be while keyed requests are served.
+struct FreshnessRule {
+    /// A withdrawn key must not work longer than this after the store has acknowledged the withdrawal.
+    Milliseconds withdrawalBound{5000};
+    /// Room for the way of the request and for clock resolution.
+    Milliseconds margin{600};
+
+    bool isFresh(std::optional<Timestamp> asOf, Timestamp now) const
+    {
+        return asOf && now - *asOf <= withdrawalBound - margin;
+    }
+};
+
+/// Whether a key may be used, and for which workspace. The text is empty when no route asks for keys.
+/// Fails with KeyMissing or KeyUnknown (401), or ConfigurationNotFresh (503) when a withdrawal may have been missed.
+Result<std::string> workspaceOfRequest(const RouteTable &routes, const std::string &apiKey, bool isFresh);
+
+}
--- /dev/null
+++ b/src/forwarding/attemptrule.cpp
@@ -0,0 +1,45 @@
+#include "forwarding/attemptrule.h"
+
+namespace Basilbend
+{
+
+TryOutcome outcomeOfTry(CallEnd end, int status, bool notExecuted, bool isSigned)
+{
+    if (end == CallEnd::NotConnected) {
+        return TryOutcome::NotRun;
+    }
+    if (end != CallEnd::Complete) {
+        return TryOutcome::MayHaveRun;
+    }
+    if (notExecuted) {
+        return TryOutcome::NotRun;
+    }
+    const bool isSuccess = status >= 200 && status < 300;
+    if (isSuccess) {
+        // A success without the signature is not the endpoint's answer.
+        return isSigned ? TryOutcome::Answered : TryOutcome::MayHaveRun;
+    }
+    return status >= 500 ? TryOutcome::AnsweredFailure : TryOutcome::Answered;
+}
+
+TryDecision decideAfterTry(TryOutcome outcome, const TryHistory &history)
+{
+    if (outcome == TryOutcome::Answered) {
+        return TryDecision::PassAnswer;
+    }
+    const bool mayRepeat = history.kind == RouteKind::Idempotent;
+    const bool attemptsLeft = history.ran < history.attemptsAllowed;
+    const bool mayTry = history.timeLeft && (outcome == TryOutcome::NotRun ? history.ran == 0 || (mayRepeat && attemptsLeft) : mayRepeat && attemptsLeft);
+    if (history.open > 0) {
+        return TryDecision::WaitForOther;
+    }
+    if (mayTry) {
+        return TryDecision::TryAgain;
+    }
+    if (outcome == TryOutcome::AnsweredFailure) {
+        return TryDecision::PassAnswer;
+    }
+    return history.ran == 0 ? TryDecision::RefuseNotRun : TryDecision::FailUnknown;
+}
+
+}
--- /dev/null
+++ b/src/forwarding/endpointpicker.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/timestamp.h"
+#include "catalog/endpointrecord.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// Chooses the endpoint for a live request by the time that it is expected to take there: the endpoint's recent latency
+/// times the requests before it, with a small charge for another availability zone. Endpoints that failed are left out for
+/// a while, longer with each failure, unless all have failed.
+class EndpointPicker
+{
+public:
+    explicit EndpointPicker(std::string zone);
+
+    /// Returns null when there is none left, or all that are left have said that they are full.
+    const EndpointRecord *pick(const std::vector<const EndpointRecord *> &candidates, const std::set<std::string> &excluded, Timestamp now) const;
+
+    void noteSent(const std::string &id);
+    /// The request has ended there, in whichever way.
+    void noteEnded(const std::string &id);
+    void noteLatency(const std::string &id, Milliseconds latency, Timestamp now);
+    /// Requests of others that wait at the endpoint, as it tells.
+    void noteWaiting(const std::string &id, int waiting, Timestamp now);
+    /// No connection, a cut answer or no answer in time.
+    void noteFailure(const std::string &id, Timestamp now);
+    /// The endpoint refused for lack of room.
+    void noteFull(const std::string &id, Timestamp now);
+    void forget(const std::string &id);
+
+    int inFlight(const std::string &id) const;
+
+    static constexpr Milliseconds FirstSuspension{400};
+    static constexpr Milliseconds LongestSuspension{6000};
+    static constexpr Milliseconds FullPause{40};
+
+private:
+    struct State {
+        int inFlight = 0;
+        double latencyMs = 0;
+        Timestamp latencyAt;
+        int waiting = 0;
+        Timestamp waitingAt;
+        int failures = 0;
+        Timestamp suspendedUntil;
+        Timestamp fullUntil;
+    };
+
+    double expectedMs(const EndpointRecord &endpoint, const State &state, Timestamp now) const;
+    const State &stateOf(const std::string &id) const;
+
+    std::string m_zone;
+    std::map<std::string, State> m_states;
+};
+
+}
--- /dev/null
+++ b/src/gateway/batchacceptance.cpp
@@ -0,0 +1,129 @@
+#include "gateway/batchacceptance.h"
+
+#include "gateway/rejection.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// Room for the base64 form and the frame of a value of one megabyte.
+constexpr std::size_t PartBytes = 700 * 1000;
+constexpr Milliseconds FirstRetryPause{30};
+constexpr Milliseconds LongestRetryPause{300};
+/// When to submit again after a refusal: an outage of the store lasts seconds.
+constexpr Milliseconds ResubmitPause{800};
+
+}
+
+BatchAcceptance::BatchAcceptance(
+    GatewayContext &context, std::shared_ptr<ServerExchange> exchange, ClientRequest request, BatchIndex index, Milliseconds patience)
+    : m_context(context)
+    , m_exchange(std::move(exchange))
+    , m_request(std::move(request))
+    , m_index(std::move(index))
+    , m_arrivedAt(context.loop.now())
+    , m_givesUpAt(m_arrivedAt + patience)
+{
+}
+
+void BatchAcceptance::start()
+{
+    commit();
+}
+
+void BatchAcceptance::commit()
+{
+    const auto parts = BatchRecords::splitSubmission(m_exchange->request().body, PartBytes);
+    m_index.parts = parts.size();
+    MetadataChange change;
+    change.preconditions.push_back({BatchRecords::indexKey(m_index.id), 0});
+    change.writes.push_back({BatchRecords::indexKey(m_index.id), BatchRecords::encodeIndex(m_index), 0});
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        change.writes.push_back({BatchRecords::submissionKey(m_index.id, part), parts[part], 0});
+    }
+    m_context.store.commit(change, [self = shared_from_this()](const MetadataReply &reply) { self->acceptReply(reply); });
+}
+
+void BatchAcceptance::acceptReply(const MetadataReply &reply)
+{
+    switch (reply.status) {
+    case MetadataStatus::Done:
+        answerAccepted("written");
+        break;
+    case MetadataStatus::Conflict:
+        acceptConflict(reply);
+        break;
+    case MetadataStatus::Unknown:
+        m_mayBeWritten = true;
+        retryOrGiveUp(reply.status);
+        break;
+    default:
+        retryOrGiveUp(reply.status);
+        break;
+    }
+}
+
+void BatchAcceptance::acceptConflict(const MetadataReply &reply)
+{
+    const auto key = BatchRecords::indexKey(m_index.id);
+    const auto it = std::find_if(reply.items.begin(), reply.items.end(), [&key](const MetadataItem &item) { return item.key == key && item.revision > 0; });
+    if (it == reply.items.end()) {
+        retryOrGiveUp(reply.status);
+        return;
+    }
+    const auto existing = BatchRecords::decodeIndex(it->value);
+    if (!existing || existing.value().workspace != m_index.workspace) {
+        answerFailure(409, ResultCode::RevisionConflict, "the batch id is in use");
+        return;
+    }
+    answerAccepted("known");
+}
+
+void BatchAcceptance::retryOrGiveUp(MetadataStatus status)
+{
+    ++m_failures;
+    const auto now = m_context.loop.now();
+    const bool clientWaits = m_exchange->isOpen() && now < m_givesUpAt;
+    if (clientWaits) {
+        const auto pause = std::min(LongestRetryPause, FirstRetryPause * m_failures);
+        m_context.loop.runAfter(pause, [self = shared_from_this()] { self->commit(); });
+        return;
+    }
+    m_context.log.warning("batch_not_written", {{"batch", m_index.id}, {"store", metadataStatusName(status)}, {"tries", m_failures}});
+    if (m_mayBeWritten) {
+        answerFailure(500, ResultCode::StoreAnswerLost, "the metadata store did not confirm the batch; submit it again");
+    } else {
+        answerFailure(503, ResultCode::StoreUnavailable, "the metadata store does not answer; nothing was accepted");
+    }
+}
+
+void BatchAcceptance::answerAccepted(const char *how)
+{
+    const auto took = m_context.loop.now() - m_arrivedAt;
+    m_context.metrics.count("basilbend_batches_accepted_total", {{"how", how}});
+    m_context.metrics.observe("basilbend_batch_accept_seconds", static_cast<double>(took.count()) / 1000);
+    m_context.log.info("batch_accepted",
+                       {{"batch", m_index.id}, {"workspace", m_index.workspace}, {"items", m_index.itemCount}, {"how", how}, {"took_ms", took}});
+    const auto field = attemptIdField(m_request.attemptId);
+    m_exchange->respond({202, {{"Content-Type", "application/json"}, field}, "{}"});
+}
+
+void BatchAcceptance::answerFailure(int status, ResultCode code, const std::string &message)
+{
+    const auto retryAfter = status == 409 ? Milliseconds(0) : ResubmitPause;
+    m_context.metrics.count("basilbend_batches_refused_total", {{"status", std::to_string(status)}});
+    m_context.log.warning("batch_refused",
+                          {{"batch", m_index.id},
+                           {"status", status},
+                           {"code", static_cast<int>(code)},
+                           {"tries", m_failures},
+                           {"after_ms", m_context.loop.now() - m_arrivedAt}});
+    m_exchange->closeAfterwards();
+    m_exchange->respond(makeRejection(status, Error{code, message, Execution::NotRun, retryAfter}, m_request.attemptId));
+}
+
+}
--- /dev/null
+++ b/src/gateway/batchapi.cpp
@@ -0,0 +1,192 @@
+#include "gateway/batchapi.h"
+
+#include "gateway/batchacceptance.h"
+#include "gateway/rejection.h"
+#include "platform/batchcodec.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// A page of results stays below one megabyte.
+constexpr std::size_t MaxPageBytes = 900 * 1000;
+/// How long an end or an item read tries to reach the store.
+constexpr Milliseconds StorePatience{3000};
+constexpr Milliseconds RetryPause{60};
+/// Time to come back when this process can't reach the store; another one may.
+constexpr Milliseconds UnsurePause{300};
+/// Time limit of submissions whose client names none.
+constexpr Milliseconds DefaultDeadline{10000};
+
+}
+
+BatchApi::BatchApi(GatewayContext &context)
+    : m_context(context)
+    , m_results(context)
+{
+}
+
+void BatchApi::submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const RouteRule &route, const std::string &workspace)
+{
+    const auto submission = decodeSubmission(exchange->request().body);
+    if (!submission || request.attemptId.empty()) {
+        const auto message = submission ? std::string("the batch has no id") : submission.error().message;
+        m_context.log.warning("batch_malformed", {{"batch", request.attemptId}, {"reason", message}});
+        exchange->respond(makeRejection(400, Error{ResultCode::MalformedRequest, message, Execution::NotRun}, request.attemptId));
+        return;
+    }
+    BatchIndex index;
+    index.id = request.attemptId;
+    index.route = route.name;
+    index.host = request.host;
+    index.workspace = workspace;
+    index.submittedAtMs = m_context.loop.now().milliseconds();
+    index.itemCount = submission.value().items.size();
+    // Part of the time only: this process may be cut off from the store while others are not.
+    const auto patience = std::min(route.timeout, request.deadline.value_or(DefaultDeadline)) / 4;
+    std::make_shared<BatchAcceptance>(m_context, exchange, request, std::move(index), patience)->start();
+}
+
+void BatchApi::readResults(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const std::string &workspace)
+{
+    const IndexedCall call{exchange, request, workspace, m_context.loop.now()};
+    m_results.read(request.batchId, request.afterPosition, request.wait, [this, call](const ResultPage &page) {
+        if (page.kind == ResultPage::Kind::Unsure) {
+            reject(call, 503, ResultCode::StoreUnavailable, "the metadata store does not answer", UnsurePause);
+            return;
+        }
+        if (page.kind == ResultPage::Kind::NoSuchBatch || page.index.workspace != call.workspace) {
+            reject(call, 404, ResultCode::StepUnknown, "no such batch", Milliseconds(0));
+            return;
+        }
+        auto body = encodeResultPage(page.index.itemCount, call.request.afterPosition, page.results, MaxPageBytes);
+        call.exchange->respond({200, {{"Content-Type", "application/json"}}, std::move(body)});
+    });
+}
+
+void BatchApi::end(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const std::string &workspace)
+{
+    endIndexed({exchange, request, workspace, m_context.loop.now() + StorePatience});
+}
+
+void BatchApi::endIndexed(const IndexedCall &call)
+{
+    withIndex(call, [this, call](const BatchIndex &index, std::uint64_t revision) {
+        if (index.ended) {
+            call.exchange->respond({200, {}, {}});
+        } else {
+            commitEnd(call, index, revision);
+        }
+    });
+}
+
+void BatchApi::commitEnd(const IndexedCall &call, const BatchIndex &index, std::uint64_t revision)
+{
+    auto ended = index;
+    ended.ended = true;
+    const auto key = BatchRecords::indexKey(index.id);
+    const MetadataChange change{{{key, revision}}, {{key, BatchRecords::encodeIndex(ended), 0}}, {}};
+    m_context.store.commit(change, [this, call, id = index.id](const MetadataReply &reply) {
+        if (reply.status == MetadataStatus::Done) {
+            m_context.log.info("batch_ended", {{"batch", id}, {"revision", reply.revision}});
+            call.exchange->respond({200, {}, {}});
+            return;
+        }
+        // After a conflict or a lost answer the index tells whether the batch has ended.
+        retry(call, reply.status, [this, call] { endIndexed(call); });
+    });
+}
+
+void BatchApi::readItem(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const std::string &workspace)
+{
+    const IndexedCall call{exchange, request, workspace, m_context.loop.now() + StorePatience};
+    withIndex(call, [this, call](const BatchIndex &index, std::uint64_t) {
+        if (index.ended) {
+            reject(call, 404, ResultCode::StepExpired, "the batch has ended", Milliseconds(0));
+        } else {
+            readSubmission(call, {}, std::make_shared<std::string>());
+        }
+    });
+}
+
+void BatchApi::readSubmission(const IndexedCall &call, const std::string &afterKey, std::shared_ptr<std::string> body)
+{
+    m_context.store.list(BatchRecords::submissionPrefix(call.request.batchId), afterKey, [this, call, body = std::move(body)](const MetadataReply &reply) {
+        if (reply.status != MetadataStatus::Done) {
+            retry(call, reply.status, [this, call] { readSubmission(call, {}, std::make_shared<std::string>()); });
+            return;
+        }
+        for (const auto &item : reply.items) {
+            body->append(item.value);
+        }
+        if (reply.hasMore && !reply.items.empty()) {
+            readSubmission(call, reply.items.back().key, body);
+        } else {
+            answerItem(call, *body);
+        }
+    });
+}
+
+void BatchApi::answerItem(const IndexedCall &call, const std::string &submission)
+{
+    const auto decoded = decodeSubmission(submission);
+    if (!decoded) {
+        reject(call, 503, ResultCode::InternalError, "the stored batch can't be read", UnsurePause);
+        return;
+    }
+    const auto &items = decoded.value().items;
+    const auto it = std::find_if(items.begin(), items.end(), [&call](const BatchItem &item) { return item.id == call.request.itemId; });
+    if (it == items.end()) {
+        reject(call, 404, ResultCode::StepUnknown, "no such item", Milliseconds(0));
+        return;
+    }
+    call.exchange->respond({200, {{"Content-Type", "application/octet-stream"}}, it->body});
+}
+
+void BatchApi::withIndex(const IndexedCall &call, const IndexStep &step)
+{
+    m_context.store.get(BatchRecords::indexKey(call.request.batchId), [this, call, step](const MetadataReply &reply) {
+        if (reply.status == MetadataStatus::NotFound) {
+            reject(call, 404, ResultCode::StepUnknown, "no such batch", Milliseconds(0));
+            return;
+        }
+        const bool hasItem = reply.status == MetadataStatus::Done && !reply.items.empty();
+        const auto index = hasItem ? BatchRecords::decodeIndex(reply.items.front().value) : Result<BatchIndex>(Error{ResultCode::StoreUnavailable, {}});
+        if (!index) {
+            retry(call, reply.status, [this, call, step] { withIndex(call, step); });
+        } else if (index.value().workspace != call.workspace) {
+            reject(call, 404, ResultCode::StepUnknown, "no such batch", Milliseconds(0));
+        } else {
+            step(index.value(), reply.items.front().revision);
+        }
+    });
+}
+
+void BatchApi::retry(const IndexedCall &call, MetadataStatus status, const std::function<void()> &step)
+{
+    if (!call.exchange->isOpen()) {
+        return;
+    }
+    if (m_context.loop.now() >= call.givesUpAt) {
+        m_context.log.warning("batch_call_failed", {{"batch", call.request.batchId}, {"store", metadataStatusName(status)}});
+        reject(call, 503, ResultCode::StoreUnavailable, "the metadata store does not answer", UnsurePause);
+        return;
+    }
+    m_context.loop.runAfter(RetryPause, step);
+}
+
+void BatchApi::reject(const IndexedCall &call, int status, ResultCode code, const std::string &message, Milliseconds retryAfter)
+{
+    if (status != 404) {
+        call.exchange->closeAfterwards();
+    }
+    m_context.log.info("batch_call_rejected",
+                       {{"batch", call.request.batchId}, {"item", call.request.itemId}, {"status", status}, {"code", static_cast<int>(code)}});
+    call.exchange->respond(makeRejection(status, Error{code, message, Execution::NotRun, retryAfter}, call.request.attemptId));
+}
+
+}
--- /dev/null
+++ b/src/gateway/gatewaycontext.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/eventloop.h"
+#include "base/random.h"
+#include "billing/usagecounter.h"
+#include "catalog/systemview.h"
+#include "forwarding/endpointpicker.h"
+#include "http/webclient.h"
+#include "log/eventlog.h"
+#include "metadata/metadatastore.h"
+#include "net/metrics.h"
+
+namespace Basilbend
+{
+
+/// What the parts of a gateway share. All of it lives as long as the process.
+struct GatewayContext {
+    EventLoop loop;
+    EventLog &log;
+    Metrics &metrics;
+    WebClient &client;
+    MetadataStore &store;
+    SystemView &view;
+    EndpointPicker &picker;
+    UsageCounter &usage;
+    Random &random;
+};
+
+}
--- /dev/null
+++ b/src/gateway/gatewayservice.cpp
@@ -0,0 +1,156 @@
+#include "gateway/gatewayservice.h"
+
+#include "gateway/livecall.h"
+#include "gateway/rejection.h"
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds NotConfiguredPause{500};
+
+int statusOf(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::UnknownPath:
+        return 404;
+    case ResultCode::KeyMissing:
+    case ResultCode::KeyUnknown:
+        return 401;
+    default:
+        return 503;
+    }
+}
+
+}
+
+GatewayService::GatewayService(GatewayContext &context, FreshnessRule freshness)
+    : m_context(context)
+    , m_freshness(freshness)
+    , m_batches(context)
+{
+}
+
+bool GatewayService::isFresh() const
+{
+    return m_freshness.isFresh(m_context.view.configurationAsOf(), m_context.loop.now());
+}
+
+void GatewayService::setFreshness(FreshnessRule freshness)
+{
+    m_freshness = freshness;
+}
+
+bool GatewayService::isReady() const
+{
+    return !m_draining && m_context.view.routes() != nullptr && isFresh();
+}
+
+ResponseMessage GatewayService::readiness() const
+{
+    return {isReady() ? 200 : 503, {}, {}};
+}
+
+void GatewayService::beginDrain()
+{
+    m_draining = true;
+}
+
+ServerLimits GatewayService::limits() const
+{
+    const auto *routes = m_context.view.routes();
+    if (routes == nullptr) {
+        return {};
+    }
+    const auto &limits = routes->configuration().limits;
+    return {limits.maxHeadBytes, limits.maxBodyBytes, limits.headTimeout, limits.idleTimeout};
+}
+
+void GatewayService::handle(const std::shared_ptr<ServerExchange> &exchange)
+{
+    const auto request = decodeClientRequest(exchange->request());
+    if (m_context.view.routes() == nullptr) {
+        reject(*exchange, request, Error{ResultCode::ConfigurationNotFresh, "no configuration yet", Execution::NotRun, NotConfiguredPause});
+        return;
+    }
+    if (request.action == ClientAction::Submit) {
+        submit(exchange, request);
+    } else {
+        useBatch(exchange, request);
+    }
+}
+
+void GatewayService::submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request)
+{
+    const auto &routes = *m_context.view.routes();
+    const auto *route = routes.find(request.host, request.path);
+    if (route == nullptr) {
+        // An old configuration may lack a new route.
+        reject(*exchange,
+               request,
+               isFresh() ? Error{ResultCode::UnknownPath, "no route for this host and path"}
+                         : Error{ResultCode::ConfigurationNotFresh, "the configuration may be out of date", Execution::NotRun, NotConfiguredPause});
+        return;
+    }
+    std::string workspace;
+    if (!route->isPublic) {
+        auto holder = workspaceOfRequest(routes, request.apiKey, isFresh());
+        if (!holder) {
+            reject(*exchange, request, holder.error());
+            return;
+        }
+        workspace = std::move(holder.value());
+    }
+    if (route->kind == RouteKind::Batch) {
+        m_batches.submit(exchange, request, *route, workspace);
+    } else {
+        std::make_shared<LiveCall>(m_context, exchange, request, *route, workspace)->start();
+    }
+}
+
+void GatewayService::useBatch(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request)
+{
+    auto workspace = workspaceOfRequest(*m_context.view.routes(), request.apiKey, isFresh());
+    if (!workspace) {
+        reject(*exchange, request, workspace.error());
+        return;
+    }
+    switch (request.action) {
+    case ClientAction::ReadResults:
+        m_batches.readResults(exchange, request, workspace.value());
+        break;
+    case ClientAction::ReadItem:
+        m_batches.readItem(exchange, request, workspace.value());
+        break;
+    case ClientAction::EndBatch:
+        m_batches.end(exchange, request, workspace.value());
+        break;
+    case ClientAction::Submit:
+        break;
+    }
+}
+
+void GatewayService::reject(ServerExchange &exchange, const ClientRequest &request, const Error &error)
+{
+    const int status = statusOf(error.code);
+    const auto asOf = m_context.view.configurationAsOf();
+    const auto *routes = m_context.view.routes();
+    m_context.metrics.count("basilbend_rejections_total", {{"code", std::string(resultCodeName(error.code))}});
+    m_context.log.warning("request_rejected",
+                          {{"request", request.attemptId},
+                           {"batch", request.batchId},
+                           {"host", request.host},
+                           {"path", request.path},
+                           {"status", status},
+                           {"code", static_cast<int>(error.code)},
+                           {"configuration", routes == nullptr ? 0 : routes->version()},
+                           {"configuration_age_ms", asOf ? m_context.loop.now() - *asOf : Milliseconds(-1)}});
+    if (status == 503) {
+        exchange.closeAfterwards();
+    }
+    exchange.respond(makeRejection(status, error, request.attemptId));
+}
+
+}
--- /dev/null
+++ b/src/gateway/livecall.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "forwarding/attemptrule.h"
+#include "gateway/gatewaycontext.h"
+#include "http/eventstream.h"
+#include "http/serverexchange.h"
+#include "platform/clientrequest.h"
+#include "platform/endpointcalls.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// One live request on its way: chooses endpoints, tries them under the route's rules, and gives the client one final
+/// answer as soon as it is certain.
+class LiveCall : public std::enable_shared_from_this<LiveCall>
+{
+public:
+    LiveCall(GatewayContext &context, std::shared_ptr<ServerExchange> exchange, ClientRequest request, RouteRule route, std::string workspace);
+
+    void start();
+
+private:
+    /// One try at one endpoint.
+    struct Try {
+        EndpointRecord endpoint;
+        Timestamp sentAt;
+        ClientCall call;
+        EndpointEvidence evidence;
+        ResponseHead head;
+        std::string body;
+        bool hasHead = false;
+        bool ended = false;
+    };
+
+    void launch();
+    void send(const EndpointRecord &endpoint);
+    CallHooks hooksOf(std::size_t index);
+    void acceptHead(std::size_t index, const ResponseHead &head);
+    void acceptBody(std::size_t index, std::string_view data);
+    void acceptEnd(std::size_t index, CallEnd end);
+    void noteEndpoint(const Try &ended, CallEnd end, TryOutcome outcome);
+    void decide(std::size_t index, TryOutcome outcome);
+    void waitForRoom();
+    void armHedge();
+    void onTimeout();
+    void noteBegan(Timestamp at);
+
+    void passAnswer(Try &answered);
+    void refuse(int status, ResultCode code, const std::string &message, Milliseconds retryAfter);
+    void finish(const char *outcome, int status);
+
+    bool streams() const;
+    void acceptStreamHead(Try &attempt);
+    void acceptEvent(const StreamEvent &event);
+    void endStreamTry(std::size_t index, CallEnd end);
+
+    Milliseconds timeLeft() const;
+    int openTries() const;
+    std::string chooseService();
+
+    GatewayContext &m_context;
+    std::shared_ptr<ServerExchange> m_exchange;
+    ClientRequest m_request;
+    RouteRule m_route;
+    std::string m_workspace;
+    std::string m_service;
+    Timestamp m_arrivedAt;
+    Timestamp m_endsAt;
+    std::vector<std::unique_ptr<Try>> m_tries;
+    std::set<std::string> m_excluded;
+    int m_ranTries = 0;
+    bool m_done = false;
+    bool m_counted = false;
+    bool m_waitingForRoom = false;
+    /// Streams: the response to the client has begun.
+    bool m_streaming = false;
+    std::uint64_t m_lastEventId = 0;
+    std::unique_ptr<EventStream> m_events;
+};
+
+}
--- /dev/null
+++ b/src/gateway/rejection.cpp
@@ -0,0 +1,25 @@
+#include "gateway/rejection.h"
+
+#include "platform/clientrequest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Basilbend
+{
+
+ResponseMessage makeRejection(int status, const Error &error, const std::string &attemptId)
+{
+    const nlohmann::json body = {{"code", static_cast<int>(error.code)}, {"name", std::string(resultCodeName(error.code))}, {"message", error.message}};
+    ResponseMessage response{status, {{"Content-Type", "application/json"}}, body.dump()};
+    if (error.retryAfter.count() > 0) {
+        const auto field = retryAfterField(error.retryAfter);
+        response.fields.add(field.name, field.value);
+    }
+    if (!attemptId.empty()) {
+        const auto field = attemptIdField(attemptId);
+        response.fields.add(field.name, field.value);
+    }
+    return response;
+}
+
+}
--- /dev/null
+++ b/src/gateway/resultcache.cpp
@@ -0,0 +1,230 @@
+#include "gateway/resultcache.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds RetryPause{60};
+/// How long a read that may not wait for a result still waits for the store.
+constexpr Milliseconds StorePatience{1000};
+constexpr Milliseconds LongestWatch{2000};
+constexpr Milliseconds ShortestWatch{20};
+
+}
+
+ResultCache::ResultCache(GatewayContext &context)
+    : m_context(context)
+{
+}
+
+void ResultCache::read(const std::string &batch, std::size_t position, Milliseconds wait, Callback callback)
+{
+    auto &entry = m_entries[batch];
+    if (!entry) {
+        entry = std::make_shared<Entry>();
+        entry->batch = batch;
+    }
+    const auto now = m_context.loop.now();
+    entry->lastRead = now;
+    entry->waiters.push_back({position, now + wait, std::move(callback), false});
+    // Ends the wait when nothing came, even if the store is silent.
+    m_context.loop.runAfter(std::max(wait, StorePatience), [this, kept = entry] { serve(kept); });
+    serve(EntryPtr(entry));
+}
+
+void ResultCache::serve(const EntryPtr &entry)
+{
+    const auto now = m_context.loop.now();
+    auto waiters = std::move(entry->waiters);
+    entry->waiters.clear();
+    for (auto &waiter : waiters) {
+        const bool isReady = entry->hasIndex && (waiter.position < entry->results.size() || waiter.position >= entry->index.itemCount);
+        const bool isOver = now >= waiter.until;
+        if (isReady || (isOver && waiter.isFresh)) {
+            answer(*entry, waiter, ResultPage::Kind::Found);
+        } else if (now >= waiter.until + StorePatience) {
+            answer(*entry, waiter, ResultPage::Kind::Unsure);
+        } else {
+            entry->waiters.push_back(std::move(waiter));
+        }
+    }
+    if (entry->waiters.empty() || entry->isBusy) {
+        evict();
+        return;
+    }
+    if (!entry->hasIndex) {
+        readIndex(entry);
+        return;
+    }
+    const bool needsList = entry->revision == 0
+        || std::any_of(entry->waiters.begin(), entry->waiters.end(), [now](const Waiter &waiter) { return now >= waiter.until && !waiter.isFresh; });
+    if (needsList) {
+        listResults(entry);
+    } else {
+        watchResults(entry);
+    }
+}
+
+void ResultCache::readIndex(const EntryPtr &entry)
+{
+    entry->isBusy = true;
+    m_context.store.get(BatchRecords::indexKey(entry->batch), [this, entry](const MetadataReply &reply) {
+        entry->isBusy = false;
+        if (reply.status == MetadataStatus::NotFound) {
+            answerAll(entry, ResultPage::Kind::NoSuchBatch);
+            m_entries.erase(entry->batch);
+            return;
+        }
+        auto index = reply.status == MetadataStatus::Done && !reply.items.empty() ? BatchRecords::decodeIndex(reply.items.front().value)
+                                                                                  : Result<BatchIndex>(Error{ResultCode::StoreUnavailable, {}});
+        if (!index) {
+            failStep(entry, reply.status);
+            return;
+        }
+        entry->index = index.value();
+        entry->hasIndex = true;
+        serve(entry);
+    });
+}
+
+void ResultCache::listResults(const EntryPtr &entry)
+{
+    entry->isBusy = true;
+    const auto afterKey = entry->results.empty() ? std::string() : BatchRecords::resultKey(entry->batch, entry->results.size() - 1);
+    m_context.store.list(BatchRecords::resultPrefix(entry->batch), afterKey, [this, entry, sentAt = m_context.loop.now()](MetadataReply reply) {
+        acceptList(entry, std::move(reply), sentAt);
+    });
+}
+
+void ResultCache::acceptList(const EntryPtr &entry, MetadataReply reply, Timestamp)
+{
+    entry->isBusy = false;
+    if (reply.status != MetadataStatus::Done) {
+        failStep(entry, reply.status);
+        return;
+    }
+    append(*entry, reply.items);
+    if (reply.hasMore && !reply.items.empty()) {
+        listResults(entry);
+        return;
+    }
+    entry->revision = std::max(entry->revision, reply.revision);
+    for (auto &waiter : entry->waiters) {
+        waiter.isFresh = true;
+    }
+    serve(entry);
+}
+
+void ResultCache::watchResults(const EntryPtr &entry)
+{
+    const auto now = m_context.loop.now();
+    auto until = now + ShortestWatch;
+    for (const auto &waiter : entry->waiters) {
+        until = std::max(until, waiter.until);
+    }
+    const auto span = std::min(LongestWatch, until - now);
+    entry->isBusy = true;
+    m_context.store.watch(BatchRecords::resultPrefix(entry->batch), entry->revision, span, [this, entry](MetadataReply reply) {
+        acceptWatch(entry, std::move(reply));
+    });
+}
+
+void ResultCache::acceptWatch(const EntryPtr &entry, MetadataReply reply)
+{
+    entry->isBusy = false;
+    if (reply.status == MetadataStatus::HistoryGone) {
+        entry->revision = 0;
+        serve(entry);
+        return;
+    }
+    if (reply.status != MetadataStatus::Done) {
+        failStep(entry, reply.status);
+        return;
+    }
+    const bool contiguous = append(*entry, reply.items);
+    // An empty watch moves nothing: a watch may miss a change for a moment, and the next one from here finds it.
+    if (!reply.items.empty()) {
+        entry->revision = contiguous ? std::max(entry->revision, reply.revision) : 0;
+    }
+    for (auto &waiter : entry->waiters) {
+        waiter.isFresh = true;
+    }
+    serve(entry);
+}
+
+bool ResultCache::append(Entry &entry, const std::vector<MetadataItem> &items)
+{
+    bool contiguous = true;
+    for (const auto &item : items) {
+        const auto position = BatchRecords::positionOfResultKey(item.key);
+        if (item.isRemoval || !position || *position < entry.results.size()) {
+            continue;
+        }
+        auto results = BatchRecords::decodeResults(item.value);
+        if (*position > entry.results.size() || !results) {
+            m_context.log.warning("results_unreadable", {{"key", item.key}, {"known", entry.results.size()}});
+            contiguous = false;
+            continue;
+        }
+        for (auto &result : results.value()) {
+            entry.bytes += result.text.size();
+            m_bytes += result.text.size();
+            entry.results.push_back(std::move(result));
+        }
+    }
+    return contiguous;
+}
+
+void ResultCache::failStep(const EntryPtr &entry, MetadataStatus status)
+{
+    m_context.log.warning("results_not_read", {{"batch", entry->batch}, {"store", metadataStatusName(status)}, {"waiting", entry->waiters.size()}});
+    entry->isBusy = true;
+    m_context.loop.runAfter(RetryPause, [this, entry] {
+        entry->isBusy = false;
+        serve(entry);
+    });
+}
+
+void ResultCache::answer(Entry &entry, const Waiter &waiter, ResultPage::Kind kind)
+{
+    ResultPage page;
+    page.kind = kind;
+    page.index = entry.index;
+    for (auto i = waiter.position; i < entry.results.size() && kind == ResultPage::Kind::Found; ++i) {
+        page.results.push_back(&entry.results[i]);
+    }
+    waiter.callback(page);
+}
+
+void ResultCache::answerAll(const EntryPtr &entry, ResultPage::Kind kind)
+{
+    const auto waiters = std::move(entry->waiters);
+    entry->waiters.clear();
+    for (const auto &waiter : waiters) {
+        answer(*entry, waiter, kind);
+    }
+}
+
+void ResultCache::evict()
+{
+    while (m_bytes > MaxBytes) {
+        auto oldest = m_entries.end();
+        for (auto it = m_entries.begin(); it != m_entries.end(); ++it) {
+            const bool isIdle = it->second->waiters.empty() && !it->second->isBusy;
+            if (isIdle && (oldest == m_entries.end() || it->second->lastRead < oldest->second->lastRead)) {
+                oldest = it;
+            }
+        }
+        if (oldest == m_entries.end()) {
+            return;
+        }
+        m_bytes -= oldest->second->bytes;
+        m_entries.erase(oldest);
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/resultcache.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "batches/batchrecords.h"
+#include "gateway/gatewaycontext.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// The answer to a read of results.
+struct ResultPage {
+    /// Found: the batch exists and what is listed here is what the store holds. Unsure: the store did not answer.
+    enum class Kind {
+        Found,
+        NoSuchBatch,
+        Unsure,
+    };
+
+    Kind kind = Kind::Unsure;
+    BatchIndex index;
+    /// Results from the asked position on; valid during the call only.
+    std::vector<const ItemResult *> results;
+};
+
+/// Reads results of batches from the metadata store for any gateway. Listed results never change, so they are kept in
+/// memory and read again only when they were evicted; what is behind them is asked of the store at each read.
+class ResultCache
+{
+public:
+    using Callback = std::function<void(const ResultPage &)>;
+
+    explicit ResultCache(GatewayContext &context);
+
+    /// Answers as soon as a result stands at the position, or when the wait is over.
+    void read(const std::string &batch, std::size_t position, Milliseconds wait, Callback callback);
+
+    /// Bytes of result text kept; the batch that was read longest ago goes first.
+    static constexpr std::size_t MaxBytes = 12 * 1024 * 1024;
+
+private:
+    struct Waiter {
+        std::size_t position = 0;
+        Timestamp until;
+        Callback callback;
+        /// The store has been asked since the read began.
+        bool isFresh = false;
+    };
+
+    struct Entry {
+        std::string batch;
+        BatchIndex index;
+        bool hasIndex = false;
+        std::vector<ItemResult> results;
+        std::size_t bytes = 0;
+        /// The store's revision up to which results are known; zero: never listed.
+        std::uint64_t revision = 0;
+        Timestamp lastRead;
+        std::vector<Waiter> waiters;
+        /// A call to the store is under way.
+        bool isBusy = false;
+    };
+
+    using EntryPtr = std::shared_ptr<Entry>;
+
+    void serve(const EntryPtr &entry);
+    void readIndex(const EntryPtr &entry);
+    void listResults(const EntryPtr &entry);
+    void acceptList(const EntryPtr &entry, MetadataReply reply, Timestamp sentAt);
+    void watchResults(const EntryPtr &entry);
+    void acceptWatch(const EntryPtr &entry, MetadataReply reply);
+    bool append(Entry &entry, const std::vector<MetadataItem> &items);
+    void failStep(const EntryPtr &entry, MetadataStatus status);
+    void answer(Entry &entry, const Waiter &waiter, ResultPage::Kind kind);
+    void answerAll(const EntryPtr &entry, ResultPage::Kind kind);
+    void evict();
+
+    GatewayContext &m_context;
+    std::map<std::string, EntryPtr> m_entries;
+    std::size_t m_bytes = 0;
+};
+
+}
--- /dev/null
+++ b/src/http/clientchannel.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/timestamp.h"
+#include "http/clientcall.h"
+#include "http/messageparser.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Basilbend
+{
+
+/// One connection to a server: carries one call at a time and stays open between calls.
+class ClientChannel : public std::enable_shared_from_this<ClientChannel>
+{
+public:
+    /// Called when a call has ended and the connection may carry another one.
+    using IdleHook = std::function<void(const std::shared_ptr<ClientChannel> &)>;
+    /// Called when the connection has closed.
+    using ClosedHook = std::function<void(ClientChannel *)>;
+
+    ClientChannel(asio::io_context &io, asio::ip::tcp::endpoint server, IdleHook onIdle, ClosedHook onClosed);
+    ~ClientChannel();
+
+    /// Starts a call, after a connect if there is no connection yet.
+    void start(std::string bytes, CallHooks hooks, Milliseconds connectTimeout);
+
+    /// Ends the connection at once. The hooks of an open call are not called.
+    void close();
+
+    const asio::ip::tcp::endpoint &server() const
+    {
+        return m_server;
+    }
+
+    /// How long the server keeps the idle connection open, as it said; zero: it did not say.
+    Milliseconds keepAliveTime() const
+    {
+        return m_keepAliveTime;
+    }
+
+    bool isConnected() const
+    {
+        return m_connected && !m_closed;
+    }
+
+private:
+    void connect(Milliseconds timeout);
+    void writeRequest();
+    void waitReadable();
+    void readAvailable();
+    void feed(std::string_view bytes);
+    void acceptHead(MessageHead &&head);
+    void acceptBody(std::string_view data);
+    void completeMessage();
+    void streamEnded(bool inOrder);
+    void endCall(CallEnd end);
+    void shutDown();
+
+    asio::ip::tcp::socket m_socket;
+    asio::ip::tcp::endpoint m_server;
+    asio::steady_timer m_connectTimer;
+    MessageParser m_parser;
+    IdleHook m_onIdle;
+    ClosedHook m_onClosed;
+    /// Shared with the calls into it, because a hook may cancel its own call.
+    std::shared_ptr<const CallHooks> m_hooks;
+    std::string m_request;
+    Milliseconds m_keepAliveTime{0};
+    bool m_connected = false;
+    bool m_closed = false;
+    bool m_busy = false;
+    bool m_waiting = false;
+    bool m_requestWritten = false;
+    bool m_responseKeepsAlive = false;
+    bool m_responseStarted = false;
+    bool m_skipping = false;
+    bool m_skippedAny = false;
+    bool m_messageComplete = false;
+};
+
+}
--- /dev/null
+++ b/src/http/eventstream.cpp
@@ -0,0 +1,78 @@
+#include "http/eventstream.h"
+
+#include <charconv>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// The value behind "name:", without the one blank that may follow the colon.
+bool takeField(std::string_view line, std::string_view name, std::string_view &value)
+{
+    if (line.substr(0, name.size()) != name || line.size() <= name.size() || line[name.size()] != ':') {
+        return false;
+    }
+    value = line.substr(name.size() + 1);
+    if (!value.empty() && value.front() == ' ') {
+        value.remove_prefix(1);
+    }
+    return true;
+}
+
+}
+
+EventStream::EventStream(std::function<void(const StreamEvent &)> onEvent)
+    : m_onEvent(std::move(onEvent))
+{
+}
+
+void EventStream::feed(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const auto end = bytes.find('\n');
+        m_line.append(bytes.substr(0, end));
+        if (end == std::string_view::npos) {
+            return;
+        }
+        bytes.remove_prefix(end + 1);
+        m_event.raw.append(m_line).push_back('\n');
+        if (!m_line.empty() && m_line.back() == '\r') {
+            m_line.pop_back();
+        }
+        endLine();
+        m_line.clear();
+    }
+}
+
+void EventStream::endLine()
+{
+    if (m_line.empty()) {
+        endEvent();
+        return;
+    }
+    std::string_view value;
+    if (takeField(m_line, "data", value)) {
+        m_event.data.append(m_hasData ? "\n" : "").append(value);
+        m_hasData = true;
+    } else if (takeField(m_line, "id", value)) {
+        const auto [end, ec] = std::from_chars(value.data(), value.data() + value.size(), m_event.id);
+        m_event.hasId = ec == std::errc{} && end == value.data() + value.size();
+    } else {
+        m_event.otherLines.push_back(m_line);
+    }
+}
+
+void EventStream::endEvent()
+{
+    const auto event = std::move(m_event);
+    const bool isEvent = m_hasData || event.hasId;
+    m_event = {};
+    m_hasData = false;
+    if (isEvent) {
+        m_onEvent(event);
+    }
+}
+
+}
--- /dev/null
+++ b/src/http/httpfields.cpp
@@ -0,0 +1,90 @@
+#include "http/httpfields.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+char lowerCase(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+/// The names in a comma-separated list, without the blanks around them.
+std::vector<std::string> listedNames(std::string_view text)
+{
+    std::vector<std::string> names;
+    while (!text.empty()) {
+        const auto comma = std::min(text.find(','), text.size());
+        auto name = text.substr(0, comma);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+        while (!name.empty() && (name.front() == ' ' || name.front() == '\t')) {
+            name.remove_prefix(1);
+        }
+        while (!name.empty() && (name.back() == ' ' || name.back() == '\t')) {
+            name.remove_suffix(1);
+        }
+        if (!name.empty()) {
+            names.emplace_back(name);
+        }
+    }
+    return names;
+}
+
+}
+
+bool isSameFieldName(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lowerCase(x) == lowerCase(y); });
+}
+
+const std::string *HttpFields::find(std::string_view name) const
+{
+    const auto it = std::find_if(m_fields.begin(), m_fields.end(), [name](const HttpField &field) { return isSameFieldName(field.name, name); });
+    return it == m_fields.end() ? nullptr : &it->value;
+}
+
+std::string_view HttpFields::value(std::string_view name) const
+{
+    const auto *text = find(name);
+    return text == nullptr ? std::string_view() : std::string_view(*text);
+}
+
+std::size_t HttpFields::count(std::string_view name) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_fields.begin(), m_fields.end(), [name](const HttpField &field) { return isSameFieldName(field.name, name); }));
+}
+
+void HttpFields::add(std::string name, std::string value)
+{
+    m_fields.push_back({std::move(name), std::move(value)});
+}
+
+void HttpFields::set(std::string_view name, std::string value)
+{
+    remove(name);
+    add(std::string(name), std::move(value));
+}
+
+void HttpFields::remove(std::string_view name)
+{
+    m_fields.erase(
+        std::remove_if(m_fields.begin(), m_fields.end(), [name](const HttpField &field) { return isSameFieldName(field.name, name); }), m_fields.end());
+}
+
+void HttpFields::removeHopByHop()
+{
+    for (const auto &name : listedNames(value("Connection"))) {
+        remove(name);
+    }
+    for (const auto *name :
+         {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Upgrade", "TE", "Trailer", "Proxy-Connection", "Expect"}) {
+        remove(name);
+    }
+}
+
+}
--- /dev/null
+++ b/src/http/messageparser.cpp
@@ -0,0 +1,147 @@
+#include "http/messageparser.h"
+
+namespace Basilbend
+{
+
+MessageParser::MessageParser(Kind kind, MessageHooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_kind(kind)
+{
+    http_parser_init(&m_parser, kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_parser.data = this;
+}
+
+MessageParser &MessageParser::self(http_parser *parser)
+{
+    return *static_cast<MessageParser *>(parser->data);
+}
+
+const http_parser_settings &MessageParser::callbacks()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings s{};
+        s.on_message_begin = [](http_parser *parser) {
+            self(parser).m_insideMessage = true;
+            self(parser).m_headOpen = true;
+            self(parser).m_head = {};
+            return 0;
+        };
+        s.on_url = [](http_parser *parser, const char *at, std::size_t n) {
+            self(parser).m_head.target.append(at, n);
+            return 0;
+        };
+        s.on_header_field = [](http_parser *parser, const char *at, std::size_t n) {
+            self(parser).addFieldName({at, n});
+            return 0;
+        };
+        s.on_header_value = [](http_parser *parser, const char *at, std::size_t n) {
+            self(parser).addFieldValue({at, n});
+            return 0;
+        };
+        s.on_headers_complete = [](http_parser *parser) { return self(parser).completeHead(); };
+        s.on_body = [](http_parser *parser, const char *at, std::size_t n) {
+            if (!self(parser).m_informational) {
+                self(parser).m_hooks.onBody({at, n});
+            }
+            return 0;
+        };
+        s.on_message_complete = [](http_parser *parser) { return self(parser).completeMessage(); };
+        return s;
+    }();
+    return settings;
+}
+
+void MessageParser::addFieldName(std::string_view text)
+{
+    if (m_readingValue) {
+        m_head.fields.add(std::move(m_fieldName), std::move(m_fieldValue));
+        m_fieldName.clear();
+        m_fieldValue.clear();
+        m_readingValue = false;
+    }
+    m_fieldName.append(text);
+}
+
+void MessageParser::addFieldValue(std::string_view text)
+{
+    m_readingValue = true;
+    m_fieldValue.append(text);
+}
+
+int MessageParser::completeHead()
+{
+    if (!m_fieldName.empty()) {
+        m_head.fields.add(std::move(m_fieldName), std::move(m_fieldValue));
+    }
+    m_fieldName.clear();
+    m_fieldValue.clear();
+    m_readingValue = false;
+    m_headOpen = false;
+    m_openHeadBytes = 0;
+    m_head.keepAlive = http_should_keep_alive(&m_parser) != 0;
+    if (m_kind == Kind::Request) {
+        m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
+    } else {
+        m_head.status = static_cast<int>(m_parser.status_code);
+        m_informational = m_head.status < 200;
+    }
+    if (!m_informational) {
+        m_hooks.onHead(std::move(m_head));
+    }
+    m_head = {};
+    return 0;
+}
+
+int MessageParser::completeMessage()
+{
+    // Trailers are dropped.
+    m_fieldName.clear();
+    m_fieldValue.clear();
+    m_readingValue = false;
+    if (m_informational) {
+        m_informational = false;
+        return 0;
+    }
+    m_insideMessage = false;
+    http_parser_pause(&m_parser, 1);
+    m_hooks.onComplete();
+    return 0;
+}
+
+std::size_t MessageParser::feed(std::string_view bytes)
+{
+    if (m_failed) {
+        return 0;
+    }
+    http_parser_pause(&m_parser, 0);
+    const auto n = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&m_parser);
+    if (error == HPE_PAUSED) {
+        return n;
+    }
+    if (error != HPE_OK) {
+        m_failed = true;
+        return n;
+    }
+    if (m_insideMessage && m_headOpen) {
+        m_openHeadBytes += n;
+    }
+    return n;
+}
+
+bool MessageParser::finish()
+{
+    if (m_failed) {
+        return false;
+    }
+    http_parser_execute(&m_parser, &callbacks(), nullptr, 0);
+    const auto error = HTTP_PARSER_ERRNO(&m_parser);
+    return (error == HPE_OK || error == HPE_PAUSED) && !m_insideMessage;
+}
+
+bool MessageParser::hasFailed() const
+{
+    return m_failed;
+}
+
+}
--- /dev/null
+++ b/src/http/serverexchange.cpp
@@ -0,0 +1,70 @@
+#include "http/serverexchange.h"
+
+#include "http/serversession.h"
+
+namespace Basilbend
+{
+
+ServerExchange::ServerExchange(std::weak_ptr<ServerSession> session, RequestMessage request)
+    : m_session(std::move(session))
+    , m_request(std::move(request))
+{
+}
+
+bool ServerExchange::isOpen() const
+{
+    return !m_ended && !m_session.expired();
+}
+
+void ServerExchange::respond(ResponseMessage response)
+{
+    if (const auto session = m_session.lock(); session && !m_ended) {
+        m_ended = true;
+        session->send(responseBytes(response, session->persistenceOf(*this)));
+        session->finishExchange();
+    }
+}
+
+void ServerExchange::beginStream(const ResponseHead &head)
+{
+    if (const auto session = m_session.lock(); session && !m_ended) {
+        session->send(chunkedHeadBytes(head, session->persistenceOf(*this)));
+    }
+}
+
+void ServerExchange::sendPart(std::string_view data)
+{
+    if (const auto session = m_session.lock(); session && !m_ended && !data.empty()) {
+        session->send(chunkBytes(data));
+    }
+}
+
+void ServerExchange::endStream()
+{
+    if (const auto session = m_session.lock(); session && !m_ended) {
+        m_ended = true;
+        session->send(std::string(LastChunk));
+        session->finishExchange();
+    }
+}
+
+void ServerExchange::abort()
+{
+    if (const auto session = m_session.lock(); session && !m_ended) {
+        m_ended = true;
+        session->closeNow();
+    }
+}
+
+std::size_t ServerExchange::pendingBytes() const
+{
+    const auto session = m_session.lock();
+    return session ? session->pendingBytes() : 0;
+}
+
+void ServerExchange::closeAfterwards()
+{
+    m_closeAfterwards = true;
+}
+
+}
--- /dev/null
+++ b/src/http/serversession.cpp
@@ -0,0 +1,309 @@
+#include "http/serversession.h"
+
+#include "http/socketoptions.h"
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <array>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// Input kept while a response is under way; above it nothing is read until the response has ended.
+constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
+
+/// A connection that is closed with unread input is reset, and the reset may overtake the response; so input is read and
+/// dropped for this time.
+constexpr Milliseconds LingerTime{400};
+
+constexpr std::size_t ReadBufferBytes = 64 * 1024;
+
+/// One thread runs all sessions, and the bytes are used up before the next read.
+std::array<char, ReadBufferBytes> readBuffer;
+
+std::size_t headBytes(const MessageHead &head)
+{
+    std::size_t n = head.target.size();
+    for (const auto &field : head.fields) {
+        n += field.name.size() + field.value.size() + 4;
+    }
+    return n;
+}
+
+}
+
+ServerSession::ServerSession(asio::ip::tcp::socket socket, const ServerHooks &hooks)
+    : m_socket(std::move(socket))
+    , m_hooks(hooks)
+    , m_timer(m_socket.get_executor())
+    , m_parser(MessageParser::Kind::Request,
+               {[this](MessageHead &&head) { acceptHead(std::move(head)); }, [this](std::string_view data) { acceptBody(data); }, [this] { acceptMessage(); }})
+{
+}
+
+ServerSession::~ServerSession() = default;
+
+void ServerSession::start()
+{
+    applyConnectionOptions(m_socket);
+    armTimer(m_hooks.limits().idleTimeout, &ServerSession::onIdleTimeout);
+    waitReadable();
+}
+
+bool ServerSession::isBusy() const
+{
+    return m_exchange != nullptr || m_parser.isInsideMessage() || !m_output.empty() || !m_writing.empty();
+}
+
+void ServerSession::closeWhenIdle()
+{
+    if (!isBusy()) {
+        closeNow();
+    }
+}
+
+void ServerSession::waitReadable()
+{
+    if (m_waiting || m_closed) {
+        return;
+    }
+    m_waiting = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code &ec) {
+        self->m_waiting = false;
+        if (!ec && !self->m_closed) {
+            self->readAvailable();
+        }
+    });
+}
+
+void ServerSession::readAvailable()
+{
+    asio::error_code ec;
+    const auto n = m_socket.read_some(asio::buffer(readBuffer), ec);
+    if (ec == asio::error::would_block || ec == asio::error::interrupted) {
+        waitReadable();
+        return;
+    }
+    if (ec) {
+        clientLeft();
+        return;
+    }
+    if (m_lingering) {
+        waitReadable();
+        return;
+    }
+    m_input.append(readBuffer.data(), n);
+    if (!m_exchange) {
+        feedInput();
+    }
+    if (!m_closed && m_input.size() < MaxPipelinedBytes) {
+        waitReadable();
+    }
+}
+
+void ServerSession::feedInput()
+{
+    while (!m_closed && !m_closeAfterWrite && !m_exchange && !m_input.empty()) {
+        const auto n = m_parser.feed(m_input);
+        m_input.erase(0, n);
+        if (m_closed || m_closeAfterWrite) {
+            return;
+        }
+        if (m_parser.hasFailed()) {
+            refuse(m_parser.openHeadBytes() > m_hooks.limits().maxHeadBytes ? 431 : 400);
+            return;
+        }
+        if (m_parser.openHeadBytes() > m_hooks.limits().maxHeadBytes) {
+            refuse(431);
+            return;
+        }
+    }
+    if (m_parser.isInsideMessage() && !m_exchange && !m_timerForHead) {
+        m_timerForHead = true;
+        armTimer(m_hooks.limits().headTimeout, &ServerSession::onHeadTimeout);
+    }
+}
+
+void ServerSession::acceptHead(MessageHead &&head)
+{
+    m_requestKeepsAlive = head.keepAlive;
+    m_expectsContinue = isSameFieldName(head.fields.value("Expect"), "100-continue");
+    if (headBytes(head) > m_hooks.limits().maxHeadBytes) {
+        refuse(431);
+        return;
+    }
+    if (head.fields.count("Host") > 1) {
+        refuse(400);
+        return;
+    }
+    m_request = RequestMessage{std::move(head.method), std::move(head.target), std::move(head.fields), {}};
+    if (m_expectsContinue) {
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    armTimer(m_hooks.limits().idleTimeout, &ServerSession::onHeadTimeout);
+}
+
+void ServerSession::acceptBody(std::string_view data)
+{
+    if (m_closeAfterWrite) {
+        return;
+    }
+    if (m_request.body.size() + data.size() > m_hooks.limits().maxBodyBytes) {
+        refuse(413);
+        return;
+    }
+    m_request.body.append(data);
+}
+
+void ServerSession::acceptMessage()
+{
+    if (m_closeAfterWrite) {
+        return;
+    }
+    m_timer.cancel();
+    m_timerForHead = false;
+    m_exchange = std::make_shared<ServerExchange>(weak_from_this(), std::move(m_request));
+    m_request = {};
+    // Runs after the parser has returned, because a handler may answer at once and start the next request.
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), exchange = m_exchange] {
+        if (!self->m_closed) {
+            self->m_hooks.onRequest(exchange);
+        }
+    });
+}
+
+void ServerSession::refuse(int status)
+{
+    if (m_closeAfterWrite || m_closed) {
+        return;
+    }
+    m_closeAfterWrite = true;
+    m_timer.cancel();
+    send(responseBytes(m_hooks.refusal(status), Persistence::Close));
+}
+
+Persistence ServerSession::persistenceOf(const ServerExchange &exchange)
+{
+    const bool keep = m_requestKeepsAlive && !exchange.m_closeAfterwards && !m_hooks.isDraining();
+    m_closeAfterWrite = !keep;
+    return keep ? Persistence::KeepAlive : Persistence::Close;
+}
+
+void ServerSession::send(std::string bytes)
+{
+    if (m_closed) {
+        return;
+    }
+    m_output.append(bytes);
+    if (m_writing.empty()) {
+        writeNext();
+    }
+}
+
+void ServerSession::writeNext()
+{
+    m_writing.swap(m_output);
+    m_output.clear();
+    asio::async_write(m_socket, asio::buffer(m_writing), [self = shared_from_this()](const asio::error_code &ec, std::size_t) {
+        self->m_writing.clear();
+        if (self->m_closed) {
+            return;
+        }
+        if (ec) {
+            self->clientLeft();
+        } else if (!self->m_output.empty()) {
+            self->writeNext();
+        } else if (self->m_closeAfterWrite && !self->m_exchange) {
+            self->beginLingering();
+        }
+    });
+}
+
+std::size_t ServerSession::pendingBytes() const
+{
+    return m_output.size() + m_writing.size();
+}
+
+void ServerSession::finishExchange()
+{
+    m_exchange = nullptr;
+    if (m_closed || m_closeAfterWrite) {
+        if (!m_closed && m_writing.empty() && m_output.empty()) {
+            beginLingering();
+        }
+        return;
+    }
+    armTimer(m_hooks.limits().idleTimeout, &ServerSession::onIdleTimeout);
+    // The next request may already be here; it is read from the loop and not from within the handler.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_closed) {
+            self->feedInput();
+            self->waitReadable();
+        }
+    });
+}
+
+void ServerSession::armTimer(Milliseconds span, void (ServerSession::*action)())
+{
+    m_timer.expires_after(span);
+    m_timer.async_wait([self = shared_from_this(), action](const asio::error_code &ec) {
+        if (!ec && !self->m_closed) {
+            (self.get()->*action)();
+        }
+    });
+}
+
+void ServerSession::onHeadTimeout()
+{
+    if (!m_exchange) {
+        refuse(408);
+    }
+}
+
+void ServerSession::onIdleTimeout()
+{
+    closeWhenIdle();
+}
+
+void ServerSession::beginLingering()
+{
+    if (m_lingering) {
+        return;
+    }
+    m_lingering = true;
+    asio::error_code ec;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    armTimer(LingerTime, &ServerSession::closeNow);
+    waitReadable();
+}
+
+void ServerSession::clientLeft()
+{
+    const auto exchange = m_exchange;
+    closeNow();
+    if (exchange && !exchange->m_ended) {
+        exchange->m_ended = true;
+        if (exchange->onClientGone) {
+            exchange->onClientGone();
+        }
+    }
+}
+
+void ServerSession::closeNow()
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    m_exchange = nullptr;
+    m_timer.cancel();
+    asio::error_code ec;
+    m_socket.close(ec);
+    m_hooks.onClosed(this);
+}
+
+}
--- /dev/null
+++ b/src/http/serversession.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "base/timestamp.h"
+#include "http/messageparser.h"
+#include "http/serverexchange.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Basilbend
+{
+
+/// What a client may send, and how long it may take.
+struct ServerLimits {
+    std::size_t maxHeadBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 32 * 1024 * 1024;
+    Milliseconds headTimeout{3000};
+    Milliseconds idleTimeout{15000};
+};
+
+inline bool operator==(const ServerLimits &a, const ServerLimits &b)
+{
+    return a.maxHeadBytes == b.maxHeadBytes && a.maxBodyBytes == b.maxBodyBytes && a.headTimeout == b.headTimeout && a.idleTimeout == b.idleTimeout;
+}
+
+/// What sessions share with their server.
+struct ServerHooks {
+    std::function<void(std::shared_ptr<ServerExchange>)> onRequest;
+    /// The body of the answer to a request that is refused before it reaches onRequest (400, 408, 413, 431).
+    std::function<ResponseMessage(int status)> refusal;
+    std::function<ServerLimits()> limits;
+    std::function<bool()> isDraining;
+    std::function<void(ServerSession *)> onClosed;
+};
+
+/// One connection of a client. Requests are read one after the other; while one is answered, the connection is watched for
+/// the client's close.
+class ServerSession : public std::enable_shared_from_this<ServerSession>
+{
+public:
+    ServerSession(asio::ip::tcp::socket socket, const ServerHooks &hooks);
+    ~ServerSession();
+
+    void start();
+
+    /// Closes an idle connection in order; a busy one ends after its response.
+    void closeWhenIdle();
+    bool isBusy() const;
+
+private:
+    friend class ServerExchange;
+
+    void send(std::string bytes);
+    void finishExchange();
+    void closeNow();
+    std::size_t pendingBytes() const;
+    Persistence persistenceOf(const ServerExchange &exchange);
+
+    void waitReadable();
+    void readAvailable();
+    void feedInput();
+    void acceptHead(MessageHead &&head);
+    void acceptBody(std::string_view data);
+    void acceptMessage();
+    void refuse(int status);
+    void armTimer(Milliseconds span, void (ServerSession::*action)());
+    void onHeadTimeout();
+    void onIdleTimeout();
+    void writeNext();
+    void clientLeft();
+    void beginLingering();
+
+    asio::ip::tcp::socket m_socket;
+    const ServerHooks &m_hooks;
+    asio::steady_timer m_timer;
+    MessageParser m_parser;
+    RequestMessage m_request;
+    std::shared_ptr<ServerExchange> m_exchange;
+    /// Bytes behind the current request, up to MaxPipelinedBytes.
+    std::string m_input;
+    std::string m_output;
+    std::string m_writing;
+    bool m_waiting = false;
+    bool m_closed = false;
+    bool m_closeAfterWrite = false;
+    bool m_requestKeepsAlive = true;
+    bool m_expectsContinue = false;
+    bool m_timerForHead = false;
+    bool m_lingering = false;
+};
+
+}
--- /dev/null
+++ b/src/http/socketoptions.cpp
@@ -0,0 +1,48 @@
+#include "http/socketoptions.h"
+
+#include <asio/ip/address.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// Long enough for two retransmissions on a lossy link, short enough to be noticed within the bounds for withdrawn keys.
+constexpr int UserTimeoutMs = 3000;
+
+}
+
+void applyConnectionOptions(asio::ip::tcp::socket &socket)
+{
+    asio::error_code ec;
+    socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    // A socket that refuses the option still works; its end is then noticed by the timeouts of the calls.
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof UserTimeoutMs);
+    socket.non_blocking(true, ec);
+}
+
+asio::ip::tcp::endpoint socketEndpoint(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        throw std::invalid_argument("no port in the address " + text);
+    }
+    const auto port = std::stoul(text.substr(colon + 1));
+    if (port > 65535) {
+        throw std::invalid_argument("no such port in the address " + text);
+    }
+    return {asio::ip::make_address(text.substr(0, colon)), static_cast<std::uint16_t>(port)};
+}
+
+void resetConnection(asio::ip::tcp::socket &socket)
+{
+    asio::error_code ec;
+    socket.set_option(asio::socket_base::linger(true, 0), ec);
+    socket.close(ec);
+}
+
+}
--- /dev/null
+++ b/src/http/webclient.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "http/clientchannel.h"
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// An open call. Destroying the handle cancels the call: its connection is closed, which tells the server to stop.
+class ClientCall
+{
+public:
+    ClientCall() = default;
+    explicit ClientCall(const std::shared_ptr<ClientChannel> &channel, std::shared_ptr<bool> open);
+    ~ClientCall();
+    ClientCall(ClientCall &&other) noexcept = default;
+    ClientCall &operator=(ClientCall &&other) noexcept;
+    ClientCall(const ClientCall &) = delete;
+    ClientCall &operator=(const ClientCall &) = delete;
+
+    void cancel();
+
+private:
+    std::weak_ptr<ClientChannel> m_channel;
+    std::shared_ptr<bool> m_open;
+};
+
+struct WebClientCounts {
+    std::uint64_t connects = 0;
+    std::uint64_t calls = 0;
+};
+
+/// HTTP/1.1 client for many servers, with a pool of open connections for each. Runs on the thread of its I/O context.
+class WebClient
+{
+public:
+    WebClient(asio::io_context &io, std::function<Timestamp()> clock);
+    ~WebClient();
+    WebClient(const WebClient &) = delete;
+    WebClient &operator=(const WebClient &) = delete;
+
+    /// Sends a request. The hooks are called from the loop, never from within this function.
+    ClientCall send(const asio::ip::tcp::endpoint &server, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout);
+
+    /// Closes the idle connections to a server that has left.
+    void forget(const asio::ip::tcp::endpoint &server);
+
+    const WebClientCounts &counts() const
+    {
+        return m_counts;
+    }
+
+private:
+    struct Idle {
+        std::shared_ptr<ClientChannel> channel;
+        Timestamp since;
+    };
+
+    std::shared_ptr<ClientChannel> takeIdle(const asio::ip::tcp::endpoint &server);
+    void putIdle(const std::shared_ptr<ClientChannel> &channel);
+    void drop(ClientChannel *channel);
+
+    asio::io_context &m_io;
+    std::function<Timestamp()> m_clock;
+    std::map<asio::ip::tcp::endpoint, std::vector<Idle>> m_idle;
+    WebClientCounts m_counts;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}
--- /dev/null
+++ b/src/http/webserver.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "http/serversession.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace Basilbend
+{
+
+/// HTTP/1.1 server for one address. Runs on the thread of its I/O context.
+class WebServer
+{
+public:
+    /// The hooks onClosed is set by the server. Throws asio::system_error when the address can't be bound.
+    WebServer(asio::io_context &io, const std::string &address, ServerHooks hooks);
+    ~WebServer();
+    WebServer(const WebServer &) = delete;
+    WebServer &operator=(const WebServer &) = delete;
+
+    void stopAccepting();
+
+    /// Closes connections that wait for a request; busy ones end with their response.
+    void closeIdleSessions();
+
+    std::size_t sessionCount() const;
+    std::size_t busySessionCount() const;
+
+    /// The bound port, for addresses with port 0.
+    std::uint16_t port() const;
+
+private:
+    void accept();
+
+    asio::io_context &m_io;
+    ServerHooks m_hooks;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_retryTimer;
+    std::unordered_map<ServerSession *, std::weak_ptr<ServerSession>> m_sessions;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}
--- /dev/null
+++ b/src/metadata/prefixfeed.cpp
@@ -0,0 +1,163 @@
+#include "metadata/prefixfeed.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds FirstRetryPause{40};
+constexpr Milliseconds LongestRetryPause{500};
+
+/// One lost answer is no outage; the second one in a row is.
+constexpr int FailuresOfOutage = 2;
+
+}
+
+PrefixFeed::PrefixFeed(MetadataStore &store, EventLoop loop, std::string prefix, Milliseconds span, PrefixFeedHooks hooks)
+    : m_store(store)
+    , m_loop(std::move(loop))
+    , m_prefix(std::move(prefix))
+    , m_span(span)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void PrefixFeed::start()
+{
+    ++m_generation;
+    listPage({});
+}
+
+void PrefixFeed::stop()
+{
+    ++m_generation;
+}
+
+void PrefixFeed::runIfCurrent(std::uint64_t generation, const std::function<void()> &step) const
+{
+    if (generation == m_generation) {
+        step();
+    }
+}
+
+void PrefixFeed::listPage(const std::string &afterKey)
+{
+    if (afterKey.empty()) {
+        m_pages.clear();
+        m_listStartedAt = m_loop.now();
+    }
+    m_store.list(m_prefix, afterKey, [this, generation = m_generation, first = afterKey.empty()](MetadataReply reply) {
+        if (generation != m_generation) {
+            return;
+        }
+        if (first) {
+            m_listRevision = reply.revision;
+        }
+        acceptPage(std::move(reply));
+    });
+}
+
+void PrefixFeed::acceptPage(MetadataReply reply)
+{
+    if (reply.status != MetadataStatus::Done) {
+        retryAfterFailure([this] { listPage({}); });
+        return;
+    }
+    noteSuccess();
+    std::move(reply.items.begin(), reply.items.end(), std::back_inserter(m_pages));
+    if (reply.hasMore && !m_pages.empty()) {
+        listPage(m_pages.back().key);
+        return;
+    }
+    // Pages are not a snapshot: the watch goes on from the first page, and changes that a later page already shows are
+    // recognized by their revision.
+    m_revision = m_listRevision;
+    m_emptyRevision.reset();
+    m_toldRevisions.clear();
+    for (const auto &item : m_pages) {
+        m_toldRevisions[item.key] = item.revision;
+    }
+    m_currentAsOf = m_listStartedAt;
+    const auto items = std::move(m_pages);
+    m_pages.clear();
+    m_hooks.onSnapshot(items);
+    watch();
+}
+
+void PrefixFeed::watch()
+{
+    const auto sentAt = m_loop.now();
+    m_store.watch(m_prefix, m_revision, m_span, [this, generation = m_generation, sentAt](MetadataReply reply) {
+        if (generation == m_generation) {
+            acceptWatch(std::move(reply), sentAt);
+        }
+    });
+}
+
+void PrefixFeed::acceptWatch(MetadataReply reply, Timestamp sentAt)
+{
+    if (reply.status == MetadataStatus::HistoryGone) {
+        noteSuccess();
+        listPage({});
+        return;
+    }
+    if (reply.status != MetadataStatus::Done) {
+        retryAfterFailure([this] { watch(); });
+        return;
+    }
+    noteSuccess();
+    if (reply.items.empty()) {
+        // The store answers an empty watch when its span is over, so the state is proven for that moment.
+        const bool waitedOut = m_loop.now() - sentAt >= m_span;
+        m_currentAsOf = std::max(*m_currentAsOf, waitedOut ? sentAt + m_span : sentAt);
+        acceptEmptyWatch(reply.revision);
+        watch();
+        return;
+    }
+    m_currentAsOf = std::max(*m_currentAsOf, sentAt);
+    m_emptyRevision.reset();
+    m_revision = std::max(m_revision, reply.revision);
+    for (const auto &item : reply.items) {
+        auto &told = m_toldRevisions[item.key];
+        if (item.revision > told) {
+            told = item.revision;
+            m_hooks.onChange(item);
+        }
+    }
+    watch();
+}
+
+void PrefixFeed::acceptEmptyWatch(std::uint64_t revision)
+{
+    // A watch can miss changes for a moment. The position moves on only when a second watch from the same position has
+    // found nothing either.
+    if (m_emptyRevision) {
+        m_revision = std::max(m_revision, *m_emptyRevision);
+    }
+    m_emptyRevision = revision;
+}
+
+void PrefixFeed::retryAfterFailure(std::function<void()> step)
+{
+    ++m_failures;
+    if (m_failures >= FailuresOfOutage && m_reachable) {
+        m_reachable = false;
+        m_hooks.onReachable(false);
+    }
+    const auto pause = std::min(LongestRetryPause, FirstRetryPause * (1 << std::min(m_failures, 5)));
+    m_loop.runAfter(pause, [this, generation = m_generation, step = std::move(step)] { runIfCurrent(generation, step); });
+}
+
+void PrefixFeed::noteSuccess()
+{
+    m_failures = 0;
+    if (!m_reachable) {
+        m_reachable = true;
+        m_hooks.onReachable(true);
+    }
+}
+
+}
--- /dev/null
+++ b/src/platform/batchcodec.cpp
@@ -0,0 +1,111 @@
+#include "platform/batchcodec.h"
+
+#include "net/base64.h"
+#include "net/jsontext.h"
+#include "platform/jsonfields.h"
+#include "platform/wirenames.h"
+
+#include <charconv>
+#include <set>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+HttpFields decodeFields(const json &item)
+{
+    HttpFields fields;
+    const auto it = item.find("headers");
+    if (it == item.end()) {
+        return fields;
+    }
+    if (!it->is_object()) {
+        throw Wire::FieldError{"headers must be a map"};
+    }
+    for (const auto &[name, value] : it->items()) {
+        if (!value.is_string()) {
+            throw Wire::FieldError{"header " + name + " must be a text"};
+        }
+        fields.add(name, value.get<std::string>());
+    }
+    return fields;
+}
+
+std::uint64_t lengthHintOf(const HttpFields &fields)
+{
+    const auto text = fields.value(Wire::LengthHint);
+    std::uint64_t hint = 0;
+    std::from_chars(text.data(), text.data() + text.size(), hint);
+    return hint;
+}
+
+BatchItem decodeItem(const json &object)
+{
+    BatchItem item;
+    item.id = Wire::requiredText(object, "id");
+    item.path = Wire::requiredText(object, "path");
+    item.fields = decodeFields(object);
+    const auto body = fromBase64(Wire::textOr(object, "body", {}));
+    if (!body) {
+        throw Wire::FieldError{"body of item " + item.id + " is not base64"};
+    }
+    item.body = *body;
+    item.tokens = Wire::wholeOr(object, "tokens", 0);
+    item.group = Wire::textOr(object, "group", item.id);
+    item.lengthHint = lengthHintOf(item.fields);
+    return item;
+}
+
+BatchSubmission decodeSubmissionObject(const json &object)
+{
+    BatchSubmission submission;
+    submission.model = Wire::textOr(object, "model", {});
+    submission.minimumVersion = Wire::wholeOr(object, "minimum_version", 0);
+    submission.desiredGroups = Wire::wholeOr(object, "desired_count", 0);
+    std::set<std::string> ids;
+    for (const auto &entry : Wire::requiredArray(object, "items")) {
+        submission.items.push_back(decodeItem(entry));
+        if (!ids.insert(submission.items.back().id).second) {
+            throw Wire::FieldError{"item " + submission.items.back().id + " stands twice"};
+        }
+    }
+    return submission;
+}
+
+std::string encodeResult(const ItemResult &result)
+{
+    std::string text = "{\"id\":";
+    appendJsonString(text, result.id);
+    text += result.outcome == ItemOutcome::Completed ? ",\"state\":\"completed\",\"text\":" : ",\"state\":\"terminated\",\"text\":";
+    appendJsonString(text, result.text);
+    text += ",\"versions\":" + json(result.versions).dump() + "}";
+    return text;
+}
+
+}
+
+Result<BatchSubmission> decodeSubmission(std::string_view body)
+{
+    return Wire::decodeObject(body, decodeSubmissionObject);
+}
+
+std::string encodeResultPage(std::size_t total, std::size_t position, const std::vector<const ItemResult *> &results, std::size_t maxBytes)
+{
+    std::string list;
+    std::size_t n = 0;
+    for (const auto *result : results) {
+        const auto text = encodeResult(*result);
+        if (n > 0 && list.size() + text.size() > maxBytes) {
+            break;
+        }
+        list += (n > 0 ? "," : "") + text;
+        ++n;
+    }
+    return "{\"total\":" + std::to_string(total) + ",\"next\":" + std::to_string(position + n) + ",\"results\":[" + list + "]}";
+}
+
+}
--- /dev/null
+++ b/src/platform/configurationcodec.cpp
@@ -0,0 +1,213 @@
+#include "platform/configurationcodec.h"
+
+#include "http/socketoptions.h"
+#include "platform/jsonfields.h"
+#include "platform/wirenames.h"
+
+#include <asio/system_error.hpp>
+#include <cmath>
+#include <stdexcept>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+Milliseconds secondsField(const json &object, const char *name)
+{
+    return Milliseconds(static_cast<std::int64_t>(std::llround(1000 * Wire::numberOr(object, name, 0))));
+}
+
+/// Bounds may carry a fraction of a millisecond, so they are read as numbers.
+Milliseconds millisecondsOr(const json &object, const char *name, Milliseconds fallback)
+{
+    return Milliseconds(std::llround(Wire::numberOr(object, name, static_cast<double>(fallback.count()))));
+}
+
+RouteKind decodeKind(const std::string &text)
+{
+    if (text == "idempotent") {
+        return RouteKind::Idempotent;
+    }
+    if (text == "non_idempotent") {
+        return RouteKind::NonIdempotent;
+    }
+    if (text == "streaming") {
+        return RouteKind::Streaming;
+    }
+    if (text == "rollout") {
+        return RouteKind::Batch;
+    }
+    throw Wire::FieldError{"kind is unknown: " + text};
+}
+
+std::vector<TrafficShare> decodeShares(const json &route)
+{
+    std::vector<TrafficShare> shares;
+    for (const auto &share : Wire::arrayOrEmpty(route, "traffic_split")) {
+        shares.push_back({Wire::requiredText(share, "service"), static_cast<int>(Wire::wholeOr(share, "weight", 1))});
+    }
+    if (shares.empty()) {
+        shares.push_back({Wire::requiredText(route, "service"), 1});
+    }
+    return shares;
+}
+
+RouteRule decodeRoute(const json &route)
+{
+    RouteRule rule;
+    rule.name = Wire::requiredText(route, "name");
+    rule.host = Wire::requiredText(route, "host");
+    rule.pathPrefix = Wire::requiredText(route, "path_prefix");
+    rule.kind = decodeKind(Wire::requiredText(route, "kind"));
+    rule.timeout = millisecondsOr(route, "timeout_ms", rule.timeout);
+    rule.latencyTarget = millisecondsOr(route, "target_latency_ms", rule.latencyTarget);
+    rule.priority = static_cast<int>(Wire::wholeOr(route, "priority", 0));
+    rule.attempts = static_cast<int>(std::max<std::uint64_t>(1, Wire::wholeOr(route, "attempts", 1)));
+    rule.isPublic = Wire::flagOr(route, "public", false);
+    rule.canResume = Wire::flagOr(route, "resumable", false);
+    rule.singleVersion = Wire::flagOr(route, "single_version", false);
+    rule.retention = secondsField(route, "retention_s");
+    rule.resultDeadline = millisecondsOr(route, "result_deadline_ms", Milliseconds(0));
+    rule.shares = decodeShares(route);
+    return rule;
+}
+
+ServiceSpec decodeService(const json &service)
+{
+    ServiceSpec spec;
+    spec.name = Wire::requiredText(service, "name");
+    const auto engine = service.find("engine");
+    if (engine != service.end() && engine->is_object()) {
+        EngineSpec engineSpec;
+        engineSpec.slots = static_cast<int>(Wire::wholeOr(*engine, "slots", 1));
+        engineSpec.kvCacheTokens = Wire::wholeOr(*engine, "kv_cache_tokens", 0);
+        for (const auto &model : Wire::arrayOrEmpty(*engine, "models")) {
+            engineSpec.models.push_back(Wire::requiredText(model, "name"));
+        }
+        spec.engine = engineSpec;
+    }
+    return spec;
+}
+
+ClientLimits decodeLimits(const json &configuration)
+{
+    ClientLimits limits;
+    const auto it = configuration.find("limits");
+    if (it != configuration.end() && it->is_object()) {
+        limits.maxHeadBytes = Wire::wholeOr(*it, "max_header_bytes", limits.maxHeadBytes);
+        limits.maxBodyBytes = Wire::wholeOr(*it, "max_body_bytes", limits.maxBodyBytes);
+        limits.headTimeout = millisecondsOr(*it, "header_timeout_ms", limits.headTimeout);
+        limits.idleTimeout = millisecondsOr(*it, "idle_timeout_ms", limits.idleTimeout);
+    }
+    return limits;
+}
+
+WorkspaceKeys decodeWorkspace(const json &tenant)
+{
+    WorkspaceKeys keys;
+    keys.workspace = Wire::requiredText(tenant, "name");
+    for (const auto &key : Wire::arrayOrEmpty(tenant, "api_keys")) {
+        if (key.is_string()) {
+            keys.apiKeys.push_back(key.get<std::string>());
+        }
+    }
+    return keys;
+}
+
+ServiceConfiguration decodeConfigurationObject(const json &object)
+{
+    ServiceConfiguration configuration;
+    configuration.version = Wire::requiredWhole(object, "version");
+    for (const auto &route : Wire::requiredArray(object, "routes")) {
+        configuration.routes.push_back(decodeRoute(route));
+    }
+    for (const auto &service : Wire::requiredArray(object, "services")) {
+        configuration.services.push_back(decodeService(service));
+    }
+    for (const auto &tenant : Wire::arrayOrEmpty(object, "tenants")) {
+        configuration.workspaces.push_back(decodeWorkspace(tenant));
+    }
+    configuration.limits = decodeLimits(object);
+    return configuration;
+}
+
+PublishedVersion decodePublishedVersionObject(const json &object)
+{
+    return {Wire::requiredText(object, "model"), Wire::requiredWhole(object, "version")};
+}
+
+void requireAddress(const std::string &text)
+{
+    try {
+        socketEndpoint(text);
+    } catch (const asio::system_error &) {
+        throw Wire::FieldError{"address is no IP address"};
+    } catch (const std::logic_error &) {
+        throw Wire::FieldError{"address has no valid port"};
+    }
+}
+
+std::vector<ServedModel> decodeModels(const json &object)
+{
+    std::vector<ServedModel> models;
+    for (const auto &model : Wire::arrayOrEmpty(object, "models")) {
+        models.push_back({Wire::requiredText(model, "name"), Wire::requiredWhole(model, "version")});
+    }
+    return models;
+}
+
+EndpointRecord decodeEndpointObject(const json &object)
+{
+    EndpointRecord record;
+    record.service = Wire::requiredText(object, "service");
+    record.address = Wire::requiredText(object, "address");
+    requireAddress(record.address);
+    record.zone = Wire::requiredText(object, "zone");
+    record.slots = static_cast<int>(Wire::requiredWhole(object, "slots"));
+    const auto state = Wire::requiredText(object, "state");
+    if (state != "ready" && state != "draining") {
+        throw Wire::FieldError{"state is unknown: " + state};
+    }
+    record.isDraining = state == "draining";
+    record.coldRemaining = millisecondsOr(object, "cold_remaining_ms", Milliseconds(0));
+    record.startedAtMs = static_cast<std::int64_t>(Wire::wholeOr(object, "born", 0));
+    record.models = decodeModels(object);
+    return record;
+}
+
+}
+
+Result<ServiceConfiguration> decodeConfiguration(std::string_view text)
+{
+    return Wire::decodeObject(text, decodeConfigurationObject);
+}
+
+Result<PublishedVersion> decodePublishedVersion(std::string_view text)
+{
+    return Wire::decodeObject(text, decodePublishedVersionObject);
+}
+
+Result<EndpointRecord> decodeEndpointRecord(std::string_view key, std::string_view text)
+{
+    auto record = Wire::decodeObject(text, decodeEndpointObject);
+    if (record) {
+        record.value().id = endpointIdOfKey(key);
+    }
+    return record;
+}
+
+std::string endpointIdOfKey(std::string_view key)
+{
+    return std::string(key.substr(std::string_view(Wire::EndpointPrefix).size()));
+}
+
+std::string encodeRetireStatus(bool completed)
+{
+    return json{{"state", completed ? "completed" : "running"}}.dump();
+}
+
+}
--- /dev/null
+++ b/src/platform/endpointcalls.cpp
@@ -0,0 +1,148 @@
+#include "platform/endpointcalls.h"
+
+#include "platform/jsonfields.h"
+#include "platform/wirenames.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// What the system sets itself or keeps to itself; a client's values never reach an endpoint.
+constexpr std::array ReservedFields = {Wire::ApiKey, Wire::Tenant, Wire::ExpectInstance, Wire::Signature, Wire::NotExecuted};
+
+std::uint64_t wholeOrZero(std::string_view text)
+{
+    std::uint64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+std::optional<EndpointLoad> decodeLoad(std::string_view text)
+{
+    std::array<int, 3> numbers{};
+    for (std::size_t i = 0; i < numbers.size(); ++i) {
+        const auto comma = std::min(text.find(','), text.size());
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + comma, numbers[i]);
+        if (ec != std::errc{} || end != text.data() + comma) {
+            return std::nullopt;
+        }
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return EndpointLoad{numbers[0], numbers[1], numbers[2]};
+}
+
+EndpointState decodeStateObject(const json &object)
+{
+    EndpointState state;
+    state.orders = Wire::wholeOr(object, "sequence", 0);
+    state.isBusy = Wire::flagOr(object, "busy", false);
+    state.startedAtMs = static_cast<std::int64_t>(Wire::wholeOr(object, "born", 0));
+    for (const auto &model : Wire::arrayOrEmpty(object, "models")) {
+        state.models.push_back({Wire::requiredText(model, "name"), Wire::requiredWhole(model, "version")});
+    }
+    return state;
+}
+
+}
+
+EndpointEvidence decodeEvidence(const ResponseHead &head)
+{
+    EndpointEvidence evidence;
+    evidence.status = head.status;
+    evidence.notExecuted = head.fields.find(Wire::NotExecuted) != nullptr || head.status == 421;
+    evidence.isSigned = head.fields.find(Wire::Signature) != nullptr;
+    evidence.attemptId = std::string(head.fields.value(Wire::AttemptId));
+    evidence.weightVersion = wholeOrZero(head.fields.value(Wire::WeightVersions));
+    evidence.load = decodeLoad(head.fields.value(Wire::ServerLoad));
+    return evidence;
+}
+
+RequestMessage
+makeForwardedRequest(const RequestMessage &message, const std::string &endpointId, const std::string &workspace, std::optional<Milliseconds> remaining)
+{
+    auto forwarded = message;
+    forwarded.fields.removeHopByHop();
+    for (const auto *name : ReservedFields) {
+        forwarded.fields.remove(name);
+    }
+    forwarded.fields.set(Wire::ExpectInstance, endpointId);
+    if (!workspace.empty()) {
+        forwarded.fields.set(Wire::Tenant, workspace);
+    }
+    if (remaining) {
+        forwarded.fields.set(Wire::DeadlineMs, std::to_string(std::max<std::int64_t>(1, remaining->count())));
+    }
+    return forwarded;
+}
+
+void setResumePosition(RequestMessage &message, std::uint64_t lastEventId)
+{
+    message.fields.set(Wire::LastEventId, std::to_string(lastEventId));
+}
+
+RequestMessage makeItemRequest(const BatchItem &item, const BatchIndex &batch, const std::string &endpointId, std::uint64_t lastEventId)
+{
+    RequestMessage message{"POST", item.path, item.fields, item.body};
+    message.fields.removeHopByHop();
+    for (const auto *name : ReservedFields) {
+        message.fields.remove(name);
+    }
+    message.fields.set("Host", batch.host);
+    message.fields.set(Wire::AttemptId, item.id);
+    message.fields.set(Wire::ExpectInstance, endpointId);
+    if (!batch.workspace.empty()) {
+        message.fields.set(Wire::Tenant, batch.workspace);
+    }
+    if (lastEventId > 0) {
+        setResumePosition(message, lastEventId);
+    }
+    return message;
+}
+
+std::uint64_t versionOfEventLine(std::string_view line)
+{
+    const std::string_view name = Wire::WeightVersions;
+    if (line.size() <= name.size() || line[name.size()] != ':' || !isSameFieldName(line.substr(0, name.size()), name)) {
+        return 0;
+    }
+    auto number = line.substr(name.size() + 1);
+    while (!number.empty() && number.front() == ' ') {
+        number.remove_prefix(1);
+    }
+    return wholeOrZero(number);
+}
+
+RequestMessage makeOrderRequest(const WeightOrder &order, const EndpointRecord &endpoint)
+{
+    const json body = {{"operation", "version"},
+                       {"model", order.model},
+                       {"version", order.version},
+                       {"switch_mode", order.mode == SwitchMode::Wait ? "wait" : "keep_running"},
+                       {"holder", order.holder},
+                       {"fencing_token", order.fencingToken},
+                       {"precondition", order.expectedOrders}};
+    return {"POST",
+            Wire::OrderPath,
+            {{"Host", endpoint.address}, {"Content-Type", "application/json"}, {Wire::ExpectInstance, endpoint.id}},
+            body.dump()};
+}
+
+RequestMessage makeReportRequest(const EndpointRecord &endpoint)
+{
+    return {"GET", Wire::ReportPath, {{"Host", endpoint.address}}, {}};
+}
+
+Result<EndpointState> decodeEndpointState(std::string_view body)
+{
+    return Wire::decodeObject(body, decodeStateObject);
+}
+
+}
--- /dev/null
+++ b/src/platform/endpointcalls.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/result.h"
+#include "base/timestamp.h"
+#include "batches/batch.h"
+#include "catalog/endpointrecord.h"
+#include "http/httpmessage.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Basilbend
+{
+
+/// The load that an endpoint tells with its answers.
+struct EndpointLoad {
+    int running = 0;
+    int waiting = 0;
+    int slots = 0;
+};
+
+/// What the head of an endpoint's response proves.
+struct EndpointEvidence {
+    int status = 0;
+    /// The endpoint says that it did not run the request.
+    bool notExecuted = false;
+    /// The response carries the endpoint's signature.
+    bool isSigned = false;
+    /// The attempt that the response belongs to; empty when it does not say.
+    std::string attemptId;
+    /// Version of the weights when the response began; zero when it does not say.
+    std::uint64_t weightVersion = 0;
+    std::optional<EndpointLoad> load;
+};
+
+EndpointEvidence decodeEvidence(const ResponseHead &head);
+
+/// A client's request as the endpoint gets it. The client's key and what it claims of its workspace are removed.
+RequestMessage
+makeForwardedRequest(const RequestMessage &message, const std::string &endpointId, const std::string &workspace, std::optional<Milliseconds> remaining);
+
+/// Asks a stream to go on behind an event.
+void setResumePosition(RequestMessage &message, std::uint64_t lastEventId);
+
+/// An item of a batch as the endpoint gets it.
+RequestMessage makeItemRequest(const BatchItem &item, const BatchIndex &batch, const std::string &endpointId, std::uint64_t lastEventId);
+
+/// Splits the name of the version line from the data of an event; zero when the line is no version line.
+std::uint64_t versionOfEventLine(std::string_view line);
+
+/// How running generations are treated when weights change.
+enum class SwitchMode {
+    /// They finish first.
+    Wait,
+    /// They go on under the new version.
+    KeepRunning,
+};
+
+struct WeightOrder {
+    std::string model;
+    std::uint64_t version = 0;
+    SwitchMode mode = SwitchMode::KeepRunning;
+    std::string holder;
+    std::uint64_t fencingToken = 0;
+    /// How many orders the endpoint must have accepted before; a late copy of this order then does nothing.
+    std::uint64_t expectedOrders = 0;
+};
+
+RequestMessage makeOrderRequest(const WeightOrder &order, const EndpointRecord &endpoint);
+
+/// The state of an endpoint as it reports it, some hundred milliseconds old.
+struct EndpointState {
+    /// Orders accepted since its start.
+    std::uint64_t orders = 0;
+    /// An order is being carried out.
+    bool isBusy = false;
+    std::vector<ServedModel> models;
+    std::int64_t startedAtMs = 0;
+};
+
+RequestMessage makeReportRequest(const EndpointRecord &endpoint);
+Result<EndpointState> decodeEndpointState(std::string_view body);
+
+}
--- /dev/null
+++ b/src/platform/jsonfields.cpp
@@ -0,0 +1,103 @@
+#include "platform/jsonfields.h"
+
+namespace Basilbend::Wire
+{
+
+namespace
+{
+
+const nlohmann::json *findField(const nlohmann::json &object, const char *name)
+{
+    const auto it = object.is_object() ? object.find(name) : object.end();
+    return !object.is_object() || it == object.end() || it->is_null() ? nullptr : &*it;
+}
+
+const nlohmann::json &requiredField(const nlohmann::json &object, const char *name)
+{
+    const auto *field = findField(object, name);
+    if (field == nullptr) {
+        throw FieldError{std::string(name) + " is missing"};
+    }
+    return *field;
+}
+
+std::string asText(const nlohmann::json &field, const char *name)
+{
+    if (!field.is_string()) {
+        throw FieldError{std::string(name) + " must be a text"};
+    }
+    return field.get<std::string>();
+}
+
+std::uint64_t asWhole(const nlohmann::json &field, const char *name)
+{
+    if (!field.is_number_unsigned()) {
+        throw FieldError{std::string(name) + " must be a whole number without sign"};
+    }
+    return field.get<std::uint64_t>();
+}
+
+}
+
+std::string requiredText(const nlohmann::json &object, const char *name)
+{
+    return asText(requiredField(object, name), name);
+}
+
+std::string textOr(const nlohmann::json &object, const char *name, const std::string &fallback)
+{
+    const auto *field = findField(object, name);
+    return field == nullptr ? fallback : asText(*field, name);
+}
+
+std::uint64_t requiredWhole(const nlohmann::json &object, const char *name)
+{
+    return asWhole(requiredField(object, name), name);
+}
+
+std::uint64_t wholeOr(const nlohmann::json &object, const char *name, std::uint64_t fallback)
+{
+    const auto *field = findField(object, name);
+    return field == nullptr ? fallback : asWhole(*field, name);
+}
+
+double numberOr(const nlohmann::json &object, const char *name, double fallback)
+{
+    const auto *field = findField(object, name);
+    if (field == nullptr) {
+        return fallback;
+    }
+    if (!field->is_number()) {
+        throw FieldError{std::string(name) + " must be a number"};
+    }
+    return field->get<double>();
+}
+
+bool flagOr(const nlohmann::json &object, const char *name, bool fallback)
+{
+    const auto *field = findField(object, name);
+    if (field == nullptr) {
+        return fallback;
+    }
+    if (!field->is_boolean()) {
+        throw FieldError{std::string(name) + " must be true or false"};
+    }
+    return field->get<bool>();
+}
+
+const nlohmann::json &requiredArray(const nlohmann::json &object, const char *name)
+{
+    const auto &field = requiredField(object, name);
+    if (!field.is_array()) {
+        throw FieldError{std::string(name) + " must be a list"};
+    }
+    return field;
+}
+
+const nlohmann::json &arrayOrEmpty(const nlohmann::json &object, const char *name)
+{
+    static const auto empty = nlohmann::json::array();
+    return findField(object, name) == nullptr ? empty : requiredArray(object, name);
+}
+
+}
--- /dev/null
+++ b/src/platform/platformstore.cpp
@@ -0,0 +1,219 @@
+#include "platform/platformstore.h"
+
+#include "net/base64.h"
+#include "platform/jsonfields.h"
+
+#include <sstream>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// The store answers in milliseconds when it is well and in a few hundred when it is slow.
+constexpr Milliseconds CallTimeout{1200};
+/// What a watch may take beyond its span.
+constexpr Milliseconds WatchSlack{900};
+constexpr Milliseconds ConnectTimeout{500};
+
+MetadataItem decodeItem(const json &object)
+{
+    MetadataItem item;
+    item.key = Wire::requiredText(object, "key");
+    item.revision = Wire::wholeOr(object, "revision", 0);
+    item.created = Wire::wholeOr(object, "created", 0);
+    item.lease = Wire::wholeOr(object, "lease", 0);
+    item.isRemoval = Wire::flagOr(object, "deleted", false);
+    if (!item.isRemoval) {
+        const auto value = fromBase64(Wire::textOr(object, "value", {}));
+        if (!value) {
+            throw Wire::FieldError{"value of " + item.key + " is not base64"};
+        }
+        item.value = *value;
+    }
+    return item;
+}
+
+MetadataReply decodeReply(const json &object)
+{
+    MetadataReply reply;
+    for (const auto *list : {"items", "events"}) {
+        for (const auto &item : Wire::arrayOrEmpty(object, list)) {
+            // A key of a failed precondition that does not exist may stand without a value.
+            if (item.is_object() && item.contains("key")) {
+                reply.items.push_back(decodeItem(item));
+            }
+        }
+    }
+    if (object.contains("key")) {
+        reply.items.push_back(decodeItem(object));
+    }
+    reply.hasMore = Wire::flagOr(object, "more_pages", false);
+    reply.revision = Wire::wholeOr(object, "current_rev", Wire::wholeOr(object, "revision", 0));
+    reply.lease = Wire::wholeOr(object, "lease", 0);
+    reply.leaseTime = Milliseconds(Wire::wholeOr(object, "ttl_ms", 0));
+    return reply;
+}
+
+MetadataStatus statusOf(int httpStatus)
+{
+    switch (httpStatus) {
+    case 200:
+        return MetadataStatus::Done;
+    case 404:
+        return MetadataStatus::NotFound;
+    case 410:
+        return MetadataStatus::HistoryGone;
+    case 412:
+        return MetadataStatus::Conflict;
+    case 400:
+    case 403:
+    case 413:
+    case 429:
+    case 503:
+        return MetadataStatus::Refused;
+    default:
+        return MetadataStatus::Unknown;
+    }
+}
+
+MetadataReply replyOf(int httpStatus, const std::string &body)
+{
+    MetadataReply reply;
+    const auto status = statusOf(httpStatus);
+    if (status == MetadataStatus::Done || status == MetadataStatus::Conflict) {
+        auto decoded = Wire::decodeObject(body, decodeReply);
+        if (!decoded) {
+            return reply;
+        }
+        reply = std::move(decoded.value());
+    }
+    reply.status = status;
+    return reply;
+}
+
+RequestMessage callWithBody(const std::string &target, const json &body)
+{
+    return {"POST", target, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+json encodeChange(const MetadataChange &change)
+{
+    auto preconditions = json::array();
+    for (const auto &precondition : change.preconditions) {
+        preconditions.push_back({{"key", precondition.key}, {"revision", precondition.revision}});
+    }
+    auto writes = json::array();
+    for (const auto &write : change.writes) {
+        writes.push_back({{"key", write.key}, {"value", toBase64(write.value)}, {"lease", write.lease}});
+    }
+    return {{"precondition", std::move(preconditions)}, {"writes", std::move(writes)}, {"remove", change.removals}};
+}
+
+}
+
+struct PlatformStore::OpenCall {
+    ClientCall call;
+    Callback callback;
+    int status = 0;
+    std::string body;
+};
+
+PlatformStore::PlatformStore(WebClient &client, EventLoop loop, asio::ip::tcp::endpoint server)
+    : m_client(client)
+    , m_loop(std::move(loop))
+    , m_server(std::move(server))
+{
+    std::ostringstream text;
+    text << m_server;
+    m_hostField = text.str();
+}
+
+PlatformStore::~PlatformStore()
+{
+    *m_alive = false;
+}
+
+void PlatformStore::get(const std::string &key, Callback callback)
+{
+    send({"GET", "/-/kv-key?key=" + percentEncoded(key), {}, {}}, CallTimeout, std::move(callback));
+}
+
+void PlatformStore::list(const std::string &prefix, const std::string &afterKey, Callback callback)
+{
+    auto target = "/-/kv-range?path_prefix=" + percentEncoded(prefix);
+    if (!afterKey.empty()) {
+        target += "&after=" + percentEncoded(afterKey);
+    }
+    send({"GET", target, {}, {}}, CallTimeout, std::move(callback));
+}
+
+void PlatformStore::watch(const std::string &prefix, std::uint64_t afterRevision, Milliseconds span, Callback callback)
+{
+    const auto target =
+        "/-/kv-watch?path_prefix=" + percentEncoded(prefix) + "&after=" + std::to_string(afterRevision) + "&wait_ms=" + std::to_string(span.count());
+    send({"GET", target, {}, {}}, span + WatchSlack, std::move(callback));
+}
+
+void PlatformStore::commit(const MetadataChange &change, Callback callback)
+{
+    send(callWithBody("/-/kv-txn", encodeChange(change)), CallTimeout, std::move(callback));
+}
+
+void PlatformStore::createLease(Milliseconds span, Callback callback)
+{
+    send(callWithBody("/-/kv-lease", {{"ttl_ms", span.count()}}), CallTimeout, std::move(callback));
+}
+
+void PlatformStore::renewLease(std::uint64_t lease, Callback callback)
+{
+    send({"POST", "/-/kv-keep/" + std::to_string(lease), {}, {}}, CallTimeout, std::move(callback));
+}
+
+void PlatformStore::endLease(std::uint64_t lease, Callback callback)
+{
+    send({"DELETE", "/-/kv-lease-end/" + std::to_string(lease), {}, {}}, CallTimeout, std::move(callback));
+}
+
+void PlatformStore::send(RequestMessage request, Milliseconds timeout, Callback callback)
+{
+    ++m_counts.calls;
+    const auto number = ++m_lastNumber;
+    request.fields.add("Host", m_hostField);
+    auto open = std::make_unique<OpenCall>();
+    open->callback = std::move(callback);
+    CallHooks hooks;
+    hooks.onHead = [this, number](const ResponseHead &head) { m_open.at(number)->status = head.status; };
+    hooks.onBody = [this, number](std::string_view data) { m_open.at(number)->body.append(data); };
+    hooks.onEnd = [this, number](CallEnd end) {
+        const auto &call = *m_open.at(number);
+        MetadataReply reply;
+        if (end == CallEnd::Complete) {
+            reply = replyOf(call.status, call.body);
+        } else if (end == CallEnd::NotConnected) {
+            reply.status = MetadataStatus::Refused;
+        }
+        finish(number, std::move(reply));
+    };
+    auto &entry = *m_open.emplace(number, std::move(open)).first->second;
+    entry.call = m_client.send(m_server, request, std::move(hooks), ConnectTimeout);
+    m_loop.runAfter(timeout, [this, alive = m_alive, number] {
+        if (*alive && m_open.count(number) > 0) {
+            finish(number, {});
+        }
+    });
+}
+
+void PlatformStore::finish(std::uint64_t number, MetadataReply reply)
+{
+    const auto node = m_open.extract(number);
+    m_counts.refused += reply.status == MetadataStatus::Refused ? 1 : 0;
+    m_counts.unanswered += reply.status == MetadataStatus::Unknown ? 1 : 0;
+    node.mapped()->call.cancel();
+    node.mapped()->callback(std::move(reply));
+}
+
+}
--- /dev/null
+++ b/src/platform/wirenames.h
@@ -0,0 +1,42 @@
+#pragma once
+
+namespace Basilbend::Wire
+{
+
+/// Header fields of the platform.
+inline constexpr const char *AttemptId = "Basilbend-Attempt-Id";
+inline constexpr const char *DeadlineMs = "Basilbend-Deadline-Ms";
+inline constexpr const char *Signature = "Basilbend-Server-Signature";
+inline constexpr const char *Tenant = "Basilbend-Tenant";
+inline constexpr const char *ExpectInstance = "Basilbend-Expect-Instance";
+inline constexpr const char *ServerLoad = "Basilbend-Server-Load";
+inline constexpr const char *NotExecuted = "Basilbend-Not-Executed";
+inline constexpr const char *WaitMs = "Basilbend-Wait-Ms";
+inline constexpr const char *WeightVersions = "Basilbend-Weight-Versions";
+inline constexpr const char *LengthHint = "Basilbend-Length-Hint";
+inline constexpr const char *PromptPrefix = "Basilbend-Prompt-Prefix";
+inline constexpr const char *TokenCounts = "Basilbend-Token-Counts";
+inline constexpr const char *DutyHolder = "Basilbend-Duty-Holder";
+inline constexpr const char *FencingToken = "Basilbend-Fencing-Token";
+inline constexpr const char *ApiKey = "X-Api-Key";
+inline constexpr const char *LastEventId = "Last-Event-Id";
+inline constexpr const char *RetryAfter = "Retry-After";
+
+/// Calls to this system.
+inline constexpr const char *ReadinessPath = "/-/readiness";
+inline constexpr const char *BatchPath = "/-/lots/";
+inline constexpr const char *ItemPath = "/-/items/";
+
+/// Calls to endpoints.
+inline constexpr const char *OrderPath = "/-/order";
+inline constexpr const char *ReportPath = "/-/report";
+
+/// Keys that the operator and the endpoints write, and the system's answer to the operator.
+inline constexpr const char *OperatorPrefix = "op/";
+inline constexpr const char *ConfigurationKey = "op/config";
+inline constexpr const char *VersionPrefix = "op/version/";
+inline constexpr const char *RetirePrefix = "op/retire/";
+inline constexpr const char *RetireStatusPrefix = "status/retire/";
+inline constexpr const char *EndpointPrefix = "servers/";
+
+}
--- /dev/null
+++ b/src/scheduling/batchrunner.cpp
@@ -0,0 +1,570 @@
+#include "scheduling/batchrunner.h"
+
+#include "scheduling/grouporder.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds IndexWatchSpan{5000};
+constexpr Milliseconds TickInterval{100};
+/// A run without a byte for this long is given up. Longer than a change of weights, during which a run may pause.
+constexpr Milliseconds SilenceLimit{1800};
+/// Pause before an item is offered again after a failure.
+constexpr Milliseconds RetryPause{20};
+/// Runs moved away from slow endpoints at one tick.
+constexpr int MovesPerTick = 12;
+/// Texts of ended batches that are kept for items that may come again.
+constexpr std::size_t MaxKeptTexts = 1500;
+/// Waiting items looked at in one round of a batch.
+constexpr std::size_t MaxWaitingInRound = 512;
+/// Part of an endpoint's memory that expected tokens may fill; estimates are often too low.
+constexpr double MemoryShare = 0.92;
+
+}
+
+BatchRunner::BatchRunner(
+    EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, MetadataStore &store, SystemView &view, BatchRunnerHooks hooks)
+    : m_loop(std::move(loop))
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_client(client)
+    , m_store(store)
+    , m_view(view)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void BatchRunner::activate()
+{
+    if (m_active) {
+        return;
+    }
+    m_active = true;
+    ++m_generation;
+    m_feed = std::make_unique<PrefixFeed>(m_store,
+                                          m_loop,
+                                          BatchRecords::IndexPrefix,
+                                          IndexWatchSpan,
+                                          PrefixFeedHooks{[this](const std::vector<MetadataItem> &items) {
+                                                              for (const auto &item : items) {
+                                                                  applyIndex(item);
+                                                              }
+                                                          },
+                                                          [this](const MetadataItem &item) { applyIndex(item); },
+                                                          [this](bool reachable) {
+                                                              m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "batches"}});
+                                                          }});
+    m_feed->start();
+    tick();
+}
+
+void BatchRunner::deactivate()
+{
+    if (!m_active) {
+        return;
+    }
+    m_active = false;
+    ++m_generation;
+    m_feed->stop();
+    // Answers to its calls may still come.
+    m_stoppedFeeds.push_back(std::move(m_feed));
+    for (auto &[id, loader] : m_loading) {
+        loader->cancel();
+    }
+    m_loading.clear();
+    for (auto &[id, batch] : m_batches) {
+        batch->writer->stop();
+    }
+    m_batches.clear();
+    m_ended.clear();
+    m_kept.clear();
+    m_runningAt.clear();
+}
+
+void BatchRunner::applyIndex(const MetadataItem &item)
+{
+    if (item.isRemoval) {
+        const auto id = item.key.substr(std::string_view(BatchRecords::IndexPrefix).size());
+        close(id);
+        m_ended.erase(id);
+        return;
+    }
+    const auto index = BatchRecords::decodeIndex(item.value);
+    if (!index) {
+        m_log.warning("batch_unreadable", {{"key", item.key}, {"reason", index.error().message}});
+        return;
+    }
+    if (index.value().ended) {
+        m_ended[index.value().id] = true;
+        close(index.value().id);
+    } else {
+        open(index.value());
+    }
+}
+
+void BatchRunner::open(const BatchIndex &index)
+{
+    const bool isKnown = m_batches.count(index.id) > 0 || m_loading.count(index.id) > 0 || m_ended.count(index.id) > 0;
+    if (!isKnown) {
+        load(index);
+    }
+}
+
+void BatchRunner::load(const BatchIndex &index)
+{
+    auto loader = std::make_shared<BatchLoader>(
+        m_store, m_loop, index, [this, id = index.id](Result<std::shared_ptr<OpenBatch>> batch) { opened(id, std::move(batch)); });
+    m_loading[index.id] = loader;
+    loader->start();
+}
+
+void BatchRunner::opened(const std::string &id, Result<std::shared_ptr<OpenBatch>> loaded)
+{
+    m_loading.erase(id);
+    if (!loaded) {
+        m_log.warning("batch_unreadable", {{"batch", id}, {"reason", loaded.error().message}});
+        return;
+    }
+    auto batch = std::make_unique<Batch>();
+    batch->state = std::move(loaded.value());
+    const auto *route = routeOf(*batch->state);
+    if (route != nullptr) {
+        batch->state->adopt(m_kept, rulesOf(*route));
+    }
+    batch->writer =
+        std::make_shared<ResultWriter>(m_store, m_loop, m_log, batch->state, ResultWriter::Hooks{m_hooks.term, [this, id] { reload(id); }});
+    m_log.info("batch_opened",
+               {{"batch", id},
+                {"items", batch->state->index().itemCount},
+                {"listed", batch->state->listedCount()},
+                {"minimum_version", batch->state->submission().minimumVersion},
+                {"desired_groups", batch->state->submission().desiredGroups},
+                {"age_ms", m_loop.now().milliseconds() - batch->state->index().submittedAtMs}});
+    m_batches[id] = std::move(batch);
+    m_hooks.onDemandChanged();
+    scheduleSoon();
+}
+
+void BatchRunner::keepTexts(const OpenBatch &batch)
+{
+    auto texts = batch.textsToKeep();
+    std::move(texts.begin(), texts.end(), std::back_inserter(m_kept));
+    if (m_kept.size() > MaxKeptTexts) {
+        m_kept.erase(m_kept.begin(), m_kept.end() - static_cast<std::ptrdiff_t>(MaxKeptTexts));
+    }
+}
+
+void BatchRunner::close(const std::string &id)
+{
+    if (const auto it = m_loading.find(id); it != m_loading.end()) {
+        it->second->cancel();
+        m_loading.erase(it);
+    }
+    const auto it = m_batches.find(id);
+    if (it == m_batches.end()) {
+        return;
+    }
+    const auto batch = std::move(it->second);
+    m_batches.erase(it);
+    batch->writer->stop();
+    keepTexts(*batch->state);
+    for (const auto &[item, running] : batch->running) {
+        --m_runningAt[running.endpoint];
+    }
+    m_log.info("batch_closed",
+               {{"batch", id}, {"listed", batch->state->listedCount()}, {"of", batch->state->index().itemCount}, {"cancelled", batch->running.size()}});
+    m_hooks.onDemandChanged();
+    scheduleSoon();
+}
+
+void BatchRunner::reload(const std::string &id)
+{
+    auto *batch = find(id);
+    if (batch == nullptr) {
+        return;
+    }
+    const auto index = batch->state->index();
+    close(id);
+    load(index);
+}
+
+BatchRunner::Batch *BatchRunner::find(const std::string &id)
+{
+    const auto it = m_batches.find(id);
+    return it == m_batches.end() ? nullptr : it->second.get();
+}
+
+const RouteRule *BatchRunner::routeOf(const OpenBatch &batch) const
+{
+    return m_view.routes() == nullptr ? nullptr : m_view.routes()->routeNamed(batch.index().route);
+}
+
+BatchRules BatchRunner::rulesOf(const RouteRule &route)
+{
+    return {route.attempts, route.retention, route.singleVersion};
+}
+
+std::map<std::string, std::uint64_t> BatchRunner::requiredVersions() const
+{
+    std::map<std::string, std::uint64_t> required;
+    for (const auto &[id, batch] : m_batches) {
+        const auto &submission = batch->state->submission();
+        auto &version = required[submission.model];
+        version = std::max(version, submission.minimumVersion);
+    }
+    return required;
+}
+
+int BatchRunner::runningAt(const std::string &endpoint) const
+{
+    const auto it = m_runningAt.find(endpoint);
+    return it == m_runningAt.end() ? 0 : it->second;
+}
+
+void BatchRunner::reconsider()
+{
+    if (m_active) {
+        scheduleSoon();
+    }
+}
+
+void BatchRunner::noteEndpointGone(const std::string &id)
+{
+    m_pace.forget(id);
+}
+
+void BatchRunner::scheduleSoon()
+{
+    if (m_scheduled) {
+        return;
+    }
+    m_scheduled = true;
+    m_loop.runAfter(Milliseconds(0), [this] {
+        m_scheduled = false;
+        schedule();
+    });
+}
+
+void BatchRunner::schedule()
+{
+    if (!m_active || !m_hooks.mayStart() || m_view.routes() == nullptr) {
+        return;
+    }
+    std::vector<Batch *> batches;
+    for (const auto &[id, batch] : m_batches) {
+        batches.push_back(batch.get());
+    }
+    std::sort(batches.begin(), batches.end(), [](const Batch *a, const Batch *b) {
+        return a->state->index().submittedAtMs < b->state->index().submittedAtMs;
+    });
+    for (auto *batch : batches) {
+        scheduleBatch(*batch);
+    }
+}
+
+std::uint64_t BatchRunner::tokensHeldAt(const std::string &endpoint) const
+{
+    std::uint64_t tokens = 0;
+    for (const auto &[id, batch] : m_batches) {
+        for (const auto &[item, running] : batch->running) {
+            tokens += running.endpoint == endpoint ? running.expectedTokens : 0;
+        }
+    }
+    return tokens;
+}
+
+std::vector<PlacementEndpoint> BatchRunner::endpointsFor(const OpenBatch &batch, const RouteRule &route) const
+{
+    const auto now = m_loop.now();
+    const double median = m_pace.medianGapMs(now);
+    std::vector<PlacementEndpoint> endpoints;
+    for (const auto &share : route.shares) {
+        const auto *service = m_view.routes()->serviceNamed(share.service);
+        const auto capacity = service != nullptr && service->engine ? service->engine->kvCacheTokens : 0;
+        for (const auto *record : m_view.endpoints().readyOf(share.service)) {
+            if (share.weight <= 0 || m_pace.isSuspended(record->id, now) || m_hooks.isLoading(record->id)) {
+                continue;
+            }
+            PlacementEndpoint endpoint;
+            endpoint.id = record->id;
+            endpoint.slots = record->slots;
+            endpoint.running = runningAt(record->id);
+            endpoint.tokensHeld = tokensHeldAt(record->id);
+            endpoint.tokenCapacity = static_cast<std::uint64_t>(MemoryShare * static_cast<double>(capacity));
+            endpoint.version = m_hooks.versionAt(*record, batch.submission().model);
+            endpoint.isSlow = m_pace.isSlow(record->id, now);
+            const double gap = m_pace.gapMs(record->id, now);
+            endpoint.pace = gap > 0 && median > 0 ? gap / median : 1;
+            endpoints.push_back(std::move(endpoint));
+        }
+    }
+    return endpoints;
+}
+
+std::string BatchRunner::endpointOfGroup(const Batch &batch, std::size_t item) const
+{
+    const auto &group = batch.state->item(item).group;
+    for (const auto &[other, running] : batch.running) {
+        if (batch.state->item(other).group == group) {
+            return running.endpoint;
+        }
+    }
+    return {};
+}
+
+void BatchRunner::scheduleBatch(Batch &batch)
+{
+    auto &state = *batch.state;
+    const auto *route = routeOf(state);
+    if (route == nullptr || state.isDecided()) {
+        return;
+    }
+    const auto now = m_loop.now();
+    std::vector<PlacementItem> waiting;
+    for (const auto i : state.order()) {
+        const auto &progress = state.progress(i);
+        if (progress.phase != ItemPhase::Waiting || now < progress.notBefore) {
+            continue;
+        }
+        const auto &item = state.item(i);
+        const auto prompt = item.tokens > 0 ? item.tokens / 2 : 0;
+        waiting.push_back({i,
+                           state.submission().minimumVersion,
+                           std::min(item.tokens, prompt + expectedOutput(item)),
+                           endpointOfGroup(batch, i),
+                           progress.avoidedEndpoint});
+        if (waiting.size() >= MaxWaitingInRound) {
+            break;
+        }
+    }
+    if (waiting.empty()) {
+        return;
+    }
+    for (const auto &assignment : assignItems(waiting, endpointsFor(state, *route))) {
+        if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
+            start(batch, assignment.item, *endpoint);
+        }
+    }
+}
+
+void BatchRunner::start(Batch &batch, std::size_t item, const EndpointRecord &endpoint)
+{
+    auto &state = *batch.state;
+    auto &progress = state.progress(item);
+    const auto run = ++m_lastRun;
+    const auto id = state.index().id;
+    progress.phase = ItemPhase::Running;
+    progress.run = run;
+    progress.endpoint = endpoint.id;
+    ItemRunHooks hooks;
+    hooks.onEvent = [this, id, item, run](std::uint64_t event, std::string data, std::uint64_t version) {
+        return acceptEvent(id, item, run, event, std::move(data), version);
+    };
+    hooks.onEnd = [this, id, item, run](RunEnd end, int status) { acceptEnd(id, item, run, end, status); };
+    Running running;
+    running.endpoint = endpoint.id;
+    running.expectedTokens = std::min(state.item(item).tokens, state.item(item).tokens / 2 + expectedOutput(state.item(item)));
+    running.run = std::make_unique<ItemRun>(m_client, m_loop, endpoint, m_hooks.versionAt(endpoint, state.submission().model), std::move(hooks));
+    m_log.info("item_sent",
+               {{"batch", id},
+                {"item", state.item(item).id},
+                {"endpoint", endpoint.id},
+                {"after_event", progress.text.lastEventId()},
+                {"running", runningAt(endpoint.id)},
+                {"endpoint_version", m_hooks.versionAt(endpoint, state.submission().model)}});
+    running.run->start(state.item(item), state.index(), progress.text.lastEventId());
+    ++m_runningAt[endpoint.id];
+    batch.running.emplace(item, std::move(running));
+    m_metrics.count("basilbend_item_runs_total");
+}
+
+bool BatchRunner::acceptEvent(
+    const std::string &id, std::size_t item, std::uint64_t run, std::uint64_t event, std::string data, std::uint64_t version)
+{
+    auto *batch = find(id);
+    if (batch == nullptr || batch->state->progress(item).run != run || batch->state->progress(item).phase != ItemPhase::Running) {
+        return false;
+    }
+    const auto *route = routeOf(*batch->state);
+    auto &running = batch->running.at(item);
+    const auto now = m_loop.now();
+    if (running.hasEvent) {
+        m_pace.noteGap(running.endpoint, now - running.lastEventAt, now);
+    }
+    running.hasEvent = true;
+    running.lastEventAt = now;
+    const bool isAccepted = batch->state->addEvent(item, event, std::move(data), version, route == nullptr ? BatchRules() : rulesOf(*route));
+    if (!isAccepted) {
+        m_log.warning("event_rejected",
+                      {{"batch", id},
+                       {"item", batch->state->item(item).id},
+                       {"event", event},
+                       {"last_event", batch->state->progress(item).text.lastEventId()},
+                       {"version", version},
+                       {"minimum_version", batch->state->submission().minimumVersion}});
+        // Cancelled from the loop, because this is called from within the run.
+        m_loop.runAfter(Milliseconds(0), [this, id, item, run] {
+            auto *late = find(id);
+            if (late != nullptr && late->state->progress(item).run == run && late->state->progress(item).phase == ItemPhase::Running) {
+                cancelRun(*late, item, "event_rejected");
+            }
+        });
+    }
+    return isAccepted;
+}
+
+void BatchRunner::acceptEnd(const std::string &id, std::size_t item, std::uint64_t run, RunEnd end, int status)
+{
+    auto *batch = find(id);
+    if (batch == nullptr || batch->state->progress(item).run != run || batch->state->progress(item).phase != ItemPhase::Running) {
+        return;
+    }
+    auto &state = *batch->state;
+    const auto node = batch->running.extract(item);
+    const auto &running = node.mapped();
+    const auto endpoint = running.endpoint;
+    const auto now = m_loop.now();
+    --m_runningAt[endpoint];
+    noteRunEnd(endpoint, end, running.hasEvent);
+    const auto *route = routeOf(state);
+    const auto rules = route == nullptr ? BatchRules() : rulesOf(*route);
+    const bool isWhole = end == RunEnd::Complete && state.progress(item).text.eventCount() > 0;
+    if (isWhole) {
+        state.complete(item);
+    } else if (end == RunEnd::Unprocessable) {
+        state.terminate(item);
+    } else if (end == RunEnd::ServerError) {
+        state.noteServerError(item, rules);
+    }
+    if (state.progress(item).phase != ItemPhase::Decided) {
+        state.requeue(item, endpoint, now + RetryPause);
+    }
+    if (!isWhole) {
+        m_log.warning("run_failed",
+                      {{"batch", id},
+                       {"item", state.item(item).id},
+                       {"endpoint", endpoint},
+                       {"end", runEndName(end)},
+                       {"status", status},
+                       {"events", state.progress(item).text.eventCount()},
+                       {"server_errors", state.progress(item).serverErrors},
+                       {"after_ms", now - running.run->startedAt()}});
+    }
+    m_metrics.count("basilbend_item_run_ends_total", {{"end", std::string(runEndName(end))}});
+    batch->writer->poll();
+    scheduleSoon();
+}
+
+void BatchRunner::noteRunEnd(const std::string &endpoint, RunEnd end, bool hadEvents)
+{
+    const auto now = m_loop.now();
+    switch (end) {
+    case RunEnd::Complete:
+        m_pace.noteCompleted(endpoint);
+        break;
+    case RunEnd::Refused:
+        m_pace.noteFull(endpoint, now);
+        break;
+    case RunEnd::NotConnected:
+        m_pace.noteFailure(endpoint, now);
+        break;
+    case RunEnd::Broken:
+        if (!hadEvents) {
+            m_pace.noteFull(endpoint, now);
+        }
+        break;
+    case RunEnd::ServerError:
+    case RunEnd::Unprocessable:
+        break;
+    }
+}
+
+void BatchRunner::cancelRun(Batch &batch, std::size_t item, const char *why)
+{
+    const auto node = batch.running.extract(item);
+    if (node.empty()) {
+        return;
+    }
+    const auto endpoint = node.mapped().endpoint;
+    --m_runningAt[endpoint];
+    m_log.warning("run_cancelled",
+                  {{"batch", batch.state->index().id},
+                   {"item", batch.state->item(item).id},
+                   {"endpoint", endpoint},
+                   {"why", why},
+                   {"events", batch.state->progress(item).text.eventCount()},
+                   {"silent_ms", m_loop.now() - node.mapped().run->lastActivity()}});
+    batch.state->requeue(item, endpoint, Timestamp());
+    m_metrics.count("basilbend_item_runs_cancelled_total", {{"why", why}});
+    scheduleSoon();
+}
+
+void BatchRunner::tick()
+{
+    if (!m_active) {
+        return;
+    }
+    for (const auto &[id, batch] : m_batches) {
+        tickBatch(*batch);
+    }
+    scheduleSoon();
+    m_loop.runAfter(TickInterval, [this, generation = m_generation] {
+        if (generation == m_generation) {
+            tick();
+        }
+    });
+}
+
+void BatchRunner::tickBatch(Batch &batch)
+{
+    const auto now = m_loop.now();
+    const auto *route = routeOf(*batch.state);
+    if (route != nullptr) {
+        for (const auto item : batch.state->expire(now, rulesOf(*route))) {
+            cancelRun(batch, item, "retention_over");
+        }
+    }
+    std::vector<std::size_t> silent;
+    for (const auto &[item, running] : batch.running) {
+        if (now - running.run->lastActivity() >= SilenceLimit) {
+            silent.push_back(item);
+        }
+    }
+    for (const auto item : silent) {
+        m_pace.noteFailure(batch.running.at(item).endpoint, now);
+        cancelRun(batch, item, "silent");
+    }
+    moveFromSlowEndpoints(batch);
+    batch.writer->poll();
+}
+
+void BatchRunner::moveFromSlowEndpoints(Batch &batch)
+{
+    const auto *route = routeOf(*batch.state);
+    if (route == nullptr || batch.running.empty()) {
+        return;
+    }
+    int places = 0;
+    for (const auto &endpoint : endpointsFor(*batch.state, *route)) {
+        const bool isUsable = !endpoint.isSlow && endpoint.version >= batch.state->submission().minimumVersion;
+        places += isUsable ? std::max(0, endpoint.slots - endpoint.running) : 0;
+    }
+    const auto now = m_loop.now();
+    std::vector<std::size_t> slow;
+    for (const auto &[item, running] : batch.running) {
+        if (running.hasEvent && m_pace.isSlow(running.endpoint, now)) {
+            slow.push_back(item);
+        }
+    }
+    const auto moves = std::min({static_cast<std::size_t>(MovesPerTick), slow.size(), static_cast<std::size_t>(places)});
+    for (std::size_t i = 0; i < moves; ++i) {
+        cancelRun(batch, slow[i], "slow_endpoint");
+    }
+}
+
+}
--- /dev/null
+++ b/src/scheduling/batchrunner.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "base/eventloop.h"
+#include "catalog/systemview.h"
+#include "http/webclient.h"
+#include "log/eventlog.h"
+#include "metadata/prefixfeed.h"
+#include "net/metrics.h"
+#include "scheduling/batchloader.h"
+#include "scheduling/endpointpace.h"
+#include "scheduling/itemrun.h"
+#include "scheduling/openbatch.h"
+#include "scheduling/placement.h"
+#include "scheduling/resultwriter.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+struct BatchRunnerHooks {
+    /// Fencing token of the leadership; zero: this process does not lead.
+    std::function<std::uint64_t()> term;
+    /// Whether new runs may be started.
+    std::function<bool()> mayStart;
+    /// The version of a model's weights at an endpoint, as far as it is known.
+    std::function<std::uint64_t(const EndpointRecord &, const std::string &model)> versionAt;
+    /// The endpoint is changing its weights and refuses new runs.
+    std::function<bool(const std::string &endpoint)> isLoading;
+    /// Work has come or gone, which may change which weights are needed.
+    std::function<void()> onDemandChanged;
+};
+
+/// Runs all open batches while this process leads: reads them from the store, gives items to endpoints, joins runs that
+/// were cut, and lists the results.
+class BatchRunner
+{
+public:
+    BatchRunner(EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, MetadataStore &store, SystemView &view, BatchRunnerHooks hooks);
+
+    /// Starts to run batches, from what the store holds.
+    void activate();
+
+    /// Cancels all runs and forgets all batches.
+    void deactivate();
+
+    /// Endpoints, weights or the configuration have changed.
+    void reconsider();
+
+    /// An endpoint is gone or about to leave; its runs go on until it ends them.
+    void noteEndpointGone(const std::string &id);
+
+    /// The newest version that an open batch needs at least, by model.
+    std::map<std::string, std::uint64_t> requiredVersions() const;
+
+    int runningAt(const std::string &endpoint) const;
+
+    std::size_t openBatchCount() const
+    {
+        return m_batches.size();
+    }
+
+private:
+    struct Running {
+        std::unique_ptr<ItemRun> run;
+        std::string endpoint;
+        Timestamp lastEventAt;
+        bool hasEvent = false;
+        std::uint64_t expectedTokens = 0;
+    };
+
+    struct Batch {
+        std::shared_ptr<OpenBatch> state;
+        std::shared_ptr<ResultWriter> writer;
+        std::map<std::size_t, Running> running;
+        std::uint64_t serial = 0;
+    };
+
+    struct WaitingRef {
+        Batch *batch = nullptr;
+        std::size_t item = 0;
+    };
+
+    void applyIndex(const MetadataItem &item);
+    void open(const BatchIndex &index);
+    void load(const BatchIndex &index);
+    void opened(const std::string &id, Result<std::shared_ptr<OpenBatch>> batch);
+    void close(const std::string &id);
+    void reload(const std::string &id);
+    void keepTexts(const OpenBatch &batch);
+
+    void scheduleSoon();
+    void schedule();
+    std::vector<PlacementEndpoint> endpointsFor(const OpenBatch &batch, const RouteRule &route) const;
+    std::uint64_t tokensHeldAt(const std::string &endpoint) const;
+    std::string endpointOfGroup(const Batch &batch, std::size_t item) const;
+    void scheduleBatch(Batch &batch);
+    void start(Batch &batch, std::size_t item, const EndpointRecord &endpoint);
+    bool acceptEvent(const std::string &batch, std::size_t item, std::uint64_t run, std::uint64_t id, std::string data, std::uint64_t version);
+    void acceptEnd(const std::string &batch, std::size_t item, std::uint64_t run, RunEnd end, int status);
+    void noteRunEnd(const std::string &endpoint, RunEnd end, bool hadEvents);
+
+    void tick();
+    void tickBatch(Batch &batch);
+    void cancelRun(Batch &batch, std::size_t item, const char *why);
+    void moveFromSlowEndpoints(Batch &batch);
+    const RouteRule *routeOf(const OpenBatch &batch) const;
+    static BatchRules rulesOf(const RouteRule &route);
+    Batch *find(const std::string &id);
+
+    EventLoop m_loop;
+    EventLog &m_log;
+    Metrics &m_metrics;
+    WebClient &m_client;
+    MetadataStore &m_store;
+    SystemView &m_view;
+    BatchRunnerHooks m_hooks;
+    std::unique_ptr<PrefixFeed> m_feed;
+    std::vector<std::unique_ptr<PrefixFeed>> m_stoppedFeeds;
+    std::map<std::string, std::shared_ptr<BatchLoader>> m_loading;
+    std::map<std::string, std::unique_ptr<Batch>> m_batches;
+    std::map<std::string, bool> m_ended;
+    std::vector<KeptText> m_kept;
+    std::map<std::string, int> m_runningAt;
+    EndpointPace m_pace;
+    bool m_active = false;
+    bool m_scheduled = false;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_lastRun = 0;
+};
+
+}
--- /dev/null
+++ b/src/scheduling/grouporder.cpp
@@ -0,0 +1,65 @@
+#include "scheduling/grouporder.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// Items without a hint are expected to use this part of their token limit.
+constexpr std::uint64_t UnhintedDivisor = 4;
+
+struct GroupRank {
+    std::string name;
+    bool isCarried = false;
+    std::uint64_t longest = 0;
+    std::vector<std::size_t> items;
+};
+
+std::vector<GroupRank> groupsOf(const BatchSubmission &submission, const std::set<std::string> &carried)
+{
+    std::vector<GroupRank> groups;
+    std::map<std::string, std::size_t> indexOf;
+    for (std::size_t i = 0; i < submission.items.size(); ++i) {
+        const auto &item = submission.items[i];
+        const auto [it, isNew] = indexOf.emplace(item.group, groups.size());
+        if (isNew) {
+            groups.push_back({item.group, false, 0, {}});
+        }
+        auto &group = groups[it->second];
+        group.isCarried = group.isCarried || carried.count(item.id) > 0;
+        group.longest = std::max(group.longest, expectedOutput(item));
+        group.items.push_back(i);
+    }
+    return groups;
+}
+
+}
+
+std::uint64_t expectedOutput(const BatchItem &item)
+{
+    return item.lengthHint > 0 ? item.lengthHint : item.tokens / UnhintedDivisor;
+}
+
+std::vector<std::size_t> startOrder(const BatchSubmission &submission, const std::set<std::string> &carried)
+{
+    auto groups = groupsOf(submission, carried);
+    // Shortest groups first, to find those that the trainer needs; carried ones are needed in any case.
+    std::stable_sort(groups.begin(), groups.end(), [](const GroupRank &a, const GroupRank &b) {
+        return a.isCarried != b.isCarried ? a.isCarried : a.longest < b.longest;
+    });
+    const auto desired = submission.desiredGroups == 0 ? groups.size() : std::min(submission.desiredGroups, groups.size());
+    std::stable_sort(groups.begin(), groups.begin() + static_cast<std::ptrdiff_t>(desired), [](const GroupRank &a, const GroupRank &b) {
+        return a.longest > b.longest;
+    });
+    std::vector<std::size_t> order;
+    for (const auto &group : groups) {
+        order.insert(order.end(), group.items.begin(), group.items.end());
+    }
+    return order;
+}
+
+}
--- /dev/null
+++ b/src/scheduling/itemrun.cpp
@@ -0,0 +1,118 @@
+#include "scheduling/itemrun.h"
+
+#include "http/socketoptions.h"
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds ConnectTimeout{300};
+
+}
+
+std::string_view runEndName(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Complete:
+        return "complete";
+    case RunEnd::ServerError:
+        return "server_error";
+    case RunEnd::Unprocessable:
+        return "unprocessable";
+    case RunEnd::Refused:
+        return "refused";
+    case RunEnd::NotConnected:
+        return "not_connected";
+    case RunEnd::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
+ItemRun::ItemRun(WebClient &client, EventLoop loop, const EndpointRecord &endpoint, std::uint64_t fallbackVersion, ItemRunHooks hooks)
+    : m_client(client)
+    , m_loop(std::move(loop))
+    , m_endpoint(endpoint)
+    , m_version(fallbackVersion)
+    , m_hooks(std::move(hooks))
+    , m_startedAt(m_loop.now())
+    , m_lastActivity(m_startedAt)
+{
+}
+
+void ItemRun::start(const BatchItem &item, const BatchIndex &batch, std::uint64_t afterEvent)
+{
+    m_itemId = item.id;
+    CallHooks hooks;
+    hooks.isMine = [this](const ResponseHead &head) {
+        const auto evidence = decodeEvidence(head);
+        return evidence.attemptId.empty() || evidence.attemptId == m_itemId;
+    };
+    hooks.onHead = [this](const ResponseHead &head) { acceptHead(head); };
+    hooks.onBody = [this](std::string_view data) {
+        m_lastActivity = m_loop.now();
+        if (m_events && !m_useless) {
+            m_events->feed(data);
+        }
+    };
+    hooks.onEnd = [this](CallEnd end) { acceptEnd(end); };
+    m_call = m_client.send(socketEndpoint(m_endpoint.address), makeItemRequest(item, batch, m_endpoint.id, afterEvent), std::move(hooks), ConnectTimeout);
+}
+
+void ItemRun::acceptHead(const ResponseHead &head)
+{
+    m_lastActivity = m_loop.now();
+    m_evidence = decodeEvidence(head);
+    if (m_evidence.weightVersion > 0) {
+        m_version = m_evidence.weightVersion;
+    }
+    if (head.status == 200 && m_evidence.isSigned) {
+        m_events = std::make_unique<EventStream>([this](const StreamEvent &event) { acceptEvent(event); });
+    }
+}
+
+void ItemRun::acceptEvent(const StreamEvent &event)
+{
+    for (const auto &line : event.otherLines) {
+        const auto version = versionOfEventLine(line);
+        m_version = version > 0 ? version : m_version;
+    }
+    if (!m_useless) {
+        m_useless = !event.hasId || !m_hooks.onEvent(event.id, event.data, m_version);
+    }
+}
+
+void ItemRun::acceptEnd(CallEnd end)
+{
+    // The hook may destroy this run.
+    const auto onEnd = m_hooks.onEnd;
+    onEnd(m_useless ? RunEnd::Broken : classify(end), m_evidence.status);
+}
+
+RunEnd ItemRun::classify(CallEnd end) const
+{
+    if (end == CallEnd::NotConnected) {
+        return RunEnd::NotConnected;
+    }
+    if (end != CallEnd::Complete || (m_evidence.status == 200 && !m_events)) {
+        return RunEnd::Broken;
+    }
+    if (m_evidence.notExecuted) {
+        return RunEnd::Refused;
+    }
+    switch (m_evidence.status) {
+    case 200:
+        return RunEnd::Complete;
+    case 422:
+        return RunEnd::Unprocessable;
+    case 500:
+    case 504:
+        return RunEnd::ServerError;
+    default:
+        return RunEnd::Broken;
+    }
+}
+
+}
--- /dev/null
+++ b/src/scheduling/itemrun.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/eventloop.h"
+#include "batches/batch.h"
+#include "catalog/endpointrecord.h"
+#include "http/eventstream.h"
+#include "http/webclient.h"
+#include "platform/endpointcalls.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace Basilbend
+{
+
+/// How a run of an item at an endpoint ended.
+enum class RunEnd {
+    /// The last event has arrived.
+    Complete,
+    /// The endpoint failed the item (500 or 504); it ran.
+    ServerError,
+    /// The endpoint can never run the item.
+    Unprocessable,
+    /// The endpoint refused and did not run it.
+    Refused,
+    /// No connection.
+    NotConnected,
+    /// The stream was cut or is no event stream.
+    Broken,
+};
+
+std::string_view runEndName(RunEnd end);
+
+struct ItemRunHooks {
+    /// An event with its id, its data and the version that generated it. Returns false when the run is of no use.
+    std::function<bool(std::uint64_t id, std::string data, std::uint64_t version)> onEvent;
+    std::function<void(RunEnd, int status)> onEnd;
+};
+
+/// One run of an item at one endpoint. Destroying it cancels the run: the connection closes and the endpoint stops.
+class ItemRun
+{
+public:
+    /// FallbackVersion: the version of the endpoint's weights, for answers that do not name one.
+    ItemRun(WebClient &client, EventLoop loop, const EndpointRecord &endpoint, std::uint64_t fallbackVersion, ItemRunHooks hooks);
+
+    /// Goes on behind the given event; zero starts from the beginning.
+    void start(const BatchItem &item, const BatchIndex &batch, std::uint64_t afterEvent);
+
+    const EndpointRecord &endpoint() const
+    {
+        return m_endpoint;
+    }
+
+    Timestamp startedAt() const
+    {
+        return m_startedAt;
+    }
+
+    /// Last byte of the answer, or the start.
+    Timestamp lastActivity() const
+    {
+        return m_lastActivity;
+    }
+
+private:
+    void acceptHead(const ResponseHead &head);
+    void acceptEvent(const StreamEvent &event);
+    void acceptEnd(CallEnd end);
+    RunEnd classify(CallEnd end) const;
+
+    WebClient &m_client;
+    EventLoop m_loop;
+    EndpointRecord m_endpoint;
+    std::uint64_t m_version;
+    ItemRunHooks m_hooks;
+    std::string m_itemId;
+    std::unique_ptr<EventStream> m_events;
+    EndpointEvidence m_evidence;
+    bool m_useless = false;
+    Timestamp m_startedAt;
+    Timestamp m_lastActivity;
+    ClientCall m_call;
+};
+
+}
--- /dev/null
+++ b/src/scheduling/openbatch.cpp
@@ -0,0 +1,179 @@
+#include "scheduling/openbatch.h"
+
+#include "scheduling/grouporder.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+namespace Basilbend
+{
+
+OpenBatch::OpenBatch(BatchIndex index, BatchSubmission submission, const std::vector<ItemResult> &listed)
+    : m_index(std::move(index))
+    , m_submission(std::move(submission))
+    , m_progress(m_submission.items.size())
+    , m_order(startOrder(m_submission, {}))
+{
+    std::unordered_map<std::string, std::size_t> positions;
+    for (std::size_t i = 0; i < m_submission.items.size(); ++i) {
+        positions.emplace(m_submission.items[i].id, i);
+    }
+    for (const auto &result : listed) {
+        const auto it = positions.find(result.id);
+        if (it != positions.end() && m_progress[it->second].phase != ItemPhase::Decided) {
+            m_progress[it->second].phase = ItemPhase::Decided;
+            ++m_decided;
+        }
+    }
+    m_listed = listed.size();
+}
+
+void OpenBatch::adopt(const std::vector<KeptText> &kept, const BatchRules &rules)
+{
+    std::unordered_map<std::string, const KeptText *> texts;
+    for (const auto &text : kept) {
+        texts.emplace(text.itemId, &text);
+    }
+    std::set<std::string> carried;
+    for (std::size_t i = 0; i < m_progress.size(); ++i) {
+        const auto it = texts.find(m_submission.items[i].id);
+        if (it == texts.end()) {
+            continue;
+        }
+        carried.insert(it->first);
+        const auto &text = it->second->text;
+        const bool fits = text.isAtLeast(m_submission.minimumVersion) && (!rules.singleVersion || text.versions().size() <= 1);
+        if (m_progress[i].phase != ItemPhase::Waiting || !fits || text.eventCount() == 0) {
+            continue;
+        }
+        m_progress[i].text = text;
+        if (it->second->isComplete) {
+            complete(i);
+        }
+    }
+    m_order = startOrder(m_submission, carried);
+}
+
+bool OpenBatch::addEvent(std::size_t i, std::uint64_t id, std::string data, std::uint64_t version, const BatchRules &rules)
+{
+    auto &progress = m_progress[i];
+    if (version < m_submission.minimumVersion) {
+        return false;
+    }
+    if (rules.singleVersion && !progress.text.isOnly(version)) {
+        progress.text.clear();
+        return false;
+    }
+    return progress.text.append(id, std::move(data), version);
+}
+
+void OpenBatch::complete(std::size_t i)
+{
+    m_progress[i].isComplete = true;
+    decide(i, ItemOutcome::Completed);
+}
+
+void OpenBatch::terminate(std::size_t i)
+{
+    decide(i, ItemOutcome::Terminated);
+}
+
+void OpenBatch::noteServerError(std::size_t i, const BatchRules &rules)
+{
+    if (++m_progress[i].serverErrors >= rules.attempts) {
+        terminate(i);
+    }
+}
+
+void OpenBatch::decide(std::size_t i, ItemOutcome outcome)
+{
+    auto &progress = m_progress[i];
+    if (progress.phase == ItemPhase::Decided) {
+        return;
+    }
+    progress.phase = ItemPhase::Decided;
+    ++m_decided;
+    ItemResult result;
+    result.id = m_submission.items[i].id;
+    result.outcome = outcome;
+    if (outcome == ItemOutcome::Completed) {
+        result.text = progress.text.joined();
+        result.versions = progress.text.versions();
+    }
+    m_pending.push_back(std::move(result));
+}
+
+void OpenBatch::requeue(std::size_t i, const std::string &avoidedEndpoint, Timestamp notBefore)
+{
+    auto &progress = m_progress[i];
+    if (progress.phase != ItemPhase::Running) {
+        return;
+    }
+    progress.phase = ItemPhase::Waiting;
+    progress.endpoint.clear();
+    progress.avoidedEndpoint = avoidedEndpoint;
+    progress.notBefore = notBefore;
+}
+
+std::vector<std::size_t> OpenBatch::expire(Timestamp now, const BatchRules &rules)
+{
+    std::vector<std::size_t> running;
+    const bool isOver = rules.retention.count() > 0 && now >= Timestamp(m_index.submittedAtMs) + rules.retention;
+    for (std::size_t i = 0; isOver && i < m_progress.size(); ++i) {
+        if (m_progress[i].phase == ItemPhase::Running) {
+            running.push_back(i);
+        }
+        terminate(i);
+    }
+    return running;
+}
+
+std::vector<ItemResult> OpenBatch::nextResults(std::size_t maxBytes) const
+{
+    std::vector<ItemResult> results;
+    std::size_t bytes = 0;
+    for (const auto &result : m_pending) {
+        bytes += result.text.size();
+        if (!results.empty() && bytes > maxBytes) {
+            break;
+        }
+        results.push_back(result);
+    }
+    return results;
+}
+
+void OpenBatch::noteListed(std::size_t n)
+{
+    m_pending.erase(m_pending.begin(), m_pending.begin() + static_cast<std::ptrdiff_t>(std::min(n, m_pending.size())));
+    m_listed += n;
+}
+
+std::vector<KeptText> OpenBatch::textsToKeep() const
+{
+    std::map<std::string, bool> groupIsComplete;
+    for (std::size_t i = 0; i < m_progress.size(); ++i) {
+        const auto it = groupIsComplete.emplace(m_submission.items[i].group, true).first;
+        it->second = it->second && m_progress[i].phase == ItemPhase::Decided;
+    }
+    // Results that are not listed yet may belong to groups that the trainer sees as incomplete.
+    std::set<std::string> unlisted;
+    for (const auto &result : m_pending) {
+        unlisted.insert(result.id);
+    }
+    std::set<std::string> seenAsIncomplete;
+    for (const auto &item : m_submission.items) {
+        if (!groupIsComplete.at(item.group) || unlisted.count(item.id) > 0) {
+            seenAsIncomplete.insert(item.group);
+        }
+    }
+    std::vector<KeptText> kept;
+    for (std::size_t i = 0; i < m_progress.size(); ++i) {
+        if (seenAsIncomplete.count(m_submission.items[i].group) > 0) {
+            kept.push_back({m_submission.items[i].id, m_progress[i].text, m_progress[i].isComplete});
+        }
+    }
+    return kept;
+}
+
+}
--- /dev/null
+++ b/src/scheduling/placement.cpp
@@ -0,0 +1,73 @@
+#include "scheduling/placement.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+bool hasRoom(const PlacementEndpoint &endpoint, const PlacementItem &item)
+{
+    if (endpoint.running >= endpoint.slots || endpoint.version < item.minimumVersion) {
+        return false;
+    }
+    // An endpoint without runs takes an item of any size.
+    return endpoint.tokenCapacity == 0 || endpoint.running == 0 || endpoint.tokensHeld + item.expectedTokens <= endpoint.tokenCapacity;
+}
+
+double expectedTime(const PlacementEndpoint &endpoint)
+{
+    return endpoint.pace * (1 + static_cast<double>(endpoint.running) / std::max(endpoint.slots, 1));
+}
+
+PlacementEndpoint *findBest(std::vector<PlacementEndpoint> &endpoints, const PlacementItem &item, bool allowSlow, bool allowAvoided)
+{
+    PlacementEndpoint *best = nullptr;
+    for (auto &endpoint : endpoints) {
+        const bool isAllowed = (allowSlow || !endpoint.isSlow) && (allowAvoided || endpoint.id != item.avoidedEndpoint);
+        if (!isAllowed || !hasRoom(endpoint, item)) {
+            continue;
+        }
+        if (endpoint.id == item.preferredEndpoint) {
+            return &endpoint;
+        }
+        if (best == nullptr || expectedTime(endpoint) < expectedTime(*best)) {
+            best = &endpoint;
+        }
+    }
+    return best;
+}
+
+}
+
+std::vector<Assignment> assignItems(const std::vector<PlacementItem> &waiting, std::vector<PlacementEndpoint> endpoints)
+{
+    std::vector<Assignment> assignments;
+    const bool onlySlow = std::all_of(endpoints.begin(), endpoints.end(), [](const PlacementEndpoint &endpoint) { return endpoint.isSlow; });
+    const auto fastSlots = [&endpoints] {
+        int n = 0;
+        for (const auto &endpoint : endpoints) {
+            n += endpoint.isSlow ? 0 : endpoint.slots;
+        }
+        return static_cast<std::size_t>(n);
+    }();
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+        const auto &item = waiting[i];
+        const bool allowSlow = onlySlow || waiting.size() - i > fastSlots;
+        auto *endpoint = findBest(endpoints, item, allowSlow, false);
+        if (endpoint == nullptr && !item.avoidedEndpoint.empty()) {
+            endpoint = findBest(endpoints, item, allowSlow, true);
+        }
+        if (endpoint == nullptr) {
+            continue;
+        }
+        ++endpoint->running;
+        endpoint->tokensHeld += item.expectedTokens;
+        assignments.push_back({item.index, endpoint->id});
+    }
+    return assignments;
+}
+
+}
--- /dev/null
+++ b/src/scheduling/placement.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// A model endpoint as the scheduler sees it at one moment.
+struct PlacementEndpoint {
+    std::string id;
+    int slots = 1;
+    int running = 0;
+    /// Tokens that its runs are expected to hold, and what its memory holds; zero capacity: not known.
+    std::uint64_t tokensHeld = 0;
+    std::uint64_t tokenCapacity = 0;
+    std::uint64_t version = 0;
+    /// Generates at less than half of the usual speed.
+    bool isSlow = false;
+    /// Relative time for an event; 1 is usual.
+    double pace = 1;
+};
+
+/// An item that waits for a place.
+struct PlacementItem {
+    /// Handed back with the assignment.
+    std::size_t index = 0;
+    std::uint64_t minimumVersion = 0;
+    std::uint64_t expectedTokens = 0;
+    /// The endpoint that holds the group's prompt; empty: none.
+    std::string preferredEndpoint;
+    /// An endpoint where the item has just failed or was too slow; used only when there is no other.
+    std::string avoidedEndpoint;
+};
+
+struct Assignment {
+    std::size_t item = 0;
+    std::string endpoint;
+};
+
+/// Gives waiting items, most urgent first, to endpoints with a free slot and enough memory. An item goes to the endpoint
+/// that holds its group's prompt when it has room, otherwise to the one that is expected to be done first. Slow endpoints
+/// get work only when no other has a free slot and more items wait than the others can take soon.
+std::vector<Assignment> assignItems(const std::vector<PlacementItem> &waiting, std::vector<PlacementEndpoint> endpoints);
+
+}
--- /dev/null
+++ b/src/scheduling/resultwriter.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/eventloop.h"
+#include "log/eventlog.h"
+#include "metadata/metadatastore.h"
+#include "scheduling/openbatch.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Basilbend
+{
+
+/// Lists the results of one batch in the metadata store, in chunks with ascending positions. A chunk is only written while
+/// this process' leadership is the one in the store and nothing stands at its position, so no position is ever written
+/// twice, whichever process runs the batch.
+class ResultWriter : public std::enable_shared_from_this<ResultWriter>
+{
+public:
+    struct Hooks {
+        /// The fencing token of the leadership under which this process writes; zero: it may not write.
+        std::function<std::uint64_t()> term;
+        /// Another process has listed results of the batch; it must be read again.
+        std::function<void()> onOverwritten;
+    };
+
+    ResultWriter(MetadataStore &store, EventLoop loop, EventLog &log, std::shared_ptr<OpenBatch> batch, Hooks hooks);
+
+    /// Writes pending results if it is time. To be called after each decided item and from time to time.
+    void poll();
+
+    /// Stops for good.
+    void stop();
+
+    /// Results are gathered for this time, unless the batch is done.
+    static constexpr Milliseconds GatherTime{300};
+
+private:
+    void commit();
+    void acceptReply(const MetadataReply &reply);
+    void acceptConflict(const MetadataReply &reply);
+    void noteWritten();
+    void retryLater(MetadataStatus status);
+
+    MetadataStore &m_store;
+    EventLoop m_loop;
+    EventLog &m_log;
+    std::shared_ptr<OpenBatch> m_batch;
+    Hooks m_hooks;
+    /// The chunk under way: repeated unchanged until its fate is known.
+    std::string m_chunk;
+    std::size_t m_chunkResults = 0;
+    bool m_isWriting = false;
+    bool m_stopped = false;
+    int m_failures = 0;
+    Timestamp m_lastWrite;
+};
+
+}
--- /dev/null
+++ b/src/weights/orderplanner.cpp
@@ -0,0 +1,61 @@
+#include "weights/orderplanner.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr std::size_t EndpointsPerLoad = 5;
+constexpr int LeastLoadsAtOnce = 2;
+
+/// Lower is ordered earlier.
+int urgency(const WeightEndpoint &endpoint, const WeightDemand &demand)
+{
+    if (demand.required > 0 && endpoint.version < demand.required) {
+        return 0;
+    }
+    return endpoint.version + 1 < demand.published ? 1 : 2;
+}
+
+}
+
+int loadsAtOnce(std::size_t endpoints)
+{
+    return std::max(LeastLoadsAtOnce, static_cast<int>(endpoints / EndpointsPerLoad));
+}
+
+std::vector<std::string> planOrders(const std::vector<WeightEndpoint> &endpoints, const WeightDemand &demand)
+{
+    int loading = 0;
+    std::size_t current = 0;
+    std::vector<const WeightEndpoint *> candidates;
+    for (const auto &endpoint : endpoints) {
+        loading += endpoint.isLoading ? 1 : 0;
+        current += endpoint.isLoading || endpoint.version >= demand.published ? 1 : 0;
+        if (!endpoint.isLoading && !endpoint.isPaused && endpoint.version < demand.published) {
+            candidates.push_back(&endpoint);
+        }
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [&demand](const WeightEndpoint *a, const WeightEndpoint *b) {
+        const int urgencyA = urgency(*a, demand);
+        const int urgencyB = urgency(*b, demand);
+        return urgencyA != urgencyB ? urgencyA < urgencyB : a->running < b->running;
+    });
+    const auto half = (endpoints.size() + 1) / 2;
+    std::vector<std::string> orders;
+    for (const auto *candidate : candidates) {
+        const bool isNeeded = urgency(*candidate, demand) < 2 || current < half;
+        if (!isNeeded || loading >= loadsAtOnce(endpoints.size())) {
+            break;
+        }
+        ++loading;
+        ++current;
+        orders.push_back(candidate->id);
+    }
+    return orders;
+}
+
+}
