--- a/src/app/daemoncommands.cpp
+++ b/src/app/daemoncommands.cpp
@@ -31,6 +31,10 @@
     try {
         DaemonRuntime runtime(fileName, std::move(settings.value()));
         run(runtime);
+        // All state is in the store and the log is flushed. Ending here skips the exit handlers of the libraries, one of which
+        // can wait for a thread that never ends.
+        std::cout.flush();
+        std::_Exit(Success);
     } catch (const std::system_error &error) {
         std::cerr << "the process can't run: " << error.what() << "\n";
         throw CLI::RuntimeError(OperationFailed);
