Relay store calls through peers and keep the proof of freshness young

Ruled out: slow own processing (every late request was answered by its gateway within 120 ms). Change: calls that the store refuses or leaves unanswered go through a peer that reaches it; submissions wait longer, because a failure now means that nobody reaches the store; watches are shortened by the age of the proof; idle waits follow the limit; silence counts after three tries.

--- a/src/batches/batchrecords.cpp
+++ b/src/batches/batchrecords.cpp
@@ -116,8 +116,7 @@
 {
     auto list = json::array();
     for (const auto &result : results) {
-        list.push_back(
-            {{"id", result.id}, {"terminated", result.outcome == ItemOutcome::Terminated}, {"text", result.text}, {"versions", result.versions}});
+        list.push_back({{"id", result.id}, {"terminated", result.outcome == ItemOutcome::Terminated}, {"text", result.text}, {"versions", result.versions}});
     }
     return list.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/src/billing/usageduty.cpp
+++ b/src/billing/usageduty.cpp
@@ -26,8 +26,7 @@
 
 }
 
-UsageDuty::UsageDuty(
-    MetadataStore &store, EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, UsageDutySettings settings, UsageDutyHooks hooks)
+UsageDuty::UsageDuty(MetadataStore &store, EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, UsageDutySettings settings, UsageDutyHooks hooks)
     : m_store(store)
     , m_loop(std::move(loop))
     , m_log(log)
@@ -130,8 +129,7 @@
 void UsageDuty::seal(const UsageCounts &counts)
 {
     const auto key = UsageRecords::sealedKey(m_window);
-    const MetadataChange change{
-        {{key, 0}, {LeaderElection::holderKey(), m_hooks.term()}}, {{key, UsageRecords::encodeCounts(counts), 0}}, {}};
+    const MetadataChange change{{{key, 0}, {LeaderElection::holderKey(), m_hooks.term()}}, {{key, UsageRecords::encodeCounts(counts), 0}}, {}};
     m_store.commit(change, [this, generation = m_generation, counts](const MetadataReply &reply) {
         if (generation != m_generation) {
             return;
@@ -151,8 +149,7 @@
         if (generation != m_generation) {
             return;
         }
-        const auto counts =
-            reply.status == MetadataStatus::Done && !reply.items.empty() ? UsageRecords::decodeCounts(reply.items.front().value) : std::nullopt;
+        const auto counts = reply.status == MetadataStatus::Done && !reply.items.empty() ? UsageRecords::decodeCounts(reply.items.front().value) : std::nullopt;
         if (counts) {
             send(*counts);
         } else {
--- a/src/catalog/routetable.cpp
+++ b/src/catalog/routetable.cpp
@@ -39,9 +39,8 @@
         m_routesOfHost[hostWithoutPort(routes[i].host)].push_back(i);
     }
     for (auto &[host, indexes] : m_routesOfHost) {
-        std::stable_sort(indexes.begin(), indexes.end(), [&routes](std::size_t a, std::size_t b) {
-            return routes[a].pathPrefix.size() > routes[b].pathPrefix.size();
-        });
+        std::stable_sort(
+            indexes.begin(), indexes.end(), [&routes](std::size_t a, std::size_t b) { return routes[a].pathPrefix.size() > routes[b].pathPrefix.size(); });
     }
     for (std::size_t i = 0; i < m_configuration.workspaces.size(); ++i) {
         for (const auto &key : m_configuration.workspaces[i].apiKeys) {
@@ -57,8 +56,7 @@
         return nullptr;
     }
     const auto &routes = m_configuration.routes;
-    const auto match =
-        std::find_if(it->second.begin(), it->second.end(), [&routes, path](std::size_t i) { return startsWith(path, routes[i].pathPrefix); });
+    const auto match = std::find_if(it->second.begin(), it->second.end(), [&routes, path](std::size_t i) { return startsWith(path, routes[i].pathPrefix); });
     return match == it->second.end() ? nullptr : &routes[*match];
 }
 
--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -103,8 +103,7 @@
         return;
     }
     m_routes = std::make_unique<RouteTable>(std::move(configuration.value()));
-    m_log.info("configuration_in_force",
-               {{"version", version}, {"revision", item.revision}, {"routes", m_routes->configuration().routes.size()}});
+    m_log.info("configuration_in_force", {{"version", version}, {"revision", item.revision}, {"routes", m_routes->configuration().routes.size()}});
     if (onConfigurationChanged) {
         onConfigurationChanged();
     }
--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -3,6 +3,7 @@
 #include "base/systemclock.h"
 #include "http/socketoptions.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <cerrno>
 #include <csignal>
@@ -51,6 +52,13 @@
     return loop;
 }
 
+std::vector<std::string> peersOf(const DaemonSettings &settings)
+{
+    auto peers = settings.peers;
+    peers.erase(std::remove(peers.begin(), peers.end(), settings.processes), peers.end());
+    return peers;
+}
+
 std::string makeIncarnation()
 {
     std::random_device device;
@@ -81,13 +89,13 @@
     , m_log(EventLogSettings{m_settings.node, m_incarnation}, systemNow, writeLog)
     , m_random(std::hash<std::string>()(m_incarnation))
     , m_client(m_io, systemNow)
-    , m_store(m_client, m_loop, socketEndpoint(m_settings.store))
+    , m_directStore(m_client, m_loop, socketEndpoint(m_settings.store))
+    , m_store(m_directStore, m_client, m_loop, m_log, peersOf(m_settings))
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
     raiseDescriptorLimit();
     std::signal(SIGPIPE, SIG_IGN);
-    m_log.info("process_started",
-               {{"role", m_settings.role}, {"zone", m_settings.zone}, {"settings_digest", std::hash<std::string>()(m_settingsText)}});
+    m_log.info("process_started", {{"role", m_settings.role}, {"zone", m_settings.zone}, {"settings_digest", std::hash<std::string>()(m_settingsText)}});
     serveMetrics();
     waitForSignal();
     housekeep();
@@ -120,8 +128,8 @@
         }
         m_metrics.setGauge("basilbend_log_lines_dropped", static_cast<double>(m_log.droppedLines()));
         m_metrics.setGauge("basilbend_outgoing_connections_opened", static_cast<double>(m_client.counts().connects));
-        m_metrics.setGauge("basilbend_store_calls", static_cast<double>(m_store.counts().calls));
-        m_metrics.setGauge("basilbend_store_calls_unanswered", static_cast<double>(m_store.counts().unanswered));
+        m_metrics.setGauge("basilbend_store_calls", static_cast<double>(m_directStore.counts().calls));
+        m_metrics.setGauge("basilbend_store_calls_unanswered", static_cast<double>(m_directStore.counts().unanswered));
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.toText()});
     };
     hooks.refusal = [](int status) { return ResponseMessage{status, {}, {}}; };
--- a/src/daemon/daemonruntime.h
+++ b/src/daemon/daemonruntime.h
@@ -6,6 +6,7 @@
 #include "http/webclient.h"
 #include "http/webserver.h"
 #include "log/eventlog.h"
+#include "metadata/relayedstore.h"
 #include "net/metrics.h"
 #include "platform/platformstore.h"
 
@@ -66,7 +67,7 @@
     {
         return m_client;
     }
-    PlatformStore &store()
+    RelayedStore &store()
     {
         return m_store;
     }
@@ -95,7 +96,8 @@
     Metrics m_metrics;
     Random m_random;
     WebClient m_client;
-    PlatformStore m_store;
+    PlatformStore m_directStore;
+    RelayedStore m_store;
     asio::signal_set m_signals;
     std::unique_ptr<WebServer> m_metricsServer;
     bool m_stopping = false;
--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -38,6 +38,8 @@
                         s.zone,
                         s.clients,
                         s.readiness,
+                        s.processes,
+                        s.peers,
                         s.metrics,
                         s.store,
                         s.reports,
@@ -66,12 +68,19 @@
     }
     settings.node = reader.text("node");
     settings.zone = reader.text("zone");
+    settings.peers = reader.textsOr("peers", {});
+    for (const auto &peer : settings.peers) {
+        if (!socketAddressFromText(peer)) {
+            reader.reject("peers", "must be IP addresses with a port");
+        }
+    }
     settings.metrics = addressText(reader, "metrics");
     settings.store = addressText(reader, "store");
     settings.reports = addressText(reader, "reports");
     if (settings.role == "gateway") {
         settings.clients = addressText(reader, "clients");
         settings.readiness = addressText(reader, "readiness");
+        settings.processes = addressText(reader, "processes");
     }
     settings.withdrawalBound = secondsOr(reader, "withdrawal_seconds", settings.withdrawalBound);
     settings.gracePeriod = secondsOr(reader, "grace_seconds", settings.gracePeriod);
--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Basilbend
 {
@@ -16,6 +17,10 @@
     /// Gateways: where clients and the platform's readiness checks come in.
     std::string clients;
     std::string readiness;
+    /// Gateways: where other processes of the system come in. Not to be reachable for clients.
+    std::string processes;
+    /// Processes that may relay calls to the store; the own address does not matter.
+    std::vector<std::string> peers;
     /// Metrics and status of the process.
     std::string metrics;
     /// The platform's metadata store and its API for reports.
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -47,11 +47,7 @@
 public:
     explicit Gateway(DaemonRuntime &runtime)
         : m_runtime(runtime)
-        , m_view(runtime.store(),
-                 runtime.loop(),
-                 runtime.log(),
-                 runtime.settings().withdrawalBound / OperatorWatchDivisor,
-                 EndpointWatchSpan)
+        , m_view(runtime.store(), runtime.loop(), runtime.log(), runtime.settings().withdrawalBound / OperatorWatchDivisor, EndpointWatchSpan)
         , m_picker(runtime.settings().zone)
         , m_usage(runtime.settings().usageWindow)
         , m_publisher(runtime.store(), runtime.loop(), runtime.log(), runtime.settings().node + "-" + runtime.incarnation())
@@ -63,10 +59,16 @@
                     m_view,
                     m_picker,
                     m_usage,
-                    runtime.random()}
+                    runtime.random(),
+                    runtime.store().hasPeers()}
         , m_service(m_context, freshnessOf(runtime.settings()))
         , m_clients(runtime.io(), runtime.settings().clients, clientHooks())
-        , m_readiness(runtime.io(), runtime.settings().readiness, readinessHooks())
+        , m_readiness(runtime.io(), runtime.settings().readiness, plainHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
+                          exchange->respond(isReadinessRequest(exchange->request()) ? m_service.readiness() : ResponseMessage{404, {}, {}});
+                      }))
+        , m_processes(runtime.io(), runtime.settings().processes, plainHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
+                          m_runtime.store().serve(exchange);
+                      }))
     {
         m_view.onEndpointGone = [this](const EndpointRecord &endpoint) {
             m_picker.forget(endpoint.id);
@@ -101,12 +103,11 @@
         return hooks;
     }
 
-    ServerHooks readinessHooks()
+    /// For addresses that clients do not reach.
+    static ServerHooks plainHooks(std::function<void(std::shared_ptr<ServerExchange>)> onRequest)
     {
         ServerHooks hooks;
-        hooks.onRequest = [this](const std::shared_ptr<ServerExchange> &exchange) {
-            exchange->respond(isReadinessRequest(exchange->request()) ? m_service.readiness() : ResponseMessage{404, {}, {}});
-        };
+        hooks.onRequest = std::move(onRequest);
         hooks.refusal = [](int status) { return ResponseMessage{status, {}, {}}; };
         hooks.limits = [] { return ServerLimits(); };
         hooks.isDraining = [] { return false; };
@@ -181,6 +182,7 @@
     GatewayService m_service;
     WebServer m_clients;
     WebServer m_readiness;
+    WebServer m_processes;
     Timestamp m_drainStartedAt;
     bool m_wasReady = false;
     bool m_isFlushing = false;
--- a/src/election/candidacyrule.cpp
+++ b/src/election/candidacyrule.cpp
@@ -12,11 +12,8 @@
 
 }
 
-bool CandidacyRule::mayStand(const std::string &node,
-                             const std::vector<std::string> &recentLeaders,
-                             Timestamp startedAt,
-                             std::optional<Timestamp> lastLedAt,
-                             Timestamp now) const
+bool CandidacyRule::mayStand(
+    const std::string &node, const std::vector<std::string> &recentLeaders, Timestamp startedAt, std::optional<Timestamp> lastLedAt, Timestamp now) const
 {
     const auto it = std::find(recentLeaders.begin(), recentLeaders.end(), node);
     const bool nobodyBetween = it == recentLeaders.begin() || it == recentLeaders.end();
--- a/src/election/candidacyrule.h
+++ b/src/election/candidacyrule.h
@@ -16,11 +16,8 @@
     Milliseconds turnGuard{3500};
 
     /// Recent leaders: newest first. LastLedAt: the end of this process' last leadership, if it led.
-    bool mayStand(const std::string &node,
-                  const std::vector<std::string> &recentLeaders,
-                  Timestamp startedAt,
-                  std::optional<Timestamp> lastLedAt,
-                  Timestamp now) const;
+    bool mayStand(
+        const std::string &node, const std::vector<std::string> &recentLeaders, Timestamp startedAt, std::optional<Timestamp> lastLedAt, Timestamp now) const;
 };
 
 /// Recent leaders after a node has taken over, with at most this many kept.
--- a/src/election/leaderelection.cpp
+++ b/src/election/leaderelection.cpp
@@ -36,7 +36,9 @@
                   applyItem(item);
                   evaluate();
               },
-              [this](bool reachable) { m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "leader"}, {"term", m_term}}); }})
+              [this](bool reachable) {
+                  m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "leader"}, {"term", m_term}});
+              }})
     , m_startedAt(m_loop.now())
 {
 }
--- a/src/forwarding/admission.h
+++ b/src/forwarding/admission.h
@@ -13,8 +13,8 @@
 struct FreshnessRule {
     /// A withdrawn key must not work longer than this after the store has acknowledged the withdrawal.
     Milliseconds withdrawalBound{5000};
-    /// Room for the way of the request and for clock resolution.
-    Milliseconds margin{600};
+    /// Room for clock resolution. The bound counts from the sending of a request, which is earlier than its arrival.
+    Milliseconds margin{150};
 
     bool isFresh(std::optional<Timestamp> asOf, Timestamp now) const
     {
--- a/src/forwarding/endpointpicker.cpp
+++ b/src/forwarding/endpointpicker.cpp
@@ -44,8 +44,7 @@
     return latency * (1 + queued) + (endpoint.zone == m_zone ? 0 : OtherZoneMs);
 }
 
-const EndpointRecord *
-EndpointPicker::pick(const std::vector<const EndpointRecord *> &candidates, const std::set<std::string> &excluded, Timestamp now) const
+const EndpointRecord *EndpointPicker::pick(const std::vector<const EndpointRecord *> &candidates, const std::set<std::string> &excluded, Timestamp now) const
 {
     const EndpointRecord *best = nullptr;
     const EndpointRecord *leastSuspended = nullptr;
@@ -89,6 +88,7 @@
     state.latencyMs = known ? (1 - NewestWeight) * state.latencyMs + NewestWeight * newest : newest;
     state.latencyAt = now;
     state.failures = 0;
+    state.silentTries = 0;
     state.suspendedUntil = {};
 }
 
@@ -99,6 +99,15 @@
     state.waitingAt = now;
 }
 
+void EndpointPicker::noteSilence(const std::string &id, Timestamp now)
+{
+    auto &state = m_states[id];
+    if (++state.silentTries >= SilentTries) {
+        state.silentTries = 0;
+        noteFailure(id, now);
+    }
+}
+
 void EndpointPicker::noteFailure(const std::string &id, Timestamp now)
 {
     auto &state = m_states[id];
--- a/src/forwarding/endpointpicker.h
+++ b/src/forwarding/endpointpicker.h
@@ -28,7 +28,10 @@
     void noteLatency(const std::string &id, Milliseconds latency, Timestamp now);
     /// Requests of others that wait at the endpoint, as it tells.
     void noteWaiting(const std::string &id, int waiting, Timestamp now);
-    /// No connection, a cut answer or no answer in time.
+    /// No answer within the time of a request, which may have been too short for it. Counts as a failure when it happens
+    /// SilentTries times in a row.
+    void noteSilence(const std::string &id, Timestamp now);
+    /// No connection, a cut answer or a failure answer.
     void noteFailure(const std::string &id, Timestamp now);
     /// The endpoint refused for lack of room.
     void noteFull(const std::string &id, Timestamp now);
@@ -39,6 +42,7 @@
     static constexpr Milliseconds FirstSuspension{400};
     static constexpr Milliseconds LongestSuspension{6000};
     static constexpr Milliseconds FullPause{40};
+    static constexpr int SilentTries = 3;
 
 private:
     struct State {
@@ -48,6 +52,7 @@
         int waiting = 0;
         Timestamp waitingAt;
         int failures = 0;
+        int silentTries = 0;
         Timestamp suspendedUntil;
         Timestamp fullUntil;
     };
--- a/src/gateway/batchacceptance.cpp
+++ b/src/gateway/batchacceptance.cpp
@@ -116,12 +116,9 @@
 {
     const auto retryAfter = status == 409 ? Milliseconds(0) : ResubmitPause;
     m_context.metrics.count("basilbend_batches_refused_total", {{"status", std::to_string(status)}});
-    m_context.log.warning("batch_refused",
-                          {{"batch", m_index.id},
-                           {"status", status},
-                           {"code", static_cast<int>(code)},
-                           {"tries", m_failures},
-                           {"after_ms", m_context.loop.now() - m_arrivedAt}});
+    m_context.log.warning(
+        "batch_refused",
+        {{"batch", m_index.id}, {"status", status}, {"code", static_cast<int>(code)}, {"tries", m_failures}, {"after_ms", m_context.loop.now() - m_arrivedAt}});
     m_exchange->closeAfterwards();
     m_exchange->respond(makeRejection(status, Error{code, message, Execution::NotRun, retryAfter}, m_request.attemptId));
 }
--- a/src/gateway/batchapi.cpp
+++ b/src/gateway/batchapi.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds RetryPause{60};
 /// Time to come back when this process can't reach the store; another one may.
 constexpr Milliseconds UnsurePause{300};
+/// Parts of the client's time for which a submission waits for the store.
+constexpr double PatienceWithPeers = 0.8;
+constexpr double PatienceAlone = 0.25;
 /// Time limit of submissions whose client names none.
 constexpr Milliseconds DefaultDeadline{10000};
 
@@ -46,8 +49,10 @@
     index.workspace = workspace;
     index.submittedAtMs = m_context.loop.now().milliseconds();
     index.itemCount = submission.value().items.size();
-    // Part of the time only: this process may be cut off from the store while others are not.
-    const auto patience = std::min(route.timeout, request.deadline.value_or(DefaultDeadline)) / 4;
+    // Without peers this process may be cut off from the store while others are not, so the client should try one of them.
+    const double share = m_context.hasPeers ? PatienceWithPeers : PatienceAlone;
+    const auto limit = std::min(route.timeout, request.deadline.value_or(DefaultDeadline));
+    const Milliseconds patience(static_cast<std::int64_t>(share * static_cast<double>(limit.count())));
     std::make_shared<BatchAcceptance>(m_context, exchange, request, std::move(index), patience)->start();
 }
 
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -24,6 +24,8 @@
     EndpointPicker &picker;
     UsageCounter &usage;
     Random &random;
+    /// Other processes relay calls to the store, so a failure there means that nobody reaches it.
+    bool hasPeers = false;
 };
 
 }
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds ConnectTimeout{250};
 /// Time limit of requests whose client names none, if the route's is longer.
 constexpr Milliseconds DefaultDeadline{10000};
+/// An endpoint's answer when the time that it was given is over.
+constexpr int EndpointTimeoutStatus = 504;
 /// Pause before full endpoints are asked again.
 constexpr Milliseconds RoomPause{20};
 /// A stream whose client takes nothing is ended above this.
@@ -253,6 +255,8 @@
         m_context.picker.noteLatency(id, now - ended.sentAt, now);
     } else if (end == CallEnd::Complete && outcome == TryOutcome::NotRun && ended.evidence.status != 421) {
         m_context.picker.noteFull(id, now);
+    } else if (end == CallEnd::Complete && ended.evidence.status == EndpointTimeoutStatus) {
+        m_context.picker.noteSilence(id, now);
     } else {
         m_context.picker.noteFailure(id, now);
     }
@@ -329,7 +333,7 @@
     if (mayHaveRun) {
         for (const auto &attempt : m_tries) {
             if (!attempt->ended) {
-                m_context.picker.noteFailure(attempt->endpoint.id, m_context.loop.now());
+                m_context.picker.noteSilence(attempt->endpoint.id, m_context.loop.now());
                 noteBegan(attempt->sentAt);
             }
         }
--- a/src/gateway/resultcache.cpp
+++ b/src/gateway/resultcache.cpp
@@ -128,9 +128,8 @@
     }
     const auto span = std::min(LongestWatch, until - now);
     entry->isBusy = true;
-    m_context.store.watch(BatchRecords::resultPrefix(entry->batch), entry->revision, span, [this, entry](MetadataReply reply) {
-        acceptWatch(entry, std::move(reply));
-    });
+    m_context.store.watch(
+        BatchRecords::resultPrefix(entry->batch), entry->revision, span, [this, entry](MetadataReply reply) { acceptWatch(entry, std::move(reply)); });
 }
 
 void ResultCache::acceptWatch(const EntryPtr &entry, MetadataReply reply)
--- a/src/http/httpfields.cpp
+++ b/src/http/httpfields.cpp
@@ -72,8 +72,8 @@
 
 void HttpFields::remove(std::string_view name)
 {
-    m_fields.erase(
-        std::remove_if(m_fields.begin(), m_fields.end(), [name](const HttpField &field) { return isSameFieldName(field.name, name); }), m_fields.end());
+    m_fields.erase(std::remove_if(m_fields.begin(), m_fields.end(), [name](const HttpField &field) { return isSameFieldName(field.name, name); }),
+                   m_fields.end());
 }
 
 void HttpFields::removeHopByHop()
@@ -81,8 +81,7 @@
     for (const auto &name : listedNames(value("Connection"))) {
         remove(name);
     }
-    for (const auto *name :
-         {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Upgrade", "TE", "Trailer", "Proxy-Connection", "Expect"}) {
+    for (const auto *name : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Upgrade", "TE", "Trailer", "Proxy-Connection", "Expect"}) {
         remove(name);
     }
 }
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -2,10 +2,10 @@
 
 #include "http/socketoptions.h"
 
+#include <array>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
-#include <array>
 
 namespace Basilbend
 {
@@ -50,7 +50,7 @@
 void ServerSession::start()
 {
     applyConnectionOptions(m_socket);
-    armTimer(m_hooks.limits().idleTimeout, &ServerSession::onIdleTimeout);
+    armIdleTimer(m_hooks.limits().idleTimeout, m_hooks.limits().idleTimeout);
     waitReadable();
 }
 
@@ -237,7 +237,7 @@
         }
         return;
     }
-    armTimer(m_hooks.limits().idleTimeout, &ServerSession::onIdleTimeout);
+    armIdleTimer(m_hooks.limits().idleTimeout, m_hooks.limits().idleTimeout);
     // The next request may already be here; it is read from the loop and not from within the handler.
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         if (!self->m_closed) {
@@ -266,9 +266,21 @@
 
 void ServerSession::onIdleTimeout()
 {
+    // The limit may have been raised since the wait began.
+    const auto left = m_hooks.limits().idleTimeout - m_idleLimit;
+    if (left.count() > 0) {
+        armIdleTimer(m_hooks.limits().idleTimeout, left);
+        return;
+    }
     closeWhenIdle();
 }
 
+void ServerSession::armIdleTimer(Milliseconds limit, Milliseconds span)
+{
+    m_idleLimit = limit;
+    armTimer(span, &ServerSession::onIdleTimeout);
+}
+
 void ServerSession::beginLingering()
 {
     if (m_lingering) {
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -68,6 +68,7 @@
     void acceptMessage();
     void refuse(int status);
     void armTimer(Milliseconds span, void (ServerSession::*action)());
+    void armIdleTimer(Milliseconds limit, Milliseconds span);
     void onHeadTimeout();
     void onIdleTimeout();
     void writeNext();
@@ -77,6 +78,8 @@
     asio::ip::tcp::socket m_socket;
     const ServerHooks &m_hooks;
     asio::steady_timer m_timer;
+    /// The idle limit that the running wait ends at.
+    Milliseconds m_idleLimit{0};
     MessageParser m_parser;
     RequestMessage m_request;
     std::shared_ptr<ServerExchange> m_exchange;
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -11,6 +11,9 @@
 constexpr Milliseconds FirstRetryPause{40};
 constexpr Milliseconds LongestRetryPause{500};
 
+/// Shortest wait of a watch.
+constexpr Milliseconds ShortestSpan{300};
+
 /// One lost answer is no outage; the second one in a row is.
 constexpr int FailuresOfOutage = 2;
 
@@ -90,14 +93,17 @@
 void PrefixFeed::watch()
 {
     const auto sentAt = m_loop.now();
-    m_store.watch(m_prefix, m_revision, m_span, [this, generation = m_generation, sentAt](MetadataReply reply) {
+    // An answer with a change proves the state only for the time at which the watch was sent, so the next watch ends early
+    // enough to prove it again within one span.
+    const auto span = std::clamp(m_span - (sentAt - *m_currentAsOf), std::min(ShortestSpan, m_span), m_span);
+    m_store.watch(m_prefix, m_revision, span, [this, generation = m_generation, sentAt, span](MetadataReply reply) {
         if (generation == m_generation) {
-            acceptWatch(std::move(reply), sentAt);
+            acceptWatch(std::move(reply), sentAt, span);
         }
     });
 }
 
-void PrefixFeed::acceptWatch(MetadataReply reply, Timestamp sentAt)
+void PrefixFeed::acceptWatch(MetadataReply reply, Timestamp sentAt, Milliseconds span)
 {
     if (reply.status == MetadataStatus::HistoryGone) {
         noteSuccess();
@@ -111,8 +117,8 @@
     noteSuccess();
     if (reply.items.empty()) {
         // The store answers an empty watch when its span is over, so the state is proven for that moment.
-        const bool waitedOut = m_loop.now() - sentAt >= m_span;
-        m_currentAsOf = std::max(*m_currentAsOf, waitedOut ? sentAt + m_span : sentAt);
+        const bool waitedOut = m_loop.now() - sentAt >= span;
+        m_currentAsOf = std::max(*m_currentAsOf, waitedOut ? sentAt + span : sentAt);
         acceptEmptyWatch(reply.revision);
         watch();
         return;
--- a/src/platform/dutycalls.cpp
+++ b/src/platform/dutycalls.cpp
@@ -7,8 +7,7 @@
 namespace Basilbend
 {
 
-RequestMessage
-makeUsageReport(const std::string &host, const std::string &holder, std::uint64_t fencingToken, std::int64_t window, const UsageCounts &counts)
+RequestMessage makeUsageReport(const std::string &host, const std::string &holder, std::uint64_t fencingToken, std::int64_t window, const UsageCounts &counts)
 {
     const nlohmann::json body = {{"window_index", window}, {"counts", counts}};
     return {"POST",
--- a/src/platform/dutycalls.h
+++ b/src/platform/dutycalls.h
@@ -10,7 +10,6 @@
 {
 
 /// The report of one window to the platform. The host is the platform's address.
-RequestMessage
-makeUsageReport(const std::string &host, const std::string &holder, std::uint64_t fencingToken, std::int64_t window, const UsageCounts &counts);
+RequestMessage makeUsageReport(const std::string &host, const std::string &holder, std::uint64_t fencingToken, std::int64_t window, const UsageCounts &counts);
 
 }
--- a/src/platform/endpointcalls.cpp
+++ b/src/platform/endpointcalls.cpp
@@ -129,10 +129,7 @@
                        {"holder", order.holder},
                        {"fencing_token", order.fencingToken},
                        {"precondition", order.expectedOrders}};
-    return {"POST",
-            Wire::OrderPath,
-            {{"Host", endpoint.address}, {"Content-Type", "application/json"}, {Wire::ExpectInstance, endpoint.id}},
-            body.dump()};
+    return {"POST", Wire::OrderPath, {{"Host", endpoint.address}, {"Content-Type", "application/json"}, {Wire::ExpectInstance, endpoint.id}}, body.dump()};
 }
 
 RequestMessage makeReportRequest(const EndpointRecord &endpoint)
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -17,6 +17,8 @@
 constexpr Milliseconds CallTimeout{1200};
 /// What a watch may take beyond its span.
 constexpr Milliseconds WatchSlack{900};
+/// A leader must learn of a lost renewal while there is time for another one.
+constexpr Milliseconds LeaseCallTimeout{700};
 constexpr Milliseconds ConnectTimeout{500};
 
 MetadataItem decodeItem(const json &object)
@@ -165,17 +167,17 @@
 
 void PlatformStore::createLease(Milliseconds span, Callback callback)
 {
-    send(callWithBody("/-/kv-lease", {{"ttl_ms", span.count()}}), CallTimeout, std::move(callback));
+    send(callWithBody("/-/kv-lease", {{"ttl_ms", span.count()}}), LeaseCallTimeout, std::move(callback));
 }
 
 void PlatformStore::renewLease(std::uint64_t lease, Callback callback)
 {
-    send({"POST", "/-/kv-keep/" + std::to_string(lease), {}, {}}, CallTimeout, std::move(callback));
+    send({"POST", "/-/kv-keep/" + std::to_string(lease), {}, {}}, LeaseCallTimeout, std::move(callback));
 }
 
 void PlatformStore::endLease(std::uint64_t lease, Callback callback)
 {
-    send({"DELETE", "/-/kv-lease-end/" + std::to_string(lease), {}, {}}, CallTimeout, std::move(callback));
+    send({"DELETE", "/-/kv-lease-end/" + std::to_string(lease), {}, {}}, LeaseCallTimeout, std::move(callback));
 }
 
 void PlatformStore::send(RequestMessage request, Milliseconds timeout, Callback callback)
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -27,8 +27,7 @@
 
 }
 
-BatchRunner::BatchRunner(
-    EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, MetadataStore &store, SystemView &view, BatchRunnerHooks hooks)
+BatchRunner::BatchRunner(EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, MetadataStore &store, SystemView &view, BatchRunnerHooks hooks)
     : m_loop(std::move(loop))
     , m_log(log)
     , m_metrics(metrics)
@@ -136,8 +135,7 @@
     if (route != nullptr) {
         batch->state->adopt(m_kept, rulesOf(*route));
     }
-    batch->writer =
-        std::make_shared<ResultWriter>(m_store, m_loop, m_log, batch->state, ResultWriter::Hooks{m_hooks.term, [this, id] { reload(id); }});
+    batch->writer = std::make_shared<ResultWriter>(m_store, m_loop, m_log, batch->state, ResultWriter::Hooks{m_hooks.term, [this, id] { reload(id); }});
     m_log.info("batch_opened",
                {{"batch", id},
                 {"items", batch->state->index().itemCount},
@@ -259,9 +257,7 @@
     for (const auto &[id, batch] : m_batches) {
         batches.push_back(batch.get());
     }
-    std::sort(batches.begin(), batches.end(), [](const Batch *a, const Batch *b) {
-        return a->state->index().submittedAtMs < b->state->index().submittedAtMs;
-    });
+    std::sort(batches.begin(), batches.end(), [](const Batch *a, const Batch *b) { return a->state->index().submittedAtMs < b->state->index().submittedAtMs; });
     for (auto *batch : batches) {
         scheduleBatch(*batch);
     }
@@ -333,11 +329,8 @@
         }
         const auto &item = state.item(i);
         const auto prompt = item.tokens > 0 ? item.tokens / 2 : 0;
-        waiting.push_back({i,
-                           state.submission().minimumVersion,
-                           std::min(item.tokens, prompt + expectedOutput(item)),
-                           endpointOfGroup(batch, i),
-                           progress.avoidedEndpoint});
+        waiting.push_back(
+            {i, state.submission().minimumVersion, std::min(item.tokens, prompt + expectedOutput(item)), endpointOfGroup(batch, i), progress.avoidedEndpoint});
         if (waiting.size() >= MaxWaitingInRound) {
             break;
         }
@@ -383,8 +376,7 @@
     m_metrics.count("basilbend_item_runs_total");
 }
 
-bool BatchRunner::acceptEvent(
-    const std::string &id, std::size_t item, std::uint64_t run, std::uint64_t event, std::string data, std::uint64_t version)
+bool BatchRunner::acceptEvent(const std::string &id, std::size_t item, std::uint64_t run, std::uint64_t event, std::string data, std::uint64_t version)
 {
     auto *batch = find(id);
     if (batch == nullptr || batch->state->progress(item).run != run || batch->state->progress(item).phase != ItemPhase::Running) {
--- a/src/scheduling/grouporder.cpp
+++ b/src/scheduling/grouporder.cpp
@@ -48,13 +48,11 @@
 {
     auto groups = groupsOf(submission, carried);
     // Shortest groups first, to find those that the trainer needs; carried ones are needed in any case.
-    std::stable_sort(groups.begin(), groups.end(), [](const GroupRank &a, const GroupRank &b) {
-        return a.isCarried != b.isCarried ? a.isCarried : a.longest < b.longest;
-    });
+    std::stable_sort(
+        groups.begin(), groups.end(), [](const GroupRank &a, const GroupRank &b) { return a.isCarried != b.isCarried ? a.isCarried : a.longest < b.longest; });
     const auto desired = submission.desiredGroups == 0 ? groups.size() : std::min(submission.desiredGroups, groups.size());
-    std::stable_sort(groups.begin(), groups.begin() + static_cast<std::ptrdiff_t>(desired), [](const GroupRank &a, const GroupRank &b) {
-        return a.longest > b.longest;
-    });
+    std::stable_sort(
+        groups.begin(), groups.begin() + static_cast<std::ptrdiff_t>(desired), [](const GroupRank &a, const GroupRank &b) { return a.longest > b.longest; });
     std::vector<std::size_t> order;
     for (const auto &group : groups) {
         order.insert(order.end(), group.items.begin(), group.items.end());
--- a/src/weights/weightroller.cpp
+++ b/src/weights/weightroller.cpp
@@ -24,8 +24,7 @@
 
 }
 
-WeightRoller::WeightRoller(
-    EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, SystemView &view, std::string holder, WeightRollerHooks hooks)
+WeightRoller::WeightRoller(EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, SystemView &view, std::string holder, WeightRollerHooks hooks)
     : m_loop(std::move(loop))
     , m_log(log)
     , m_metrics(metrics)
@@ -46,7 +45,8 @@
 {
     const auto recorded = endpoint.versionOf(model);
     const auto it = m_confirmed.find(endpoint.id);
-    const bool holds = it != m_confirmed.end() && it->second.model == model && it->second.recorded == recorded && it->second.startedAtMs == endpoint.startedAtMs;
+    const bool holds =
+        it != m_confirmed.end() && it->second.model == model && it->second.recorded == recorded && it->second.startedAtMs == endpoint.startedAtMs;
     return holds ? it->second.version : recorded;
 }
 
@@ -151,7 +151,7 @@
 {
     auto &order = m_orders.at(endpoint);
     const auto state = end == CallEnd::Complete && order.status == 200 ? decodeEndpointState(order.body)
-                                                                     : Result<EndpointState>(Error{ResultCode::EndpointFailed, "no report"});
+                                                                       : Result<EndpointState>(Error{ResultCode::EndpointFailed, "no report"});
     const auto now = m_loop.now();
     if (!state) {
         if (order.phase == Phase::Loading && now - order.startedAt < LoadTimeout) {
