Probe a store that is down once per process

Cause: each feed repeated its own calls against a store that was down; submissions were refused while the configuration was too old although the store was about to return. Change: while the direct way is down one probe runs on its own timer and all other calls are relayed or fail at once; submissions wait up to 0.9 s for a fresh configuration.

--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -24,6 +24,7 @@
 constexpr Milliseconds LogFlushInterval{250};
 /// The platform may change the settings file without a signal.
 constexpr int FlushesPerSettingsCheck = 4;
+constexpr int FlushesPerCountsLine = 40;
 
 std::string readFile(const std::string &fileName)
 {
@@ -164,11 +165,29 @@
         if (++*flushes % FlushesPerSettingsCheck == 0) {
             reload("changed");
         }
+        if (*flushes % FlushesPerCountsLine == 0) {
+            logCounts();
+        }
         m_loop.runAfter(LogFlushInterval, *step);
     };
     m_loop.runAfter(LogFlushInterval, *step);
 }
 
+void DaemonRuntime::logCounts()
+{
+    const auto counts = m_directStore.counts();
+    const auto &last = m_loggedCounts;
+    m_log.info("store_calls",
+               {{"gets", counts.gets - last.gets},
+                {"lists", counts.lists - last.lists},
+                {"watches", counts.watches - last.watches},
+                {"commits", counts.commits - last.commits},
+                {"lease_calls", counts.leaseCalls - last.leaseCalls},
+                {"refused", counts.refused - last.refused},
+                {"unanswered", counts.unanswered - last.unanswered}});
+    m_loggedCounts = counts;
+}
+
 void DaemonRuntime::reload(const char *why)
 {
     auto text = readFile(m_settingsFile);
--- a/src/daemon/daemonruntime.h
+++ b/src/daemon/daemonruntime.h
@@ -82,6 +82,7 @@
 private:
     void waitForSignal();
     void housekeep();
+    void logCounts();
     void reload(const char *why);
     void serveMetrics();
     static std::size_t writeLog(std::string_view bytes);
@@ -100,6 +101,7 @@
     RelayedStore m_store;
     asio::signal_set m_signals;
     std::unique_ptr<WebServer> m_metricsServer;
+    PlatformStoreCounts m_loggedCounts;
     bool m_stopping = false;
 };
 
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -10,6 +10,10 @@
 {
 
 constexpr Milliseconds NotConfiguredPause{500};
+/// How long the submission of a batch waits for a configuration that is too old; its client submits again after about a
+/// second without an answer.
+constexpr Milliseconds SubmissionWait{900};
+constexpr Milliseconds SubmissionRetryPause{40};
 
 int statusOf(ResultCode code)
 {
@@ -76,16 +80,21 @@
         return;
     }
     if (request.action == ClientAction::Submit) {
-        submit(exchange, request);
+        submit(exchange, request, m_context.loop.now() + SubmissionWait);
     } else {
         useBatch(exchange, request);
     }
 }
 
-void GatewayService::submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request)
+void GatewayService::submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, Timestamp waitsUntil)
 {
     const auto &routes = *m_context.view.routes();
     const auto *route = routes.find(request.host, request.path);
+    const bool waits = route != nullptr && route->kind == RouteKind::Batch && !isFresh() && m_context.loop.now() < waitsUntil;
+    if (waits && exchange->isOpen()) {
+        m_context.loop.runAfter(SubmissionRetryPause, [this, exchange, request, waitsUntil] { submit(exchange, request, waitsUntil); });
+        return;
+    }
     if (route == nullptr) {
         // An old configuration may lack a new route.
         reject(*exchange,
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -39,7 +39,7 @@
 
 private:
     bool isFresh() const;
-    void submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request);
+    void submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, Timestamp waitsUntil);
     void useBatch(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request);
     void reject(ServerExchange &exchange, const ClientRequest &request, const Error &error);
 
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr Milliseconds FirstRetryPause{40};
-constexpr Milliseconds LongestRetryPause{500};
+constexpr Milliseconds LongestRetryPause{250};
 
 /// Shortest wait of a watch.
 constexpr Milliseconds ShortestSpan{300};
--- a/src/metadata/relayedstore.cpp
+++ b/src/metadata/relayedstore.cpp
@@ -9,6 +9,10 @@
 {
 
 constexpr Milliseconds ConnectTimeout{250};
+/// Pause between the probes of a store that is down.
+constexpr Milliseconds ProbeInterval{200};
+/// A key that need not exist; any answer shows that the store is back.
+constexpr const char *ProbeKey = "probe";
 /// Longest time of a relayed call beyond its span.
 constexpr Milliseconds RelayTimeout{900};
 
@@ -25,7 +29,6 @@
     RelayedCall call;
     Callback callback;
     std::size_t peersTried = 0;
-    bool directTried = false;
     /// The last outcome, told when there is no other way left.
     MetadataReply reply;
     ClientCall client;
@@ -82,28 +85,24 @@
 
 void RelayedStore::run(RelayedCall call, Callback callback)
 {
-    const bool isWatch = call.kind == RelayedCallKind::Watch;
     auto open = std::make_shared<OpenRelay>();
     open->call = std::move(call);
     open->callback = std::move(callback);
     open->reply.status = MetadataStatus::Refused;
-    if (!m_peers.empty() && m_rule.takesPeer(isWatch, m_loop.now())) {
+    if (m_rule.goesDirectly()) {
+        runDirect(open);
+    } else if (!m_peers.empty()) {
         relay(open);
     } else {
-        runDirect(open);
+        fail(open);
     }
 }
 
 void RelayedStore::runDirect(const std::shared_ptr<OpenRelay> &open)
 {
-    open->directTried = true;
     runRelayedCall(m_direct, open->call, [this, open](MetadataReply reply) {
-        m_rule.noteDirect(reply.status, m_loop.now());
+        noteDirect(reply.status);
         const bool isFailure = reply.status == MetadataStatus::Refused || reply.status == MetadataStatus::Unknown;
-        if (!isFailure && m_relaying) {
-            m_relaying = false;
-            m_log.warning("store_direct_again", {});
-        }
         const bool mayRelay = isFailure && open->peersTried < m_peers.size() && RelayRule::mayRepeat(reply.status, isIdempotent(open->call.kind));
         if (mayRelay) {
             open->reply = std::move(reply);
@@ -114,6 +113,28 @@
     });
 }
 
+void RelayedStore::noteDirect(MetadataStatus status)
+{
+    if (m_rule.noteDirect(status)) {
+        m_log.warning("store_direct_lost", {{"last", metadataStatusName(status)}});
+        m_isDown = true;
+        probe();
+    } else if (m_isDown && m_rule.goesDirectly()) {
+        m_isDown = false;
+        m_log.warning("store_direct_again", {});
+    }
+}
+
+void RelayedStore::probe()
+{
+    m_direct.get(ProbeKey, [this](const MetadataReply &reply) {
+        noteDirect(reply.status);
+        if (!m_rule.goesDirectly()) {
+            m_loop.runAfter(ProbeInterval, [this] { probe(); });
+        }
+    });
+}
+
 void RelayedStore::relay(const std::shared_ptr<OpenRelay> &open)
 {
     const auto peer = m_peers[(m_peer + open->peersTried) % m_peers.size()];
@@ -148,10 +169,6 @@
         const bool isAnswer = reply && reply.value().status != MetadataStatus::Refused && reply.value().status != MetadataStatus::Unknown;
         if (isAnswer) {
             m_peer = (m_peer + open->peersTried - 1) % m_peers.size();
-            if (!m_relaying) {
-                m_relaying = true;
-                m_log.warning("store_relayed", {{"peers_tried", open->peersTried}});
-            }
             open->callback(std::move(reply.value()));
             return;
         }
@@ -162,13 +179,17 @@
     const bool mayRepeat = RelayRule::mayRepeat(open->reply.status, isIdempotent(open->call.kind));
     if (mayRepeat && open->peersTried < m_peers.size()) {
         relay(open);
-    } else if (mayRepeat && !open->directTried) {
-        runDirect(open);
     } else {
-        open->callback(std::move(open->reply));
+        fail(open);
     }
 }
 
+void RelayedStore::fail(const std::shared_ptr<OpenRelay> &open)
+{
+    // Told from the loop, so that a caller that repeats at once does not recurse.
+    m_loop.runAfter(Milliseconds(0), [open] { open->callback(std::move(open->reply)); });
+}
+
 void RelayedStore::serve(const std::shared_ptr<ServerExchange> &exchange)
 {
     const auto &request = exchange->request();
@@ -187,7 +208,7 @@
         return;
     }
     runRelayedCall(m_direct, call.value(), [this, exchange](const MetadataReply &reply) {
-        m_rule.noteDirect(reply.status, m_loop.now());
+        noteDirect(reply.status);
         exchange->respond({200, {{"Content-Type", "application/json"}}, encodeRelayedReply(reply)});
     });
 }
--- a/src/metadata/relayedstore.h
+++ b/src/metadata/relayedstore.h
@@ -49,6 +49,9 @@
     void run(RelayedCall call, Callback callback);
     void runDirect(const std::shared_ptr<OpenRelay> &open);
     void relay(const std::shared_ptr<OpenRelay> &open);
+    void fail(const std::shared_ptr<OpenRelay> &open);
+    void noteDirect(MetadataStatus status);
+    void probe();
     void acceptPeer(const std::shared_ptr<OpenRelay> &open, CallEnd end);
 
     MetadataStore &m_direct;
@@ -59,7 +62,7 @@
     RelayRule m_rule;
     /// The peer that relayed last.
     std::size_t m_peer = 0;
-    bool m_relaying = false;
+    bool m_isDown = false;
 };
 
 }
--- a/src/metadata/relayrule.h
+++ b/src/metadata/relayrule.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "base/timestamp.h"
 #include "metadata/metadatastore.h"
 
 namespace Basilbend
@@ -11,12 +10,14 @@
 class RelayRule
 {
 public:
-    /// Whether the next call goes through a peer at once. While it does, one call in ProbeInterval still goes directly, to
-    /// find out when the direct way is back; a watch is no probe, because its failure takes too long to show.
-    bool takesPeer(bool isWatch, Timestamp now);
+    /// Whether calls go directly. While the direct way is down, only probes do.
+    bool goesDirectly() const
+    {
+        return m_failures < FailuresOfOutage;
+    }
 
-    /// The end of a direct call.
-    void noteDirect(MetadataStatus status, Timestamp now);
+    /// The end of a direct call or of a probe. Returns whether the direct way has just gone down.
+    bool noteDirect(MetadataStatus status);
 
     /// Whether a failed call may be repeated another way: it must be certain that nothing was done, unless doing it twice is
     /// the same as doing it once.
@@ -29,11 +30,9 @@
     }
 
     static constexpr int FailuresOfOutage = 2;
-    static constexpr Milliseconds ProbeInterval{700};
 
 private:
     int m_failures = 0;
-    Timestamp m_lastProbe;
 };
 
 }
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -141,11 +141,13 @@
 
 void PlatformStore::get(const std::string &key, Callback callback)
 {
+    ++m_counts.gets;
     send({"GET", "/-/kv-key?key=" + percentEncoded(key), {}, {}}, CallTimeout, std::move(callback));
 }
 
 void PlatformStore::list(const std::string &prefix, const std::string &afterKey, Callback callback)
 {
+    ++m_counts.lists;
     auto target = "/-/kv-range?path_prefix=" + percentEncoded(prefix);
     if (!afterKey.empty()) {
         target += "&after=" + percentEncoded(afterKey);
@@ -155,6 +157,7 @@
 
 void PlatformStore::watch(const std::string &prefix, std::uint64_t afterRevision, Milliseconds span, Callback callback)
 {
+    ++m_counts.watches;
     const auto target =
         "/-/kv-watch?path_prefix=" + percentEncoded(prefix) + "&after=" + std::to_string(afterRevision) + "&wait_ms=" + std::to_string(span.count());
     send({"GET", target, {}, {}}, span + WatchSlack, std::move(callback));
@@ -162,21 +165,25 @@
 
 void PlatformStore::commit(const MetadataChange &change, Callback callback)
 {
+    ++m_counts.commits;
     send(callWithBody("/-/kv-txn", encodeChange(change)), CallTimeout, std::move(callback));
 }
 
 void PlatformStore::createLease(Milliseconds span, Callback callback)
 {
+    ++m_counts.leaseCalls;
     send(callWithBody("/-/kv-lease", {{"ttl_ms", span.count()}}), LeaseCallTimeout, std::move(callback));
 }
 
 void PlatformStore::renewLease(std::uint64_t lease, Callback callback)
 {
+    ++m_counts.leaseCalls;
     send({"POST", "/-/kv-keep/" + std::to_string(lease), {}, {}}, LeaseCallTimeout, std::move(callback));
 }
 
 void PlatformStore::endLease(std::uint64_t lease, Callback callback)
 {
+    ++m_counts.leaseCalls;
     send({"DELETE", "/-/kv-lease-end/" + std::to_string(lease), {}, {}}, LeaseCallTimeout, std::move(callback));
 }
 
--- a/src/platform/platformstore.h
+++ b/src/platform/platformstore.h
@@ -15,6 +15,11 @@
 
 struct PlatformStoreCounts {
     std::uint64_t calls = 0;
+    std::uint64_t gets = 0;
+    std::uint64_t lists = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t commits = 0;
+    std::uint64_t leaseCalls = 0;
     std::uint64_t refused = 0;
     std::uint64_t unanswered = 0;
 };
