--- a/src/catalog/systemview.h
+++ b/src/catalog/systemview.h
@@ -26,6 +26,12 @@
     void start();
     void stop();
 
+    /// How long changes of endpoints are gathered before the store is asked again.
+    void setEndpointGatherTime(Milliseconds span)
+    {
+        m_endpointFeed.setGatherTime(span);
+    }
+
     /// Null before the first configuration.
     const RouteTable *routes() const
     {
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -21,6 +21,7 @@
 
 constexpr Milliseconds OperatorWatchSpan{4000};
 constexpr Milliseconds EndpointWatchSpan{5000};
+constexpr Milliseconds EndpointGatherTime{200};
 constexpr Milliseconds PollInterval{250};
 /// While the lease is uncertain, running items go on, but for no longer than this are new ones started: another process
 /// may lead by then.
@@ -127,6 +128,7 @@
         }
         if (!m_viewStarted) {
             m_viewStarted = true;
+            m_view.setEndpointGatherTime(EndpointGatherTime);
             m_view.start();
         }
         m_runner.activate();
--- a/src/http/webclient.cpp
+++ b/src/http/webclient.cpp
@@ -1,6 +1,7 @@
 #include "http/webclient.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace Basilbend
 {
@@ -96,8 +97,9 @@
     std::vector<Idle> expired;
     auto &idle = it->second;
     while (!idle.empty() && !usable) {
-        auto entry = std::move(idle.back());
-        idle.pop_back();
+        // The connection that has been idle longest, so that the server closes none of them between two bursts.
+        auto entry = std::move(idle.front());
+        idle.pop_front();
         const auto kept = entry.channel->keepAliveTime();
         const bool isExpired = kept.count() > 0 && m_clock() - entry.since + KeepAliveMargin >= kept;
         if (entry.channel->isConnected() && !isExpired) {
--- a/src/http/webclient.h
+++ b/src/http/webclient.h
@@ -4,11 +4,11 @@
 
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
-#include <vector>
 
 namespace Basilbend
 {
@@ -69,7 +69,7 @@
 
     asio::io_context &m_io;
     std::function<Timestamp()> m_clock;
-    std::map<asio::ip::tcp::endpoint, std::vector<Idle>> m_idle;
+    std::map<asio::ip::tcp::endpoint, std::deque<Idle>> m_idle;
     WebClientCounts m_counts;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -133,7 +133,11 @@
             m_hooks.onChange(item);
         }
     }
-    watch();
+    if (m_gatherTime.count() > 0) {
+        m_loop.runAfter(m_gatherTime, [this, generation = m_generation] { runIfCurrent(generation, [this] { watch(); }); });
+    } else {
+        watch();
+    }
 }
 
 void PrefixFeed::acceptEmptyWatch(std::uint64_t revision)
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -27,6 +27,12 @@
     /// Span: how long one watch waits. The feed must live as long as the store answers.
     PrefixFeed(MetadataStore &store, EventLoop loop, std::string prefix, Milliseconds span, PrefixFeedHooks hooks);
 
+    /// Pauses this long after a change, so that changes that come together are told by one call.
+    void setGatherTime(Milliseconds span)
+    {
+        m_gatherTime = span;
+    }
+
     void start();
 
     /// Stops for good; answers that are on the way are ignored.
@@ -52,6 +58,7 @@
     EventLoop m_loop;
     std::string m_prefix;
     Milliseconds m_span;
+    Milliseconds m_gatherTime{0};
     PrefixFeedHooks m_hooks;
     std::vector<MetadataItem> m_pages;
     Timestamp m_listStartedAt;
