Relay calls to the store as they are

Change: the transport below the store client is relayed, not the store interface; base64 is checked without a second pass.

--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -22,6 +22,8 @@
 {
 
 constexpr Milliseconds LogFlushInterval{250};
+/// Processes start with different peers, so that no peer relays for all.
+constexpr std::uint64_t MaxPeers = 64;
 /// The platform may change the settings file without a signal.
 constexpr int FlushesPerSettingsCheck = 4;
 constexpr int FlushesPerCountsLine = 40;
@@ -90,8 +92,9 @@
     , m_log(EventLogSettings{m_settings.node, m_incarnation}, systemNow, writeLog)
     , m_random(std::hash<std::string>()(m_incarnation))
     , m_client(m_io, systemNow)
-    , m_directStore(m_client, m_loop, socketEndpoint(m_settings.store))
-    , m_store(m_directStore, m_client, m_loop, m_log, peersOf(m_settings))
+    , m_direct(m_client, m_loop, socketEndpoint(m_settings.store))
+    , m_relay(m_direct, m_client, m_loop, m_log, peersOf(m_settings), m_random.below(MaxPeers))
+    , m_store(m_relay)
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
     raiseDescriptorLimit();
@@ -129,8 +132,8 @@
         }
         m_metrics.setGauge("basilbend_log_lines_dropped", static_cast<double>(m_log.droppedLines()));
         m_metrics.setGauge("basilbend_outgoing_connections_opened", static_cast<double>(m_client.counts().connects));
-        m_metrics.setGauge("basilbend_store_calls", static_cast<double>(m_directStore.counts().calls));
-        m_metrics.setGauge("basilbend_store_calls_unanswered", static_cast<double>(m_directStore.counts().unanswered));
+        m_metrics.setGauge("basilbend_store_calls", static_cast<double>(m_store.counts().calls));
+        m_metrics.setGauge("basilbend_store_calls_unanswered", static_cast<double>(m_store.counts().unanswered));
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.toText()});
     };
     hooks.refusal = [](int status) { return ResponseMessage{status, {}, {}}; };
@@ -175,7 +178,7 @@
 
 void DaemonRuntime::logCounts()
 {
-    const auto counts = m_directStore.counts();
+    const auto counts = m_store.counts();
     const auto &last = m_loggedCounts;
     m_log.info("store_calls",
                {{"gets", counts.gets - last.gets},
--- a/src/daemon/daemonruntime.h
+++ b/src/daemon/daemonruntime.h
@@ -6,7 +6,7 @@
 #include "http/webclient.h"
 #include "http/webserver.h"
 #include "log/eventlog.h"
-#include "metadata/relayedstore.h"
+#include "metadata/relayedtransport.h"
 #include "net/metrics.h"
 #include "platform/platformstore.h"
 
@@ -67,10 +67,14 @@
     {
         return m_client;
     }
-    RelayedStore &store()
+    PlatformStore &store()
     {
         return m_store;
     }
+    RelayedTransport &relay()
+    {
+        return m_relay;
+    }
 
     /// SIGTERM or SIGINT.
     std::function<void()> onStop;
@@ -97,8 +101,9 @@
     Metrics m_metrics;
     Random m_random;
     WebClient m_client;
-    PlatformStore m_directStore;
-    RelayedStore m_store;
+    DirectTransport m_direct;
+    RelayedTransport m_relay;
+    PlatformStore m_store;
     asio::signal_set m_signals;
     std::unique_ptr<WebServer> m_metricsServer;
     PlatformStoreCounts m_loggedCounts;
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -62,14 +62,14 @@
                     m_picker,
                     m_usage,
                     runtime.random(),
-                    runtime.store().hasPeers()}
+                    runtime.relay().hasPeers()}
         , m_service(m_context, freshnessOf(runtime.settings()))
         , m_clients(runtime.io(), runtime.settings().clients, clientHooks())
         , m_readiness(runtime.io(), runtime.settings().readiness, plainHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
                           exchange->respond(isReadinessRequest(exchange->request()) ? m_service.readiness() : ResponseMessage{404, {}, {}});
                       }))
         , m_processes(runtime.io(), runtime.settings().processes, plainHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
-                          m_runtime.store().serve(exchange);
+                          m_runtime.relay().serve(exchange);
                       }))
     {
         m_view.onEndpointGone = [this](const EndpointRecord &endpoint) {
--- /dev/null
+++ b/src/metadata/relayedtransport.cpp
@@ -0,0 +1,187 @@
+#include "metadata/relayedtransport.h"
+
+#include "http/socketoptions.h"
+
+#include <charconv>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// Pause between the probes of a store that is down.
+constexpr Milliseconds ProbeInterval{200};
+constexpr Milliseconds ProbeTimeout{1000};
+/// A call that changes nothing; any answer shows that the store is back.
+constexpr const char *ProbeTarget = "/";
+/// Longest relayed call.
+constexpr Milliseconds MaxRelayTimeout{30000};
+
+constexpr const char *MethodField = "Relay-Method";
+constexpr const char *TargetField = "Relay-Target";
+constexpr const char *TimeoutField = "Relay-Timeout-Ms";
+
+int wholeNumber(std::string_view text)
+{
+    int n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+}
+
+/// One call on its way: directly, through a peer, or one after the other.
+struct RelayedTransport::OpenCall {
+    StoreRequest request;
+    Callback callback;
+    std::size_t peersTried = 0;
+    /// The last outcome, told when there is no other way left.
+    StoreResponse response;
+};
+
+RelayedTransport::RelayedTransport(
+    StoreTransport &direct, WebClient &client, EventLoop loop, EventLog &log, const std::vector<std::string> &peers, std::size_t firstPeer)
+    : m_direct(direct)
+    , m_loop(std::move(loop))
+    , m_log(log)
+    , m_peer(firstPeer)
+{
+    for (const auto &peer : peers) {
+        m_peers.push_back(std::make_unique<DirectTransport>(client, m_loop, socketEndpoint(peer)));
+    }
+}
+
+void RelayedTransport::send(const StoreRequest &request, Callback callback)
+{
+    auto open = std::make_shared<OpenCall>();
+    open->request = request;
+    open->callback = std::move(callback);
+    open->response.end = CallEnd::NotConnected;
+    if (m_rule.goesDirectly()) {
+        sendDirect(open);
+    } else if (!m_peers.empty()) {
+        sendToPeer(open);
+    } else {
+        fail(open);
+    }
+}
+
+void RelayedTransport::sendDirect(const std::shared_ptr<OpenCall> &open)
+{
+    m_direct.send(open->request, [this, open](StoreResponse response) {
+        noteDirect(response);
+        const bool mayRelay = !response.isAnswer() && !m_peers.empty() && RelayRule::mayRepeat(response.isRefusal(), open->request.isIdempotent);
+        if (mayRelay) {
+            open->response = std::move(response);
+            sendToPeer(open);
+        } else {
+            open->callback(std::move(response));
+        }
+    });
+}
+
+void RelayedTransport::sendToPeer(const std::shared_ptr<OpenCall> &open)
+{
+    const auto peer = (m_peer + open->peersTried) % m_peers.size();
+    ++open->peersTried;
+    const auto &call = open->request;
+    StoreRequest relayed;
+    relayed.message = {"POST",
+                       Path,
+                       {{MethodField, call.message.method},
+                        {TargetField, call.message.target},
+                        {TimeoutField, std::to_string(call.timeout.count())},
+                        {"Content-Type", "application/json"}},
+                       call.message.body};
+    relayed.timeout = call.timeout;
+    m_peers[peer]->send(relayed, [this, open, peer](StoreResponse response) {
+        if (response.isAnswer()) {
+            m_peer = peer;
+            open->peersTried = 1;
+        }
+        acceptPeer(open, std::move(response));
+    });
+}
+
+void RelayedTransport::acceptPeer(const std::shared_ptr<OpenCall> &open, StoreResponse response)
+{
+    if (response.isAnswer() && response.status == 200) {
+        response.status = response.relayedStatus;
+        open->callback(std::move(response));
+        return;
+    }
+    open->response = std::move(response);
+    const bool mayRepeat = RelayRule::mayRepeat(open->response.isRefusal(), open->request.isIdempotent);
+    if (mayRepeat && open->peersTried < m_peers.size()) {
+        sendToPeer(open);
+    } else {
+        fail(open);
+    }
+}
+
+void RelayedTransport::fail(const std::shared_ptr<OpenCall> &open)
+{
+    // Told from the loop, so that a caller that repeats at once does not recurse.
+    m_loop.runAfter(Milliseconds(0), [open] { open->callback(std::move(open->response)); });
+}
+
+void RelayedTransport::noteDirect(const StoreResponse &response)
+{
+    if (m_rule.noteDirect(response.isAnswer())) {
+        m_log.warning("store_direct_lost", {{"end", callEndName(response.end)}, {"status", response.status}});
+        m_isDown = true;
+        probe();
+    } else if (m_isDown && m_rule.goesDirectly()) {
+        m_isDown = false;
+        m_log.warning("store_direct_again", {});
+    }
+}
+
+void RelayedTransport::probe()
+{
+    StoreRequest request;
+    request.message = {"GET", ProbeTarget, {}, {}};
+    request.timeout = ProbeTimeout;
+    m_direct.send(request, [this](const StoreResponse &response) {
+        noteDirect(response);
+        if (!m_rule.goesDirectly()) {
+            m_loop.runAfter(ProbeInterval, [this] { probe(); });
+        }
+    });
+}
+
+void RelayedTransport::serve(const std::shared_ptr<ServerExchange> &exchange)
+{
+    const auto &message = exchange->request();
+    if (message.method != "POST" || targetPath(message.target) != Path) {
+        exchange->respond({404, {}, {}});
+        return;
+    }
+    StoreRequest request;
+    request.message = {std::string(message.fields.value(MethodField)),
+                       std::string(message.fields.value(TargetField)),
+                       {{"Content-Type", "application/json"}},
+                       message.body};
+    request.timeout = Milliseconds(wholeNumber(message.fields.value(TimeoutField)));
+    const bool isValid = !request.message.method.empty() && !request.message.target.empty() && request.timeout.count() > 0 && request.timeout <= MaxRelayTimeout;
+    if (!isValid) {
+        m_log.warning("relay_malformed", {{"target", request.message.target}, {"timeout_ms", request.timeout}});
+        exchange->respond({400, {}, {}});
+        return;
+    }
+    if (!m_rule.isHealthy()) {
+        exchange->respond({503, {}, {}});
+        return;
+    }
+    m_direct.send(request, [this, exchange](StoreResponse response) {
+        noteDirect(response);
+        if (response.isAnswer()) {
+            exchange->respond({200, {{RelayStatusField, std::to_string(response.status)}}, std::move(response.body)});
+        } else {
+            exchange->respond({response.isRefusal() ? 503 : 504, {}, {}});
+        }
+    });
+}
+
+}
--- a/src/metadata/relayrule.cpp
+++ b/src/metadata/relayrule.cpp
@@ -3,19 +3,13 @@
 namespace Basilbend
 {
 
-bool RelayRule::noteDirect(MetadataStatus status)
+bool RelayRule::noteDirect(bool isAnswered)
 {
-    const bool isFailure = status == MetadataStatus::Refused || status == MetadataStatus::Unknown;
-    if (!isFailure) {
+    if (isAnswered) {
         m_failures = 0;
         return false;
     }
     return ++m_failures == FailuresOfOutage;
 }
 
-bool RelayRule::mayRepeat(MetadataStatus status, bool isIdempotent)
-{
-    return status == MetadataStatus::Refused || (status == MetadataStatus::Unknown && isIdempotent);
-}
-
 }
--- a/src/metadata/relayrule.h
+++ b/src/metadata/relayrule.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "metadata/metadatastore.h"
-
 namespace Basilbend
 {
 
@@ -17,14 +15,17 @@
     }
 
     /// The end of a direct call or of a probe. Returns whether the direct way has just gone down.
-    bool noteDirect(MetadataStatus status);
+    bool noteDirect(bool isAnswered);
 
     /// Whether a failed call may be repeated another way: it must be certain that nothing was done, unless doing it twice is
     /// the same as doing it once.
-    static bool mayRepeat(MetadataStatus status, bool isIdempotent);
+    static bool mayRepeat(bool isRefusal, bool isIdempotent)
+    {
+        return isRefusal || isIdempotent;
+    }
 
     /// Whether this process reaches the store, for the question of a peer.
-    bool isDirectHealthy() const
+    bool isHealthy() const
     {
         return m_failures == 0;
     }
--- /dev/null
+++ b/src/metadata/storetransport.cpp
@@ -0,0 +1,66 @@
+#include "metadata/storetransport.h"
+
+#include <charconv>
+#include <sstream>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds ConnectTimeout{500};
+
+}
+
+struct DirectTransport::OpenCall {
+    ClientCall call;
+    Callback callback;
+    StoreResponse response;
+    bool ended = false;
+};
+
+DirectTransport::DirectTransport(WebClient &client, EventLoop loop, asio::ip::tcp::endpoint server)
+    : m_client(client)
+    , m_loop(std::move(loop))
+    , m_server(std::move(server))
+{
+    std::ostringstream text;
+    text << m_server;
+    m_hostField = text.str();
+}
+
+DirectTransport::~DirectTransport() = default;
+
+void DirectTransport::send(const StoreRequest &request, Callback callback)
+{
+    auto message = request.message;
+    message.fields.set("Host", m_hostField);
+    auto open = std::make_shared<OpenCall>();
+    open->callback = std::move(callback);
+    CallHooks hooks;
+    hooks.onHead = [open](const ResponseHead &head) {
+        open->response.status = head.status;
+        const auto relayed = head.fields.value(RelayStatusField);
+        std::from_chars(relayed.data(), relayed.data() + relayed.size(), open->response.relayedStatus);
+    };
+    hooks.onBody = [open](std::string_view data) { open->response.body.append(data); };
+    hooks.onEnd = [this, open](CallEnd end) { finish(open, end); };
+    open->call = m_client.send(m_server, message, std::move(hooks), ConnectTimeout);
+    m_loop.runAfter(request.timeout, [this, open] { finish(open, CallEnd::ClosedUnanswered); });
+}
+
+void DirectTransport::finish(const std::shared_ptr<OpenCall> &open, CallEnd end)
+{
+    if (open->ended) {
+        return;
+    }
+    open->ended = true;
+    open->response.end = end;
+    open->call.cancel();
+    const auto callback = std::move(open->callback);
+    open->callback = nullptr;
+    callback(std::move(open->response));
+}
+
+}
--- a/src/net/base64.cpp
+++ b/src/net/base64.cpp
@@ -1,5 +1,6 @@
 #include "net/base64.h"
 
+#include <cctype>
 #include <openssl/evp.h>
 
 namespace Basilbend
@@ -30,7 +31,12 @@
     // EVP_DecodeBlock counts padding as zero bytes.
     const auto padding = text.substr(text.size() - 2) == "==" ? 2U : text.back() == '=' ? 1U : 0U;
     bytes.resize(static_cast<std::size_t>(n) - padding);
-    return toBase64(bytes) == text ? std::optional(bytes) : std::nullopt;
+    // It also takes padding in the middle, white space at the ends, and stray bits in the last group.
+    const bool isPaddedAtEnd = text.find('=') >= text.size() - padding;
+    const bool hasBlanks = std::isspace(static_cast<unsigned char>(text.front())) != 0 || std::isspace(static_cast<unsigned char>(text.back())) != 0;
+    const auto lastGroup = std::string_view(bytes).substr((text.size() / 4 - 1) * 3);
+    const bool isCanonical = isPaddedAtEnd && !hasBlanks && toBase64(lastGroup) == text.substr(text.size() - 4);
+    return isCanonical ? std::optional(std::move(bytes)) : std::nullopt;
 }
 
 }
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -3,8 +3,6 @@
 #include "net/base64.h"
 #include "platform/jsonfields.h"
 
-#include <sstream>
-
 namespace Basilbend
 {
 
@@ -19,7 +17,6 @@
 constexpr Milliseconds WatchSlack{900};
 /// A leader must learn of a lost renewal while there is time for another one.
 constexpr Milliseconds LeaseCallTimeout{700};
-constexpr Milliseconds ConnectTimeout{500};
 
 MetadataItem decodeItem(const json &object)
 {
@@ -117,32 +114,15 @@
 
 }
 
-struct PlatformStore::OpenCall {
-    ClientCall call;
-    Callback callback;
-    int status = 0;
-    std::string body;
-};
-
-PlatformStore::PlatformStore(WebClient &client, EventLoop loop, asio::ip::tcp::endpoint server)
-    : m_client(client)
-    , m_loop(std::move(loop))
-    , m_server(std::move(server))
-{
-    std::ostringstream text;
-    text << m_server;
-    m_hostField = text.str();
-}
-
-PlatformStore::~PlatformStore()
+PlatformStore::PlatformStore(StoreTransport &transport)
+    : m_transport(transport)
 {
-    *m_alive = false;
 }
 
 void PlatformStore::get(const std::string &key, Callback callback)
 {
     ++m_counts.gets;
-    send({"GET", "/-/kv-key?key=" + percentEncoded(key), {}, {}}, CallTimeout, std::move(callback));
+    send({"GET", "/-/kv-key?key=" + percentEncoded(key), {}, {}}, CallTimeout, true, std::move(callback));
 }
 
 void PlatformStore::list(const std::string &prefix, const std::string &afterKey, Callback callback)
@@ -152,7 +132,7 @@
     if (!afterKey.empty()) {
         target += "&after=" + percentEncoded(afterKey);
     }
-    send({"GET", target, {}, {}}, CallTimeout, std::move(callback));
+    send({"GET", target, {}, {}}, CallTimeout, true, std::move(callback));
 }
 
 void PlatformStore::watch(const std::string &prefix, std::uint64_t afterRevision, Milliseconds span, Callback callback)
@@ -160,69 +140,47 @@
     ++m_counts.watches;
     const auto target =
         "/-/kv-watch?path_prefix=" + percentEncoded(prefix) + "&after=" + std::to_string(afterRevision) + "&wait_ms=" + std::to_string(span.count());
-    send({"GET", target, {}, {}}, span + WatchSlack, std::move(callback));
+    send({"GET", target, {}, {}}, span + WatchSlack, true, std::move(callback));
 }
 
 void PlatformStore::commit(const MetadataChange &change, Callback callback)
 {
     ++m_counts.commits;
-    send(callWithBody("/-/kv-txn", encodeChange(change)), CallTimeout, std::move(callback));
+    send(callWithBody("/-/kv-txn", encodeChange(change)), CallTimeout, false, std::move(callback));
 }
 
 void PlatformStore::createLease(Milliseconds span, Callback callback)
 {
     ++m_counts.leaseCalls;
-    send(callWithBody("/-/kv-lease", {{"ttl_ms", span.count()}}), LeaseCallTimeout, std::move(callback));
+    send(callWithBody("/-/kv-lease", {{"ttl_ms", span.count()}}), LeaseCallTimeout, true, std::move(callback));
 }
 
 void PlatformStore::renewLease(std::uint64_t lease, Callback callback)
 {
     ++m_counts.leaseCalls;
-    send({"POST", "/-/kv-keep/" + std::to_string(lease), {}, {}}, LeaseCallTimeout, std::move(callback));
+    send({"POST", "/-/kv-keep/" + std::to_string(lease), {}, {}}, LeaseCallTimeout, true, std::move(callback));
 }
 
 void PlatformStore::endLease(std::uint64_t lease, Callback callback)
 {
     ++m_counts.leaseCalls;
-    send({"DELETE", "/-/kv-lease-end/" + std::to_string(lease), {}, {}}, LeaseCallTimeout, std::move(callback));
+    send({"DELETE", "/-/kv-lease-end/" + std::to_string(lease), {}, {}}, LeaseCallTimeout, true, std::move(callback));
 }
 
-void PlatformStore::send(RequestMessage request, Milliseconds timeout, Callback callback)
+void PlatformStore::send(RequestMessage message, Milliseconds timeout, bool isIdempotent, Callback callback)
 {
     ++m_counts.calls;
-    const auto number = ++m_lastNumber;
-    request.fields.add("Host", m_hostField);
-    auto open = std::make_unique<OpenCall>();
-    open->callback = std::move(callback);
-    CallHooks hooks;
-    hooks.onHead = [this, number](const ResponseHead &head) { m_open.at(number)->status = head.status; };
-    hooks.onBody = [this, number](std::string_view data) { m_open.at(number)->body.append(data); };
-    hooks.onEnd = [this, number](CallEnd end) {
-        const auto &call = *m_open.at(number);
+    m_transport.send({std::move(message), timeout, isIdempotent}, [this, callback = std::move(callback)](const StoreResponse &response) {
         MetadataReply reply;
-        if (end == CallEnd::Complete) {
-            reply = replyOf(call.status, call.body);
-        } else if (end == CallEnd::NotConnected) {
+        if (response.isRefusal()) {
             reply.status = MetadataStatus::Refused;
+        } else if (response.isAnswer()) {
+            reply = replyOf(response.status, response.body);
         }
-        finish(number, std::move(reply));
-    };
-    auto &entry = *m_open.emplace(number, std::move(open)).first->second;
-    entry.call = m_client.send(m_server, request, std::move(hooks), ConnectTimeout);
-    m_loop.runAfter(timeout, [this, alive = m_alive, number] {
-        if (*alive && m_open.count(number) > 0) {
-            finish(number, {});
-        }
+        m_counts.refused += reply.status == MetadataStatus::Refused ? 1 : 0;
+        m_counts.unanswered += reply.status == MetadataStatus::Unknown ? 1 : 0;
+        callback(std::move(reply));
     });
 }
 
-void PlatformStore::finish(std::uint64_t number, MetadataReply reply)
-{
-    const auto node = m_open.extract(number);
-    m_counts.refused += reply.status == MetadataStatus::Refused ? 1 : 0;
-    m_counts.unanswered += reply.status == MetadataStatus::Unknown ? 1 : 0;
-    node.mapped()->call.cancel();
-    node.mapped()->callback(std::move(reply));
-}
-
 }
--- a/src/platform/platformstore.h
+++ b/src/platform/platformstore.h
@@ -1,14 +1,10 @@
 #pragma once
 
-#include "base/eventloop.h"
-#include "http/webclient.h"
 #include "metadata/metadatastore.h"
+#include "metadata/storetransport.h"
 
-#include <asio/ip/tcp.hpp>
 #include <cstdint>
-#include <memory>
 #include <string>
-#include <unordered_map>
 
 namespace Basilbend
 {
@@ -25,12 +21,11 @@
 };
 
 /// MetadataStore over the platform's HTTP protocol. Refused means that the answer or the lack of a connection proves that
-/// nothing was done; every other failure is Unknown. A connection on which an answer is missing is not used again.
+/// nothing was done; every other failure is Unknown.
 class PlatformStore : public MetadataStore
 {
 public:
-    PlatformStore(WebClient &client, EventLoop loop, asio::ip::tcp::endpoint server);
-    ~PlatformStore() override;
+    explicit PlatformStore(StoreTransport &transport);
 
     void get(const std::string &key, Callback callback) override;
     void list(const std::string &prefix, const std::string &afterKey, Callback callback) override;
@@ -46,19 +41,10 @@
     }
 
 private:
-    struct OpenCall;
+    void send(RequestMessage message, Milliseconds timeout, bool isIdempotent, Callback callback);
 
-    void send(RequestMessage request, Milliseconds timeout, Callback callback);
-    void finish(std::uint64_t number, MetadataReply reply);
-
-    WebClient &m_client;
-    EventLoop m_loop;
-    asio::ip::tcp::endpoint m_server;
-    std::string m_hostField;
-    std::unordered_map<std::uint64_t, std::unique_ptr<OpenCall>> m_open;
-    std::uint64_t m_lastNumber = 0;
+    StoreTransport &m_transport;
     PlatformStoreCounts m_counts;
-    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 }
