Divide the endpoints among the models and start the longest items first

Items were also started by group, which put short items on the fast endpoints. Change: each endpoint is the home of one model and loads only its versions; shares follow the demand. Items of the needed groups start longest first; a prompt's endpoint is preferred only when about as fast. Gateways watch the configuration alone.

--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -6,10 +6,10 @@
 namespace Basilbend
 {
 
-SystemView::SystemView(MetadataStore &store, EventLoop loop, EventLog &log, Milliseconds operatorSpan, Milliseconds endpointSpan)
+SystemView::SystemView(MetadataStore &store, EventLoop loop, EventLog &log, ViewScope scope, Milliseconds operatorSpan, Milliseconds endpointSpan)
     : m_loop(std::move(loop))
     , m_log(log)
-    , m_operatorFeed(store, m_loop, operatorPrefix(), operatorSpan, operatorHooks())
+    , m_operatorFeed(store, m_loop, scope == ViewScope::Control ? operatorPrefix() : configurationPrefix(), operatorSpan, operatorHooks())
     , m_endpointFeed(store, m_loop, endpointPrefix(), endpointSpan, endpointHooks())
 {
 }
--- a/src/catalog/systemview.h
+++ b/src/catalog/systemview.h
@@ -15,13 +15,21 @@
 namespace Basilbend
 {
 
+/// What a SystemView keeps up to date.
+enum class ViewScope {
+    /// The configuration and the endpoints.
+    Serving,
+    /// Also published weight versions and hosts that are to be emptied.
+    Control,
+};
+
 /// What this process knows of the operators' configuration, the published weight versions, the hosts that are to be
 /// emptied and the endpoints, each kept up to date from the metadata store.
 class SystemView
 {
 public:
     /// Operator span and endpoint span: how long one watch of each prefix waits.
-    SystemView(MetadataStore &store, EventLoop loop, EventLog &log, Milliseconds operatorSpan, Milliseconds endpointSpan);
+    SystemView(MetadataStore &store, EventLoop loop, EventLog &log, ViewScope scope, Milliseconds operatorSpan, Milliseconds endpointSpan);
 
     void start();
     void stop();
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -38,7 +38,7 @@
 public:
     explicit Scheduler(DaemonRuntime &runtime)
         : m_runtime(runtime)
-        , m_view(runtime.store(), runtime.loop(), runtime.log(), OperatorWatchSpan, EndpointWatchSpan)
+        , m_view(runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, OperatorWatchSpan, EndpointWatchSpan)
         , m_election(runtime.store(),
                      runtime.loop(),
                      runtime.log(),
@@ -87,7 +87,7 @@
         hooks.term = [this] { return m_election.term(); };
         hooks.mayStart = [this] { return m_isLeading && m_election.uncertainFor() < UncertainRunTime; };
         hooks.versionAt = [this](const EndpointRecord &endpoint, const std::string &model) { return m_weights.versionAt(endpoint, model); };
-        hooks.isLoading = [this](const std::string &endpoint) { return m_weights.isLoading(endpoint); };
+        hooks.isLoading = [this](const std::string &endpoint, const std::string &model) { return m_weights.isLoading(endpoint, model); };
         hooks.onDemandChanged = [this] { pollWeights(); };
         return hooks;
     }
@@ -98,6 +98,7 @@
         hooks.mayAct = [this] { return m_election.mayAct(); };
         hooks.fencingToken = [this] { return m_election.term(); };
         hooks.requiredVersions = [this] { return m_runner.requiredVersions(); };
+        hooks.demand = [this] { return m_runner.demand(); };
         hooks.runningAt = [this](const std::string &endpoint) { return m_runner.runningAt(endpoint); };
         hooks.needsSingleVersion = [this](const std::string &model) { return needsSingleVersion(model); };
         hooks.onChanged = [this] { m_runner.reconsider(); };
--- a/src/platform/operatorkeys.cpp
+++ b/src/platform/operatorkeys.cpp
@@ -20,6 +20,11 @@
     return Wire::OperatorPrefix;
 }
 
+std::string configurationPrefix()
+{
+    return Wire::ConfigurationKey;
+}
+
 std::string endpointPrefix()
 {
     return Wire::EndpointPrefix;
--- a/src/platform/operatorkeys.h
+++ b/src/platform/operatorkeys.h
@@ -14,7 +14,10 @@
     Other,
 };
 
+/// All that the operator writes.
 std::string operatorPrefix();
+/// The configuration alone.
+std::string configurationPrefix();
 std::string endpointPrefix();
 
 OperatorKeyKind operatorKeyKind(std::string_view key);
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -20,6 +20,8 @@
 constexpr int MovesPerTick = 12;
 /// Texts of ended batches that are kept for items that may come again.
 constexpr std::size_t MaxKeptTexts = 1500;
+/// Weight of the newest batch in the average demand of its model.
+constexpr double NewestDemandWeight = 0.3;
 /// Waiting items looked at in one round of a batch.
 constexpr std::size_t MaxWaitingInRound = 512;
 /// Part of an endpoint's memory that expected tokens may fill; estimates are often too low.
@@ -143,11 +145,22 @@
                 {"minimum_version", batch->state->submission().minimumVersion},
                 {"desired_groups", batch->state->submission().desiredGroups},
                 {"age_ms", m_loop.now().milliseconds() - batch->state->index().submittedAtMs}});
+    noteDemand(batch->state->submission());
     m_batches[id] = std::move(batch);
     m_hooks.onDemandChanged();
     scheduleSoon();
 }
 
+void BatchRunner::noteDemand(const BatchSubmission &submission)
+{
+    double tokens = 0;
+    for (const auto &item : submission.items) {
+        tokens += static_cast<double>(expectedOutput(item));
+    }
+    auto &demand = m_demand[submission.model];
+    demand = demand == 0 ? tokens : (1 - NewestDemandWeight) * demand + NewestDemandWeight * tokens;
+}
+
 void BatchRunner::keepTexts(const OpenBatch &batch)
 {
     auto texts = batch.textsToKeep();
@@ -283,7 +296,7 @@
         const auto *service = m_view.routes()->serviceNamed(share.service);
         const auto capacity = service != nullptr && service->engine ? service->engine->kvCacheTokens : 0;
         for (const auto *record : m_view.endpoints().readyOf(share.service)) {
-            if (share.weight <= 0 || m_pace.isSuspended(record->id, now) || m_hooks.isLoading(record->id)) {
+            if (share.weight <= 0 || m_pace.isSuspended(record->id, now) || m_hooks.isLoading(record->id, batch.submission().model)) {
                 continue;
             }
             PlacementEndpoint endpoint;
@@ -294,7 +307,7 @@
             endpoint.tokenCapacity = static_cast<std::uint64_t>(MemoryShare * static_cast<double>(capacity));
             endpoint.version = m_hooks.versionAt(*record, batch.submission().model);
             endpoint.isSlow = m_pace.isSlow(record->id, now);
-            const double gap = m_pace.gapMs(record->id, now);
+            const double gap = m_pace.lastGapMs(record->id);
             endpoint.pace = gap > 0 && median > 0 ? gap / median : 1;
             endpoints.push_back(std::move(endpoint));
         }
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -30,7 +30,7 @@
     /// The version of a model's weights at an endpoint, as far as it is known.
     std::function<std::uint64_t(const EndpointRecord &, const std::string &model)> versionAt;
     /// The endpoint is changing its weights and refuses new runs.
-    std::function<bool(const std::string &endpoint)> isLoading;
+    std::function<bool(const std::string &endpoint, const std::string &model)> isLoading;
     /// Work has come or gone, which may change which weights are needed.
     std::function<void()> onDemandChanged;
 };
@@ -59,6 +59,12 @@
 
     int runningAt(const std::string &endpoint) const;
 
+    /// Expected output tokens of the recent batches of each model.
+    std::map<std::string, double> demand() const
+    {
+        return m_demand;
+    }
+
     std::size_t openBatchCount() const
     {
         return m_batches.size();
@@ -91,6 +97,7 @@
     void opened(const std::string &id, Result<std::shared_ptr<OpenBatch>> batch);
     void close(const std::string &id);
     void reload(const std::string &id);
+    void noteDemand(const BatchSubmission &submission);
     void keepTexts(const OpenBatch &batch);
 
     void scheduleSoon();
@@ -126,6 +133,7 @@
     std::map<std::string, bool> m_ended;
     std::vector<KeptText> m_kept;
     std::map<std::string, int> m_runningAt;
+    std::map<std::string, double> m_demand;
     EndpointPace m_pace;
     bool m_active = false;
     bool m_scheduled = false;
--- a/src/scheduling/endpointpace.cpp
+++ b/src/scheduling/endpointpace.cpp
@@ -21,11 +21,8 @@
 {
     auto &state = m_states[endpoint];
     const auto newest = static_cast<double>(gap.count());
-    state.gapMs = isKnown(state, now) ? (1 - NewestWeight) * state.gapMs + NewestWeight * newest : state.samples == 0 ? newest : (state.gapMs + newest) / 2;
-    if (now - state.lastSample >= SampleLife) {
-        state.gapMs = newest;
-        state.samples = 0;
-    }
+    const double weight = state.samples < LeastSamples ? 1.0 / (state.samples + 1) : NewestWeight;
+    state.gapMs = (1 - weight) * state.gapMs + weight * newest;
     ++state.samples;
     state.lastSample = now;
 }
@@ -73,6 +70,12 @@
     return it != m_states.end() && isKnown(it->second, now) ? it->second.gapMs : 0;
 }
 
+double EndpointPace::lastGapMs(const std::string &endpoint) const
+{
+    const auto it = m_states.find(endpoint);
+    return it != m_states.end() && it->second.samples >= LeastSamples ? it->second.gapMs : 0;
+}
+
 double EndpointPace::medianGapMs(Timestamp now) const
 {
     std::vector<double> gaps;
--- a/src/scheduling/endpointpace.h
+++ b/src/scheduling/endpointpace.h
@@ -28,6 +28,9 @@
     /// The average gap, or zero when nothing recent is known.
     double gapMs(const std::string &endpoint, Timestamp now) const;
 
+    /// The last average gap, however old; zero: none. Engines differ in speed for good, so it still tells which are fast.
+    double lastGapMs(const std::string &endpoint) const;
+
     /// The middle of the known averages, or zero.
     double medianGapMs(Timestamp now) const;
 
--- a/src/scheduling/grouporder.cpp
+++ b/src/scheduling/grouporder.cpp
@@ -51,11 +51,15 @@
     std::stable_sort(
         groups.begin(), groups.end(), [](const GroupRank &a, const GroupRank &b) { return a.isCarried != b.isCarried ? a.isCarried : a.longest < b.longest; });
     const auto desired = submission.desiredGroups == 0 ? groups.size() : std::min(submission.desiredGroups, groups.size());
-    std::stable_sort(
-        groups.begin(), groups.begin() + static_cast<std::ptrdiff_t>(desired), [](const GroupRank &a, const GroupRank &b) { return a.longest > b.longest; });
     std::vector<std::size_t> order;
-    for (const auto &group : groups) {
-        order.insert(order.end(), group.items.begin(), group.items.end());
+    for (std::size_t i = 0; i < desired; ++i) {
+        order.insert(order.end(), groups[i].items.begin(), groups[i].items.end());
+    }
+    std::stable_sort(order.begin(), order.end(), [&submission](std::size_t a, std::size_t b) {
+        return expectedOutput(submission.items[a]) > expectedOutput(submission.items[b]);
+    });
+    for (std::size_t i = desired; i < groups.size(); ++i) {
+        order.insert(order.end(), groups[i].items.begin(), groups[i].items.end());
     }
     return order;
 }
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -8,6 +8,13 @@
 namespace
 {
 
+/// Reading a prompt again costs little against a slower generation, so the endpoint that holds it is only taken when it is
+/// about as fast as the best.
+constexpr double AffinityFactor = 1.1;
+
+/// An engine that runs all its slots generates each of them slower by about this part.
+constexpr double LoadWeight = 0.15;
+
 bool hasRoom(const PlacementEndpoint &endpoint, const PlacementItem &item)
 {
     if (endpoint.running >= endpoint.slots || endpoint.version < item.minimumVersion) {
@@ -19,25 +26,27 @@
 
 double expectedTime(const PlacementEndpoint &endpoint)
 {
-    return endpoint.pace * (1 + static_cast<double>(endpoint.running) / std::max(endpoint.slots, 1));
+    return endpoint.pace * (1 + LoadWeight * static_cast<double>(endpoint.running) / std::max(endpoint.slots, 1));
 }
 
 PlacementEndpoint *findBest(std::vector<PlacementEndpoint> &endpoints, const PlacementItem &item, bool allowSlow, bool allowAvoided)
 {
     PlacementEndpoint *best = nullptr;
+    PlacementEndpoint *preferred = nullptr;
     for (auto &endpoint : endpoints) {
         const bool isAllowed = (allowSlow || !endpoint.isSlow) && (allowAvoided || endpoint.id != item.avoidedEndpoint);
         if (!isAllowed || !hasRoom(endpoint, item)) {
             continue;
         }
         if (endpoint.id == item.preferredEndpoint) {
-            return &endpoint;
+            preferred = &endpoint;
         }
         if (best == nullptr || expectedTime(endpoint) < expectedTime(*best)) {
             best = &endpoint;
         }
     }
-    return best;
+    const bool isWorthIt = preferred != nullptr && expectedTime(*preferred) <= AffinityFactor * expectedTime(*best);
+    return isWorthIt ? preferred : best;
 }
 
 }
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -40,7 +40,7 @@
 };
 
 /// Gives waiting items, most urgent first, to endpoints with a free slot and enough memory. An item goes to the endpoint
-/// that holds its group's prompt when it has room, otherwise to the one that is expected to be done first. Slow endpoints
+/// that is expected to be done first, or to the one that holds its group's prompt when that is about as fast. Slow endpoints
 /// get work only when no other has a free slot and more items wait than the others can take soon.
 std::vector<Assignment> assignItems(const std::vector<PlacementItem> &waiting, std::vector<PlacementEndpoint> endpoints);
 
--- a/src/weights/weightroller.cpp
+++ b/src/weights/weightroller.cpp
@@ -50,10 +50,30 @@
     return holds ? it->second.version : recorded;
 }
 
-bool WeightRoller::isLoading(const std::string &endpoint) const
+bool WeightRoller::isLoading(const std::string &endpoint, const std::string &model) const
 {
     const auto it = m_orders.find(endpoint);
-    return it != m_orders.end() && (it->second.phase != Phase::Reporting);
+    return it != m_orders.end() && it->second.phase != Phase::Reporting && it->second.model == model;
+}
+
+void WeightRoller::divideEndpoints()
+{
+    auto demand = m_hooks.demand();
+    for (const auto &[model, published] : m_view.publishedVersions()) {
+        demand.emplace(model, 0);
+    }
+    std::vector<AssignableEndpoint> endpoints;
+    for (const auto *record : m_view.endpoints().all()) {
+        if (record->isDraining || record->models.empty()) {
+            continue;
+        }
+        AssignableEndpoint endpoint{record->id, {}};
+        for (const auto &model : record->models) {
+            endpoint.versions[model.name] = versionAt(*record, model.name);
+        }
+        endpoints.push_back(std::move(endpoint));
+    }
+    m_assignment.update(endpoints, demand);
 }
 
 WeightRoller::Order *WeightRoller::find(const std::string &endpoint, std::uint64_t serial)
@@ -67,6 +87,7 @@
     if (!m_hooks.mayAct() || m_view.routes() == nullptr) {
         return;
     }
+    divideEndpoints();
     const auto required = m_hooks.requiredVersions();
     for (const auto &[model, published] : m_view.publishedVersions()) {
         const auto it = required.find(model);
@@ -79,7 +100,7 @@
     const auto now = m_loop.now();
     std::vector<WeightEndpoint> endpoints;
     for (const auto *record : m_view.endpoints().all()) {
-        if (record->isDraining || record->versionOf(model) == 0) {
+        if (record->isDraining || record->versionOf(model) == 0 || m_assignment.homeOf(record->id) != model) {
             continue;
         }
         const auto paused = m_pausedUntil.find(record->id);
--- a/src/weights/weightroller.h
+++ b/src/weights/weightroller.h
@@ -6,6 +6,7 @@
 #include "log/eventlog.h"
 #include "net/metrics.h"
 #include "platform/endpointcalls.h"
+#include "weights/modelassignment.h"
 #include "weights/orderplanner.h"
 
 #include <functional>
@@ -22,6 +23,8 @@
     std::function<std::uint64_t()> fencingToken;
     /// The newest version that an open batch needs at least, by model.
     std::function<std::map<std::string, std::uint64_t>()> requiredVersions;
+    /// The work of each model, for the division of the endpoints.
+    std::function<ModelDemand()> demand;
     std::function<int(const std::string &endpoint)> runningAt;
     /// Whether batches of the model need all tokens from one version.
     std::function<bool(const std::string &model)> needsSingleVersion;
@@ -45,7 +48,8 @@
     /// The version that an endpoint serves: what it confirmed last, or its entry in the registry.
     std::uint64_t versionAt(const EndpointRecord &endpoint, const std::string &model) const;
 
-    bool isLoading(const std::string &endpoint) const;
+    /// Whether the endpoint is changing the weights of the model.
+    bool isLoading(const std::string &endpoint, const std::string &model) const;
 
 private:
     enum class Phase {
@@ -79,6 +83,7 @@
         std::int64_t startedAtMs = 0;
     };
 
+    void divideEndpoints();
     void pollModel(const std::string &model, std::uint64_t published, std::uint64_t required);
     void begin(const EndpointRecord &endpoint, const std::string &model, std::uint64_t version);
     void report(const std::string &endpoint);
@@ -98,6 +103,7 @@
     SystemView &m_view;
     std::string m_holder;
     WeightRollerHooks m_hooks;
+    ModelAssignment m_assignment;
     std::map<std::string, Order> m_orders;
     std::map<std::string, Confirmed> m_confirmed;
     std::map<std::string, Timestamp> m_pausedUntil;
