--- a/src/billing/usageduty.cpp
+++ b/src/billing/usageduty.cpp
@@ -72,8 +72,10 @@
         }
         const auto current = m_loop.now().milliseconds() / m_settings.windowSpan.count();
         if (reply.status == MetadataStatus::NotFound) {
-            m_window = current;
-        } else if (reply.status == MetadataStatus::Done && !reply.items.empty()) {
+            createPosition(current - 1);
+            return;
+        }
+        if (reply.status == MetadataStatus::Done && !reply.items.empty()) {
             const auto &text = reply.items.front().value;
             std::int64_t reported = 0;
             std::from_chars(text.data(), text.data() + text.size(), reported);
@@ -86,6 +88,18 @@
     });
 }
 
+void UsageDuty::createPosition(std::int64_t window)
+{
+    // Written before the first report, so that a successor knows where to go on.
+    const MetadataChange change{{{UsageRecords::ReportedKey, 0}}, {{UsageRecords::ReportedKey, std::to_string(window), 0}}, {}};
+    m_store.commit(change, [this, generation = m_generation](const MetadataReply &reply) {
+        if (generation == m_generation) {
+            const bool isThere = reply.status == MetadataStatus::Done || reply.status == MetadataStatus::Conflict;
+            later(isThere ? Milliseconds(0) : RetryPause, &UsageDuty::readPosition);
+        }
+    });
+}
+
 void UsageDuty::poll()
 {
     const auto now = m_loop.now();
--- a/src/billing/usageduty.h
+++ b/src/billing/usageduty.h
@@ -47,6 +47,7 @@
 
 private:
     void readPosition();
+    void createPosition(std::int64_t window);
     void poll();
     void collect();
     void seal(const UsageCounts &counts);
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -49,7 +49,8 @@
 public:
     explicit Gateway(DaemonRuntime &runtime)
         : m_runtime(runtime)
-        , m_view(runtime.store(), runtime.loop(), runtime.log(), ViewScope::Serving, runtime.settings().withdrawalBound / OperatorWatchDivisor, EndpointWatchSpan)
+        , m_view(
+              runtime.store(), runtime.loop(), runtime.log(), ViewScope::Serving, runtime.settings().withdrawalBound / OperatorWatchDivisor, EndpointWatchSpan)
         , m_picker(runtime.settings().zone)
         , m_usage(runtime.settings().usageWindow)
         , m_publisher(runtime.store(), runtime.loop(), runtime.log(), runtime.settings().node + "-" + runtime.incarnation())
--- a/src/metadata/relayedtransport.cpp
+++ b/src/metadata/relayedtransport.cpp
@@ -159,12 +159,11 @@
         return;
     }
     StoreRequest request;
-    request.message = {std::string(message.fields.value(MethodField)),
-                       std::string(message.fields.value(TargetField)),
-                       {{"Content-Type", "application/json"}},
-                       message.body};
+    request.message = {
+        std::string(message.fields.value(MethodField)), std::string(message.fields.value(TargetField)), {{"Content-Type", "application/json"}}, message.body};
     request.timeout = Milliseconds(wholeNumber(message.fields.value(TimeoutField)));
-    const bool isValid = !request.message.method.empty() && !request.message.target.empty() && request.timeout.count() > 0 && request.timeout <= MaxRelayTimeout;
+    const bool isValid =
+        !request.message.method.empty() && !request.message.target.empty() && request.timeout.count() > 0 && request.timeout <= MaxRelayTimeout;
     if (!isValid) {
         m_log.warning("relay_malformed", {{"target", request.message.target}, {"timeout_ms", request.timeout}});
         exchange->respond({400, {}, {}});
--- /dev/null
+++ b/tests/billing/usageduty.cpp
@@ -0,0 +1,130 @@
+#include "billing/usageduty.h"
+
+#include "base/systemclock.h"
+#include "billing/usagerecords.h"
+#include "election/leaderelection.h"
+#include "http/webserver.h"
+#include "metadata/fakemetadatastore.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+/// The platform's API on the loopback address, and the duty in virtual time with real calls.
+struct DutyFixture {
+    asio::io_context io;
+    VirtualTime time{Timestamp(1'000'000)};
+    FakeMetadataStore store{time};
+    EventLog log{EventLogSettings(), [this] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); }};
+    Metrics metrics;
+    WebClient client{io, systemNow};
+    std::vector<nlohmann::json> reports;
+    int status = 200;
+    std::unique_ptr<WebServer> server = makeServer();
+    bool mayAct = true;
+    std::unique_ptr<UsageDuty> duty = makeDuty();
+
+    DutyFixture()
+    {
+        store.put(LeaderElection::holderKey(), "me");
+    }
+
+    std::unique_ptr<WebServer> makeServer()
+    {
+        ServerHooks hooks;
+        hooks.onRequest = [this](const std::shared_ptr<ServerExchange> &exchange) {
+            reports.push_back(nlohmann::json::parse(exchange->request().body));
+            exchange->respond({status, {}, {}});
+        };
+        hooks.refusal = [](int refused) { return ResponseMessage{refused, {}, {}}; };
+        hooks.limits = [] { return ServerLimits(); };
+        hooks.isDraining = [] { return false; };
+        return std::make_unique<WebServer>(io, "127.0.0.1:0", std::move(hooks));
+    }
+
+    std::unique_ptr<UsageDuty> makeDuty()
+    {
+        UsageDutySettings settings;
+        settings.holder = "node-1";
+        settings.address = "127.0.0.1:" + std::to_string(server->port());
+        return std::make_unique<UsageDuty>(store,
+                                           virtualLoop(time),
+                                           log,
+                                           metrics,
+                                           client,
+                                           settings,
+                                           UsageDutyHooks{[this] { return mayAct; }, [this] { return store.peek(LeaderElection::holderKey())->revision; }});
+    }
+
+    void run(int ms)
+    {
+        for (int i = 0; i < ms; i += 100) {
+            time.advance(Milliseconds(100));
+            io.restart();
+            for (int turns = 0; turns < 8; ++turns) {
+                io.poll();
+            }
+        }
+    }
+};
+
+/// The window of the fixture's start.
+constexpr std::int64_t FirstWindow = 200;
+
+}
+
+BOOST_AUTO_TEST_SUITE(billing, *boost::unit_test::label("billing"))
+
+BOOST_FIXTURE_TEST_CASE(a_window_is_summed_sealed_and_reported_once, DutyFixture)
+{
+    store.put(UsageRecords::countKey(FirstWindow, "a"), UsageRecords::encodeCounts({{"w", 3}, {"v", 1}}));
+    store.put(UsageRecords::countKey(FirstWindow, "b"), UsageRecords::encodeCounts({{"w", 4}}));
+    duty->activate();
+    run(11000);
+    BOOST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST(reports.at(0).at("window_index") == FirstWindow);
+    BOOST_TEST(reports.at(0).at("counts").at("w") == 7);
+    BOOST_TEST(store.peek(UsageRecords::ReportedKey)->value == std::to_string(FirstWindow));
+    BOOST_TEST(store.keysBelow(UsageRecords::countPrefix(FirstWindow)).empty());
+}
+
+// Guards against two figures for one window: what comes after the seal is not reported, whoever reports.
+BOOST_FIXTURE_TEST_CASE(a_successor_repeats_the_sealed_figures, DutyFixture)
+{
+    store.put(UsageRecords::countKey(FirstWindow, "a"), UsageRecords::encodeCounts({{"w", 3}}));
+    status = 503;
+    duty->activate();
+    run(10500);
+    BOOST_REQUIRE(!reports.empty());
+    duty->deactivate();
+    store.put(UsageRecords::countKey(FirstWindow, "b"), UsageRecords::encodeCounts({{"w", 9}}));
+    store.put(LeaderElection::holderKey(), "successor");
+    status = 200;
+    const auto successor = makeDuty();
+    successor->activate();
+    run(2000);
+    for (const auto &report : reports) {
+        if (report.at("window_index") == FirstWindow) {
+            BOOST_TEST(report.at("counts").at("w") == 3);
+        }
+    }
+    BOOST_TEST(store.peek(UsageRecords::ReportedKey)->value == std::to_string(FirstWindow));
+    run(100);
+}
+
+BOOST_FIXTURE_TEST_CASE(nothing_is_sent_without_a_certain_lease, DutyFixture)
+{
+    mayAct = false;
+    duty->activate();
+    run(20000);
+    BOOST_TEST(reports.empty());
+    mayAct = true;
+    run(2000);
+    BOOST_TEST(reports.size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/election/leaderelection.cpp
@@ -0,0 +1,199 @@
+#include "election/leaderelection.h"
+
+#include "metadata/fakemetadatastore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+/// One process that may lead. A paused process runs none of its timers and hears no answers.
+struct Candidate {
+    Candidate(VirtualTime &clock, FakeMetadataStore &store, const std::string &node, std::uint64_t seed)
+        : time(clock)
+        , random(seed)
+    {
+        ElectionSettings settings;
+        settings.node = node;
+        settings.incarnation = node + std::to_string(seed);
+        election = std::make_unique<LeaderElection>(store,
+                                                    loop(),
+                                                    log,
+                                                    random,
+                                                    settings,
+                                                    ElectionHooks{[this](bool continued) {
+                                                                      ++elected;
+                                                                      wasContinued = continued;
+                                                                  },
+                                                                  [this] { ++deposed; }});
+        election->start();
+    }
+
+    EventLoop loop()
+    {
+        return {[this] { return time.now(); },
+                [this](Milliseconds span, std::function<void()> function) {
+                    time.schedule(span, [this, function = std::move(function)] { whenAwake(function); });
+                }};
+    }
+
+    void whenAwake(const std::function<void()> &function)
+    {
+        if (isPaused) {
+            held.push_back(function);
+        } else {
+            function();
+        }
+    }
+
+    void resume()
+    {
+        isPaused = false;
+        const auto functions = std::move(held);
+        held.clear();
+        for (const auto &function : functions) {
+            function();
+        }
+    }
+
+    VirtualTime &time;
+    Random random;
+    EventLog log{EventLogSettings(), [this] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); }};
+    std::unique_ptr<LeaderElection> election;
+    bool isPaused = false;
+    std::vector<std::function<void()>> held;
+    int elected = 0;
+    int deposed = 0;
+    bool wasContinued = false;
+};
+
+struct ElectionFixture {
+    VirtualTime time{Timestamp(1'000'000)};
+    FakeMetadataStore store{time};
+    std::vector<std::unique_ptr<Candidate>> nodes;
+
+    Candidate &add(const std::string &node)
+    {
+        nodes.push_back(std::make_unique<Candidate>(time, store, node, nodes.size() + 1));
+        return *nodes.back();
+    }
+    Candidate *leader() const
+    {
+        Candidate *found = nullptr;
+        for (const auto &node : nodes) {
+            if (node->election->mayAct()) {
+                BOOST_TEST((found == nullptr), "two leaders may act");
+                found = node.get();
+            }
+        }
+        return found;
+    }
+    /// Runs and checks at each step that no two may act.
+    void run(int ms)
+    {
+        for (int i = 0; i < ms; i += 10) {
+            time.advance(Milliseconds(10));
+            leader();
+        }
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(election, *boost::unit_test::label("election"))
+
+BOOST_FIXTURE_TEST_CASE(one_of_several_leads_and_keeps_its_lease, ElectionFixture)
+{
+    for (const auto *node : {"a", "b", "c"}) {
+        add(node);
+    }
+    run(500);
+    auto *first = leader();
+    BOOST_REQUIRE(first != nullptr);
+    const auto term = first->election->term();
+    run(20000);
+    BOOST_TEST((leader() == first));
+    BOOST_TEST(first->election->term() == term);
+    BOOST_TEST(store.peek(LeaderElection::holderKey())->revision == term);
+}
+
+// Guards against a leader that goes on after a pause: its lease has ended meanwhile, and another leads.
+BOOST_FIXTURE_TEST_CASE(a_paused_leader_may_not_act_when_it_wakes, ElectionFixture)
+{
+    add("a");
+    add("b");
+    run(500);
+    auto *paused = leader();
+    const auto oldTerm = paused->election->term();
+    paused->isPaused = true;
+    for (int i = 0; i < 400; ++i) {
+        time.advance(Milliseconds(10));
+    }
+    BOOST_TEST(!paused->election->mayAct());
+    paused->resume();
+    BOOST_TEST(!paused->election->mayAct());
+    run(1000);
+    auto *next = leader();
+    BOOST_REQUIRE(next != nullptr);
+    BOOST_TEST((next != paused));
+    BOOST_TEST(next->election->term() > oldTerm);
+    BOOST_TEST(paused->deposed == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_leader_that_resigns_is_followed_at_once, ElectionFixture)
+{
+    add("a");
+    add("b");
+    run(500);
+    auto *first = leader();
+    first->election->resign();
+    run(400);
+    BOOST_REQUIRE(leader() != nullptr);
+    BOOST_TEST((leader() != first));
+}
+
+// An outage ends the lease, but nobody led meanwhile: what the leader holds is still right.
+BOOST_FIXTURE_TEST_CASE(a_leader_that_returns_after_an_outage_continues, ElectionFixture)
+{
+    auto &only = add("a");
+    run(500);
+    store.faults.refuses = true;
+    run(5000);
+    BOOST_TEST(!only.election->mayAct());
+    BOOST_TEST(only.election->uncertainFor().count() > 2000);
+    BOOST_TEST(only.deposed == 0);
+    store.faults.refuses = false;
+    run(2000);
+    BOOST_TEST(only.election->mayAct());
+    BOOST_TEST(only.elected == 2);
+    BOOST_TEST(only.wasContinued);
+}
+
+// Guards against a write whose answer was lost and that made this process leader.
+BOOST_FIXTURE_TEST_CASE(a_lost_answer_to_the_candidacy_is_cleared_up, ElectionFixture)
+{
+    store.faults.lostCommits = 1;
+    auto &only = add("a");
+    run(1000);
+    BOOST_TEST(only.election->mayAct());
+    BOOST_TEST(only.election->term() == store.peek(LeaderElection::holderKey())->revision);
+}
+
+// Guards against two leaders that take turns within the time that receivers of orders allow.
+BOOST_AUTO_TEST_CASE(a_node_that_led_before_another_waits)
+{
+    const CandidacyRule rule;
+    const Timestamp start(10'000);
+    BOOST_TEST(rule.mayStand("a", {}, start, std::nullopt, start));
+    BOOST_TEST(rule.mayStand("a", {"a", "b"}, start, std::nullopt, start));
+    BOOST_TEST(rule.mayStand("c", {"a", "b"}, start, std::nullopt, start));
+    BOOST_TEST(!rule.mayStand("b", {"a", "b"}, start, std::nullopt, start + Milliseconds(3000)));
+    BOOST_TEST(rule.mayStand("b", {"a", "b"}, start, std::nullopt, start + rule.turnGuard));
+    BOOST_TEST(!rule.mayStand("b", {"a", "b"}, start, start + Milliseconds(9000), start + Milliseconds(10000)));
+    BOOST_TEST((withNewestLeader("b", {"a", "b", "c"}) == std::vector<std::string>{"b", "a", "c"}));
+    BOOST_TEST(withNewestLeader("n", std::vector<std::string>(20, "x")).size() == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/forwarding/decisions.cpp
@@ -0,0 +1,184 @@
+#include "forwarding/admission.h"
+#include "forwarding/attemptrule.h"
+#include "forwarding/endpointpicker.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+EndpointRecord endpoint(const std::string &id, const std::string &zone, int slots = 6)
+{
+    EndpointRecord record;
+    record.id = id;
+    record.zone = zone;
+    record.slots = slots;
+    return record;
+}
+
+struct PickerFixture {
+    EndpointRecord a = endpoint("a", "z1");
+    EndpointRecord b = endpoint("b", "z2");
+    EndpointRecord c = endpoint("c", "z2");
+    EndpointPicker picker{"z1"};
+    Timestamp now{1000};
+
+    std::string pick(const std::set<std::string> &excluded = {}) const
+    {
+        const auto *picked = picker.pick({&a, &b, &c}, excluded, now);
+        return picked == nullptr ? "none" : picked->id;
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(forwarding, *boost::unit_test::label("forwarding"))
+
+BOOST_FIXTURE_TEST_CASE(the_own_zone_is_taken_until_it_is_busier, PickerFixture)
+{
+    BOOST_TEST(pick() == "a");
+    for (int i = 0; i < 2; ++i) {
+        picker.noteSent("a");
+    }
+    BOOST_TEST(pick() == "b");
+}
+
+// Guards against a slow endpoint that keeps its share of the traffic.
+BOOST_FIXTURE_TEST_CASE(a_slow_endpoint_is_avoided_until_its_latency_is_old, PickerFixture)
+{
+    picker.noteLatency("a", Milliseconds(120), now);
+    BOOST_TEST(pick() == "b");
+    now = now + Milliseconds(6000);
+    BOOST_TEST(pick() == "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_failed_endpoint_is_left_out_longer_each_time, PickerFixture)
+{
+    picker.noteFailure("a", now);
+    BOOST_TEST(pick() == "b");
+    now = now + EndpointPicker::FirstSuspension;
+    BOOST_TEST(pick() == "a");
+    picker.noteFailure("a", now);
+    now = now + EndpointPicker::FirstSuspension;
+    BOOST_TEST(pick() == "b");
+    picker.noteLatency("a", Milliseconds(10), now);
+    BOOST_TEST(pick() == "a");
+}
+
+// Guards against refusing everything when all endpoints have failed: the one that failed first is tried.
+BOOST_FIXTURE_TEST_CASE(when_all_have_failed_the_one_that_is_back_first_is_taken, PickerFixture)
+{
+    picker.noteFailure("a", now);
+    picker.noteFailure("b", now);
+    picker.noteFailure("b", now);
+    picker.noteFailure("c", now);
+    picker.noteFailure("c", now);
+    BOOST_TEST(pick() == "a");
+    BOOST_TEST(pick({"a", "b", "c"}) == "none");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_full_endpoint_is_not_asked_for_a_moment, PickerFixture)
+{
+    for (const auto *id : {"a", "b", "c"}) {
+        picker.noteFull(id, now);
+    }
+    BOOST_TEST(pick() == "none");
+    now = now + EndpointPicker::FullPause;
+    BOOST_TEST(pick() == "a");
+}
+
+// Guards against requests with a short time limit that take a healthy endpoint out of service for all others.
+BOOST_FIXTURE_TEST_CASE(one_silence_is_no_failure_but_several_in_a_row_are, PickerFixture)
+{
+    picker.noteSilence("a", now);
+    picker.noteSilence("a", now);
+    BOOST_TEST(pick() == "a");
+    picker.noteLatency("a", Milliseconds(5), now);
+    picker.noteSilence("a", now);
+    BOOST_TEST(pick() == "a");
+    picker.noteSilence("a", now);
+    picker.noteSilence("a", now);
+    BOOST_TEST(pick() == "b");
+}
+
+// Replays the worst load: a burst of 60 requests on three endpoints of six slots, one of them four times slower. No endpoint
+// gets more than its share, and the slow one gets the least.
+BOOST_FIXTURE_TEST_CASE(a_burst_is_spread_by_expected_time, PickerFixture)
+{
+    picker.noteLatency("a", Milliseconds(25), now);
+    picker.noteLatency("b", Milliseconds(25), now);
+    picker.noteLatency("c", Milliseconds(100), now);
+    for (int i = 0; i < 60; ++i) {
+        picker.noteSent(pick());
+    }
+    BOOST_TEST(picker.inFlight("c") < 15);
+    BOOST_TEST(picker.inFlight("a") <= 32);
+    BOOST_TEST(picker.inFlight("a") >= picker.inFlight("b"));
+}
+
+BOOST_AUTO_TEST_CASE(what_a_call_proves_is_told_apart)
+{
+    BOOST_TEST((outcomeOfTry(CallEnd::Complete, 200, false, true) == TryOutcome::Answered));
+    BOOST_TEST((outcomeOfTry(CallEnd::Complete, 404, false, true) == TryOutcome::Answered));
+    BOOST_TEST((outcomeOfTry(CallEnd::Complete, 500, false, true) == TryOutcome::AnsweredFailure));
+    BOOST_TEST((outcomeOfTry(CallEnd::Complete, 503, true, false) == TryOutcome::NotRun));
+    BOOST_TEST((outcomeOfTry(CallEnd::NotConnected, 0, false, false) == TryOutcome::NotRun));
+    // A success without the endpoint's signature is not its answer; a cut answer proves nothing.
+    BOOST_TEST((outcomeOfTry(CallEnd::Complete, 200, false, false) == TryOutcome::MayHaveRun));
+    BOOST_TEST((outcomeOfTry(CallEnd::Broken, 200, false, true) == TryOutcome::MayHaveRun));
+    BOOST_TEST((outcomeOfTry(CallEnd::ClosedUnanswered, 0, false, false) == TryOutcome::MayHaveRun));
+}
+
+// Guards against a request that must not be repeated and runs twice, and against a refusal "not run" that is not true.
+BOOST_AUTO_TEST_CASE(a_request_that_may_not_repeat_is_tried_again_only_when_it_has_not_run)
+{
+    TryHistory history;
+    history.kind = RouteKind::NonIdempotent;
+    history.attemptsAllowed = 3;
+    history.ran = 0;
+    BOOST_TEST((decideAfterTry(TryOutcome::NotRun, history) == TryDecision::TryAgain));
+    history.timeLeft = false;
+    BOOST_TEST((decideAfterTry(TryOutcome::NotRun, history) == TryDecision::RefuseNotRun));
+    history.timeLeft = true;
+    history.ran = 1;
+    BOOST_TEST((decideAfterTry(TryOutcome::MayHaveRun, history) == TryDecision::FailUnknown));
+    BOOST_TEST((decideAfterTry(TryOutcome::AnsweredFailure, history) == TryDecision::PassAnswer));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_repeat_runs_on_no_more_endpoints_than_its_route_allows)
+{
+    TryHistory history;
+    history.kind = RouteKind::Idempotent;
+    history.attemptsAllowed = 2;
+    history.ran = 1;
+    BOOST_TEST((decideAfterTry(TryOutcome::MayHaveRun, history) == TryDecision::TryAgain));
+    history.open = 1;
+    BOOST_TEST((decideAfterTry(TryOutcome::MayHaveRun, history) == TryDecision::WaitForOther));
+    history.open = 0;
+    history.ran = 2;
+    BOOST_TEST((decideAfterTry(TryOutcome::MayHaveRun, history) == TryDecision::FailUnknown));
+    BOOST_TEST((decideAfterTry(TryOutcome::AnsweredFailure, history) == TryDecision::PassAnswer));
+    BOOST_TEST((decideAfterTry(TryOutcome::NotRun, history) == TryDecision::FailUnknown));
+}
+
+// Guards against a withdrawn key that works on in a process that is cut off: the age of what it knows decides.
+BOOST_AUTO_TEST_CASE(a_configuration_that_is_too_old_admits_no_key)
+{
+    ServiceConfiguration configuration;
+    configuration.workspaces = {{"w", {"k"}}};
+    const RouteTable routes(std::move(configuration));
+    const FreshnessRule rule;
+    BOOST_TEST(rule.isFresh(Timestamp(1000), Timestamp(5800)));
+    BOOST_TEST(!rule.isFresh(Timestamp(1000), Timestamp(6000)));
+    BOOST_TEST(!rule.isFresh(std::nullopt, Timestamp(6000)));
+    BOOST_TEST(workspaceOfRequest(routes, "k", true).value() == "w");
+    BOOST_TEST((workspaceOfRequest(routes, "k", false).error().code == ResultCode::ConfigurationNotFresh));
+    BOOST_TEST((workspaceOfRequest(routes, "x", false).error().code == ResultCode::ConfigurationNotFresh));
+    BOOST_TEST((workspaceOfRequest(routes, "x", true).error().code == ResultCode::KeyUnknown));
+    BOOST_TEST((workspaceOfRequest(routes, "", true).error().code == ResultCode::KeyMissing));
+    BOOST_TEST(workspaceOfRequest(RouteTable(), "", false).value().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/gateway/batchcalls.cpp
@@ -0,0 +1,320 @@
+#include "gateway/gatewayservice.h"
+
+#include "base/systemclock.h"
+#include "metadata/fakemetadatastore.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+
+using namespace Basilbend;
+
+namespace
+{
+
+constexpr const char *ConfigurationText = R"({"version":7,"routes":[
+ {"name":"r","host":"a.example","path_prefix":"/steps/","kind":"rollout","timeout_ms":10000,"target_latency_ms":500,"service":"s","attempts":3,
+  "retention_s":40,"result_deadline_ms":7500}],"services":[{"name":"s"}],
+ "tenants":[{"name":"w","api_keys":["k"]},{"name":"v","api_keys":["l"]}]})";
+
+/// Gateways on one store in virtual time; clients speak to them over the loopback address.
+struct GatewayProcess {
+    GatewayProcess(asio::io_context &io, VirtualTime &time, FakeMetadataStore &store)
+        : log(
+            EventLogSettings(), [&time] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); })
+        , client(io, systemNow)
+        , view(store, virtualLoop(time), log, ViewScope::Serving, Milliseconds(2500), Milliseconds(5000))
+        , context{virtualLoop(time), log, metrics, client, store, view, picker, usage, random}
+        , service(context, FreshnessRule())
+        , server(io, "127.0.0.1:0", hooks())
+    {
+        view.start();
+    }
+
+    ServerHooks hooks()
+    {
+        ServerHooks result;
+        result.onRequest = [this](const std::shared_ptr<ServerExchange> &exchange) { service.handle(exchange); };
+        result.refusal = [](int status) { return ResponseMessage{status, {}, {}}; };
+        result.limits = [] { return ServerLimits(); };
+        result.isDraining = [] { return false; };
+        return result;
+    }
+
+    EventLog log;
+    Metrics metrics;
+    Random random{1};
+    WebClient client;
+    SystemView view;
+    EndpointPicker picker{"z"};
+    UsageCounter usage{Milliseconds(5000)};
+    GatewayContext context;
+    GatewayService service;
+    WebServer server;
+};
+
+struct Answer {
+    int status = 0;
+    HttpFields fields;
+    std::string body;
+    bool ended = false;
+
+    nlohmann::json json() const
+    {
+        return nlohmann::json::parse(body);
+    }
+};
+
+struct BatchFixture {
+    asio::io_context io;
+    VirtualTime time{Timestamp(1'000'000)};
+    FakeMetadataStore store{time};
+    WebClient client{io, systemNow};
+    std::vector<std::unique_ptr<GatewayProcess>> gateways;
+    std::vector<ClientCall> calls;
+
+    BatchFixture()
+    {
+        store.put("op/config", ConfigurationText);
+        for (int i = 0; i < 2; ++i) {
+            gateways.push_back(std::make_unique<GatewayProcess>(io, time, store));
+        }
+        run(50);
+    }
+
+    void run(int ms)
+    {
+        for (int i = 0; i < ms; i += 5) {
+            io.restart();
+            for (int turns = 0; turns < 6; ++turns) {
+                io.poll();
+            }
+            time.advance(Milliseconds(5));
+        }
+    }
+
+    std::shared_ptr<Answer> send(std::size_t gateway, RequestMessage message, const std::string &key = "k")
+    {
+        message.fields.add("Host", "a.example");
+        message.fields.add("X-Api-Key", key);
+        auto answer = std::make_shared<Answer>();
+        CallHooks hooks;
+        hooks.onHead = [answer](const ResponseHead &head) {
+            answer->status = head.status;
+            answer->fields = head.fields;
+        };
+        hooks.onBody = [answer](std::string_view data) { answer->body.append(data); };
+        hooks.onEnd = [answer](CallEnd) { answer->ended = true; };
+        const asio::ip::tcp::endpoint address(asio::ip::make_address("127.0.0.1"), gateways[gateway]->server.port());
+        calls.push_back(client.send(address, message, std::move(hooks), Milliseconds(500)));
+        return answer;
+    }
+
+    std::shared_ptr<Answer> submit(std::size_t gateway, const std::string &id = "b1", const std::string &key = "k")
+    {
+        return send(gateway,
+                    {"POST",
+                     "/steps/1",
+                     {{"Basilbend-Attempt-Id", id}, {"Basilbend-Deadline-Ms", "12000"}},
+                     R"({"step":0,"model":"m","items":[{"id":"i1","path":"/p","body":"q83v"},{"id":"i2","path":"/p","body":""}]})"},
+                    key);
+    }
+    std::shared_ptr<Answer> read(std::size_t gateway, int after, const std::string &wait = "0", const std::string &key = "k")
+    {
+        return send(gateway, {"GET", "/-/lots/b1?after=" + std::to_string(after), {{"Basilbend-Wait-Ms", wait}}, {}}, key);
+    }
+    void list(std::size_t position, const std::string &id)
+    {
+        store.put(BatchRecords::resultKey("b1", position), BatchRecords::encodeResults({{id, ItemOutcome::Completed, "t " + id, {1}}}));
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(gateway, *boost::unit_test::label("gateway"))
+
+BOOST_FIXTURE_TEST_CASE(a_batch_is_accepted_once_at_any_gateway, BatchFixture)
+{
+    const auto first = submit(0);
+    run(50);
+    BOOST_TEST(first->status == 202);
+    const auto revision = store.peek(BatchRecords::indexKey("b1"))->revision;
+    const auto again = submit(1);
+    run(50);
+    BOOST_TEST(again->status == 202);
+    BOOST_TEST(store.peek(BatchRecords::indexKey("b1"))->revision == revision);
+    const auto foreign = submit(1, "b1", "l");
+    run(50);
+    BOOST_TEST(foreign->status == 409);
+}
+
+// Guards against a refusal "nothing was accepted" after a write whose answer was lost.
+BOOST_FIXTURE_TEST_CASE(a_lost_answer_is_never_followed_by_a_refusal, BatchFixture)
+{
+    store.faults.isSilent = true;
+    const auto silent = submit(0);
+    run(6000);
+    BOOST_REQUIRE(silent->ended);
+    BOOST_TEST(silent->status == 500);
+    store.faults.isSilent = false;
+    store.faults.lostCommits = 1;
+    run(4000);
+    const auto lost = submit(0);
+    run(2000);
+    BOOST_TEST(lost->status == 202);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_store_that_refuses_gives_a_refusal_with_a_time_to_return, BatchFixture)
+{
+    store.faults.refuses = true;
+    const auto refused = submit(0);
+    run(4000);
+    BOOST_REQUIRE(refused->ended);
+    BOOST_TEST(refused->status == 503);
+    BOOST_TEST(refused->fields.find("Retry-After") != nullptr);
+    BOOST_TEST(store.peek(BatchRecords::indexKey("b1")) == nullptr);
+}
+
+// Guards against a batch that is lost because the store was away for a moment.
+BOOST_FIXTURE_TEST_CASE(a_submission_waits_for_the_store, BatchFixture)
+{
+    store.faults.refuses = true;
+    const auto waiting = submit(0);
+    run(1500);
+    BOOST_TEST(!waiting->ended);
+    store.faults.refuses = false;
+    run(600);
+    BOOST_TEST(waiting->status == 202);
+}
+
+BOOST_FIXTURE_TEST_CASE(results_are_read_from_any_position_at_any_gateway, BatchFixture)
+{
+    submit(0);
+    run(50);
+    list(0, "i2");
+    const auto first = read(1, 0);
+    run(50);
+    BOOST_TEST(first->json().at("total") == 2);
+    BOOST_TEST(first->json().at("next") == 1);
+    BOOST_TEST(first->json().at("results").at(0).at("id") == "i2");
+    list(1, "i1");
+    for (const std::size_t gateway : {0, 1}) {
+        const auto all = read(gateway, 0);
+        const auto rest = read(gateway, 1);
+        run(50);
+        BOOST_TEST(all->json().at("results").size() == 2U);
+        BOOST_TEST(rest->json().at("results").at(0).at("id") == "i1");
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_read_waits_for_a_result_and_ends_with_its_wait, BatchFixture)
+{
+    submit(0);
+    run(50);
+    const auto waiting = read(0, 0, "1000");
+    run(400);
+    BOOST_TEST(!waiting->ended);
+    list(0, "i1");
+    run(50);
+    BOOST_TEST(waiting->json().at("results").size() == 1U);
+    const auto empty = read(0, 1, "500");
+    run(450);
+    BOOST_TEST(!empty->ended);
+    run(300);
+    BOOST_TEST(empty->json().at("next") == 1);
+}
+
+// Guards against a gateway that says "none" about a batch, or "nothing" about a position, when it can't know.
+BOOST_FIXTURE_TEST_CASE(a_gateway_that_does_not_reach_the_store_is_not_sure, BatchFixture)
+{
+    submit(0);
+    run(50);
+    list(0, "i1");
+    const auto known = read(0, 0);
+    run(50);
+    store.faults.refuses = true;
+    const auto listed = read(0, 0);
+    const auto behind = read(0, 1);
+    const auto other = read(1, 0);
+    run(2500);
+    BOOST_TEST(listed->status == 200);
+    BOOST_TEST(behind->status == 503);
+    BOOST_TEST(other->status == 503);
+}
+
+BOOST_FIXTURE_TEST_CASE(batches_belong_to_their_workspace, BatchFixture)
+{
+    submit(0);
+    run(50);
+    const auto foreign = read(0, 0, "0", "l");
+    const auto unknownKey = read(0, 0, "0", "zzz");
+    const auto missing = send(0, {"GET", "/-/lots/nope", {}, {}});
+    run(100);
+    BOOST_TEST(foreign->status == 404);
+    BOOST_TEST(unknownKey->status == 401);
+    BOOST_TEST(missing->status == 404);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_batch_is_ended_once_and_its_items_are_gone_then, BatchFixture)
+{
+    submit(0);
+    run(50);
+    const auto body = send(1, {"GET", "/-/items/b1?id=i1", {}, {}});
+    const auto unknown = send(1, {"GET", "/-/items/b1?id=i9", {}, {}});
+    run(50);
+    BOOST_TEST(body->status == 200);
+    BOOST_TEST(body->body == "\xab\xcd\xef");
+    BOOST_TEST(unknown->status == 404);
+    store.faults.lostCommits = 1;
+    const auto ended = send(0, {"DELETE", "/-/lots/b1", {}, {}});
+    run(500);
+    BOOST_TEST(ended->status == 200);
+    BOOST_TEST(BatchRecords::decodeIndex(store.peek(BatchRecords::indexKey("b1"))->value).value().ended);
+    const auto repeated = send(1, {"DELETE", "/-/lots/b1", {}, {}});
+    const auto late = send(1, {"GET", "/-/items/b1?id=i1", {}, {}});
+    run(100);
+    BOOST_TEST(repeated->status == 200);
+    BOOST_TEST(late->status == 404);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_malformed_batch_is_refused_with_its_fault, BatchFixture)
+{
+    const auto answer = send(0, {"POST", "/steps/1", {{"Basilbend-Attempt-Id", "b2"}}, R"({"items":[{"id":"i1"}]})"});
+    run(50);
+    BOOST_TEST(answer->status == 400);
+    BOOST_TEST(answer->json().at("code") == 1000);
+    BOOST_TEST(answer->json().at("message").get<std::string>().find("path") != std::string::npos);
+}
+
+// Guards against keys that work on while a gateway can't learn of their withdrawal.
+BOOST_FIXTURE_TEST_CASE(a_gateway_with_an_old_configuration_refuses_and_is_not_ready, BatchFixture)
+{
+    BOOST_TEST(gateways[0]->service.isReady());
+    store.faults.isSilent = true;
+    run(6000);
+    BOOST_TEST(!gateways[0]->service.isReady());
+    const auto refused = read(0, 0);
+    run(100);
+    BOOST_TEST(refused->status == 503);
+    BOOST_TEST(refused->json().at("code") == 1105);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_withdrawn_key_is_refused, BatchFixture)
+{
+    std::string changed = ConfigurationText;
+    changed.replace(changed.find("\"version\":7"), 11, "\"version\":9");
+    changed.replace(changed.find("[\"k\"]"), 5, "[]");
+    store.put("op/config", changed);
+    run(50);
+    const auto refused = submit(0);
+    run(50);
+    BOOST_TEST(refused->status == 401);
+    // An older version that comes late changes nothing.
+    store.put("op/config", ConfigurationText);
+    run(50);
+    const auto still = submit(1);
+    run(50);
+    BOOST_TEST(still->status == 401);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/http/messageparser.cpp
@@ -0,0 +1,112 @@
+#include "http/messageparser.h"
+
+#include "http/httpmessage.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+struct ParserFixture {
+    std::vector<MessageHead> heads;
+    std::string body;
+    int completed = 0;
+
+    MessageHooks hooks()
+    {
+        return {
+            [this](MessageHead &&head) { heads.push_back(std::move(head)); }, [this](std::string_view data) { body.append(data); }, [this] { ++completed; }};
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(http, *boost::unit_test::label("http"))
+
+BOOST_FIXTURE_TEST_CASE(a_message_ends_where_its_length_says_and_the_rest_is_left, ParserFixture)
+{
+    MessageParser parser(MessageParser::Kind::Response, hooks());
+    const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 ";
+    BOOST_TEST(parser.feed(bytes) == bytes.size() - 9);
+    BOOST_TEST(completed == 1);
+    BOOST_TEST(body == "abc");
+    BOOST_TEST(heads.at(0).status == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_message_may_come_byte_by_byte, ParserFixture)
+{
+    MessageParser parser(MessageParser::Kind::Request, hooks());
+    const std::string bytes = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (const char c : bytes) {
+        BOOST_TEST(parser.feed({&c, 1}) == 1U);
+    }
+    BOOST_TEST(completed == 1);
+    BOOST_TEST(body == "abcde");
+    BOOST_TEST(heads.at(0).target == "/a?b=c");
+    BOOST_TEST(heads.at(0).fields.value("host") == "h");
+}
+
+// Guards against smuggled requests: two lengths must not be read in two ways.
+BOOST_AUTO_TEST_CASE(messages_with_two_lengths_are_refused)
+{
+    for (const auto *head : {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "Content-Length: 3\r\nContent-Length: 4\r\n\r\n"}) {
+        ParserFixture fixture;
+        MessageParser parser(MessageParser::Kind::Request, fixture.hooks());
+        parser.feed(std::string("POST / HTTP/1.1\r\nHost: h\r\n") + head + "abc");
+        BOOST_TEST(parser.hasFailed());
+    }
+}
+
+// Guards against a cut response that looks whole.
+BOOST_FIXTURE_TEST_CASE(a_cut_response_is_not_complete_and_one_without_length_ends_with_the_stream, ParserFixture)
+{
+    MessageParser cut(MessageParser::Kind::Response, hooks());
+    cut.feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+    BOOST_TEST(!cut.finish());
+    MessageParser chunked(MessageParser::Kind::Response, hooks());
+    chunked.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    BOOST_TEST(!chunked.finish());
+    completed = 0;
+    MessageParser open(MessageParser::Kind::Response, hooks());
+    open.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    BOOST_TEST(completed == 0);
+    BOOST_TEST(open.finish());
+    BOOST_TEST(completed == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(interim_responses_are_skipped, ParserFixture)
+{
+    MessageParser parser(MessageParser::Kind::Response, hooks());
+    parser.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+    BOOST_TEST(heads.size() == 1U);
+    BOOST_TEST(heads.at(0).status == 204);
+    BOOST_TEST(completed == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_open_head_is_counted_until_it_ends, ParserFixture)
+{
+    MessageParser parser(MessageParser::Kind::Request, hooks());
+    parser.feed("GET / HTTP/1.1\r\nX: " + std::string(100, 'x'));
+    BOOST_TEST(parser.openHeadBytes() == 119U);
+    parser.feed("\r\n\r\n");
+    BOOST_TEST(parser.openHeadBytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(hop_by_hop_fields_are_removed_with_those_that_connection_names)
+{
+    HttpFields fields{{"Connection", "close, X-Mine"}, {"x-mine", "1"}, {"Keep-Alive", "timeout=4"}, {"Content-Length", "3"}, {"Other", "stays"}};
+    fields.removeHopByHop();
+    BOOST_TEST((fields == HttpFields{{"Other", "stays"}}));
+}
+
+BOOST_AUTO_TEST_CASE(query_values_are_decoded)
+{
+    BOOST_TEST(queryValue("/a?id=e5%2Fb&after=12", "id") == "e5/b");
+    BOOST_TEST(queryValue("/a?id=e5&after=12", "after") == "12");
+    BOOST_TEST(queryValue("/a", "id").empty());
+    BOOST_TEST(percentEncoded("op/a b") == "op/a%20b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/http/webpath.cpp
@@ -0,0 +1,257 @@
+#include "http/socketoptions.h"
+#include "http/webclient.h"
+#include "http/webserver.h"
+
+#include "base/systemclock.h"
+
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+using namespace Basilbend;
+
+namespace
+{
+
+constexpr auto LoopLimit = std::chrono::seconds(3);
+
+/// A server and a client on the loopback address, on one loop.
+struct WebFixture {
+    asio::io_context io;
+    ServerLimits limits;
+    bool draining = false;
+    std::vector<std::shared_ptr<ServerExchange>> exchanges;
+    std::function<void(const std::shared_ptr<ServerExchange> &)> onRequest = [](const std::shared_ptr<ServerExchange> &exchange) {
+        exchange->respond({200, {{"X-Path", exchange->request().target}}, exchange->request().body});
+    };
+    std::unique_ptr<WebServer> server = makeServer();
+    WebClient client{io, systemNow};
+
+    std::unique_ptr<WebServer> makeServer()
+    {
+        ServerHooks hooks;
+        hooks.onRequest = [this](const std::shared_ptr<ServerExchange> &exchange) {
+            exchanges.push_back(exchange);
+            onRequest(exchange);
+        };
+        hooks.refusal = [](int status) { return ResponseMessage{status, {}, {}}; };
+        hooks.limits = [this] { return limits; };
+        hooks.isDraining = [this] { return draining; };
+        return std::make_unique<WebServer>(io, "127.0.0.1:0", std::move(hooks));
+    }
+
+    asio::ip::tcp::endpoint address() const
+    {
+        return {asio::ip::make_address("127.0.0.1"), server->port()};
+    }
+
+    /// Runs the loop until the condition holds or the limit is over.
+    bool runUntil(const std::function<bool()> &isDone)
+    {
+        const auto end = std::chrono::steady_clock::now() + LoopLimit;
+        while (!isDone() && std::chrono::steady_clock::now() < end) {
+            io.restart();
+            io.run_one_for(std::chrono::milliseconds(20));
+        }
+        return isDone();
+    }
+
+    struct Outcome {
+        ResponseHead head;
+        std::string body;
+        std::optional<CallEnd> end;
+    };
+
+    ClientCall call(RequestMessage request, Outcome &outcome)
+    {
+        CallHooks hooks;
+        hooks.onHead = [&outcome](const ResponseHead &head) { outcome.head = head; };
+        hooks.onBody = [&outcome](std::string_view data) { outcome.body.append(data); };
+        hooks.onEnd = [&outcome](CallEnd end) { outcome.end = end; };
+        return client.send(address(), request, std::move(hooks), Milliseconds(500));
+    }
+
+    /// Sends bytes on a connection of its own and returns what comes back until the server closes.
+    std::string rawExchange(const std::string &bytes)
+    {
+        asio::ip::tcp::socket socket(io);
+        socket.connect(address());
+        asio::write(socket, asio::buffer(bytes));
+        std::string answer;
+        bool closed = false;
+        std::array<char, 4096> buf{};
+        std::function<void()> read = [&] {
+            socket.async_read_some(asio::buffer(buf), [&](const asio::error_code &ec, std::size_t n) {
+                answer.append(buf.data(), n);
+                if (ec) {
+                    closed = true;
+                } else {
+                    read();
+                }
+            });
+        };
+        read();
+        runUntil([&] { return closed; });
+        socket.close();
+        runUntil([&] { return closed; });
+        return answer;
+    }
+};
+
+/// A server that answers each connection with fixed bytes, whatever it is asked.
+struct ScriptedServer {
+    explicit ScriptedServer(asio::io_context &io, std::string bytes)
+        : acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+        , socket(io)
+        , answer(std::move(bytes))
+    {
+        acceptor.async_accept(socket, [this](const asio::error_code &) {
+            socket.async_read_some(asio::buffer(buf), [this](const asio::error_code &, std::size_t) {
+                asio::write(socket, asio::buffer(answer));
+                asio::error_code ec;
+                socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+            });
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::socket socket;
+    std::string answer;
+    std::array<char, 4096> buf{};
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(http, *boost::unit_test::label("http"))
+
+BOOST_FIXTURE_TEST_CASE(requests_share_one_kept_connection, WebFixture)
+{
+    for (int i = 0; i < 3; ++i) {
+        Outcome outcome;
+        const auto open = call({"POST", "/p", {{"Host", "h"}}, "body"}, outcome);
+        BOOST_REQUIRE(runUntil([&] { return outcome.end.has_value(); }));
+        BOOST_TEST((*outcome.end == CallEnd::Complete));
+        BOOST_TEST(outcome.body == "body");
+    }
+    BOOST_TEST(client.counts().connects == 1U);
+    BOOST_TEST(server->sessionCount() == 1U);
+}
+
+// Guards against work that goes on for a client that has left.
+BOOST_FIXTURE_TEST_CASE(a_client_that_leaves_is_noticed_while_its_request_is_served, WebFixture)
+{
+    bool gone = false;
+    onRequest = [&gone](const std::shared_ptr<ServerExchange> &exchange) { exchange->onClientGone = [&gone] { gone = true; }; };
+    Outcome outcome;
+    auto open = call({"GET", "/slow", {{"Host", "h"}}, {}}, outcome);
+    BOOST_REQUIRE(runUntil([&] { return !exchanges.empty(); }));
+    open.cancel();
+    BOOST_TEST(runUntil([&] { return gone; }));
+    BOOST_TEST(!outcome.end.has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_arrives_in_parts_and_an_aborted_one_is_not_complete, WebFixture)
+{
+    onRequest = [](const std::shared_ptr<ServerExchange> &exchange) { exchange->beginStream({200, {}}); };
+    Outcome whole;
+    const auto first = call({"GET", "/a", {{"Host", "h"}}, {}}, whole);
+    BOOST_REQUIRE(runUntil([&] { return exchanges.size() == 1; }));
+    exchanges[0]->sendPart("one");
+    BOOST_TEST(runUntil([&] { return whole.body == "one"; }));
+    exchanges[0]->sendPart("two");
+    exchanges[0]->endStream();
+    BOOST_REQUIRE(runUntil([&] { return whole.end.has_value(); }));
+    BOOST_TEST((*whole.end == CallEnd::Complete));
+    Outcome cut;
+    const auto second = call({"GET", "/b", {{"Host", "h"}}, {}}, cut);
+    BOOST_REQUIRE(runUntil([&] { return exchanges.size() == 2; }));
+    exchanges[1]->sendPart("half");
+    BOOST_REQUIRE(runUntil([&] { return cut.body == "half"; }));
+    exchanges[1]->abort();
+    BOOST_REQUIRE(runUntil([&] { return cut.end.has_value(); }));
+    BOOST_TEST((*cut.end == CallEnd::Broken));
+}
+
+BOOST_FIXTURE_TEST_CASE(bad_requests_get_a_numbered_status_and_a_close, WebFixture)
+{
+    limits.maxHeadBytes = 512;
+    limits.maxBodyBytes = 100;
+    limits.headTimeout = Milliseconds(200);
+    BOOST_TEST(rawExchange("nonsense\r\n\r\n").substr(0, 12) == "HTTP/1.1 400");
+    BOOST_TEST(rawExchange("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(1000, 'x') + "\r\n\r\n").substr(0, 12) == "HTTP/1.1 431");
+    BOOST_TEST(rawExchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n" + std::string(200, 'x')).substr(0, 12) == "HTTP/1.1 413");
+    BOOST_TEST(rawExchange("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n").substr(0, 12) == "HTTP/1.1 400");
+    BOOST_TEST(rawExchange("GET / HTTP/1.1\r\nHos").substr(0, 12) == "HTTP/1.1 408");
+    BOOST_TEST(exchanges.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_draining_server_asks_for_a_close_with_its_answer, WebFixture)
+{
+    draining = true;
+    const auto answer = rawExchange("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+    BOOST_TEST(answer.find("200 OK") != std::string::npos);
+}
+
+// Guards against a raised idle limit that does not reach connections whose wait has begun.
+BOOST_FIXTURE_TEST_CASE(an_idle_connection_follows_a_raised_limit, WebFixture)
+{
+    limits.idleTimeout = Milliseconds(300);
+    Outcome outcome;
+    const auto open = call({"GET", "/", {{"Host", "h"}}, {}}, outcome);
+    BOOST_REQUIRE(runUntil([&] { return outcome.end.has_value(); }));
+    limits.idleTimeout = Milliseconds(60000);
+    const auto start = std::chrono::steady_clock::now();
+    runUntil([&] { return std::chrono::steady_clock::now() - start > std::chrono::milliseconds(600); });
+    BOOST_TEST(server->sessionCount() == 1U);
+}
+
+// Guards against bytes of one answer that are taken for the next one.
+BOOST_FIXTURE_TEST_CASE(an_answer_to_another_request_is_skipped, WebFixture)
+{
+    ScriptedServer scripted(io, "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nmine");
+    Outcome outcome;
+    CallHooks hooks;
+    hooks.isMine = [](const ResponseHead &head) { return head.fields.value("X-Id") == "mine"; };
+    hooks.onBody = [&outcome](std::string_view data) { outcome.body.append(data); };
+    hooks.onEnd = [&outcome](CallEnd end) { outcome.end = end; };
+    const auto open = client.send(scripted.acceptor.local_endpoint(), {"GET", "/", {{"Host", "h"}}, {}}, std::move(hooks), Milliseconds(500));
+    BOOST_REQUIRE(runUntil([&] { return outcome.end.has_value(); }));
+    BOOST_TEST((*outcome.end == CallEnd::Complete));
+    BOOST_TEST(outcome.body == "mine");
+}
+
+BOOST_AUTO_TEST_CASE(the_end_of_a_call_tells_what_is_known)
+{
+    struct Row {
+        const char *bytes;
+        CallEnd end;
+    };
+    for (const auto &row : {Row{"", CallEnd::ClosedUnanswered},
+                            Row{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", CallEnd::Broken},
+                            Row{"garbage garbage\r\n\r\n", CallEnd::Broken},
+                            Row{"HTTP/1.1 200 OK\r\n\r\nuntil the end", CallEnd::Complete},
+                            Row{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcEXTRA", CallEnd::Complete}}) {
+        WebFixture fixture;
+        ScriptedServer scripted(fixture.io, row.bytes);
+        std::optional<CallEnd> seen;
+        CallHooks hooks;
+        hooks.onEnd = [&seen](CallEnd end) { seen = end; };
+        const auto open = fixture.client.send(scripted.acceptor.local_endpoint(), {"GET", "/", {{"Host", "h"}}, {}}, std::move(hooks), Milliseconds(500));
+        BOOST_REQUIRE(fixture.runUntil([&] { return seen.has_value(); }));
+        BOOST_TEST((*seen == row.end), row.bytes);
+    }
+    WebFixture fixture;
+    asio::ip::tcp::acceptor closed(fixture.io, {asio::ip::make_address("127.0.0.1"), 0});
+    const auto nobody = closed.local_endpoint();
+    closed.close();
+    std::optional<CallEnd> seen;
+    CallHooks hooks;
+    hooks.onEnd = [&seen](CallEnd end) { seen = end; };
+    const auto open = fixture.client.send(nobody, {"GET", "/", {{"Host", "h"}}, {}}, std::move(hooks), Milliseconds(500));
+    BOOST_REQUIRE(fixture.runUntil([&] { return seen.has_value(); }));
+    BOOST_TEST((*seen == CallEnd::NotConnected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/metadata/fakemetadatastore.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/eventloop.h"
+#include "metadata/metadatastore.h"
+#include "store/virtualtime.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// An event loop in virtual time.
+inline EventLoop virtualLoop(VirtualTime &time)
+{
+    return {[&time] { return time.now(); }, [&time](Milliseconds span, std::function<void()> function) { time.schedule(span, std::move(function)); }};
+}
+
+/// The platform's store in memory, in virtual time, with the faults that it can have.
+class FakeMetadataStore : public MetadataStore
+{
+public:
+    struct Faults {
+        /// Answers Refused.
+        bool refuses = false;
+        /// Answers nothing; the caller sees Unknown after SilenceTime.
+        bool isSilent = false;
+        /// Watches see no change.
+        bool watchesAreDeaf = false;
+        /// The next commits are executed and their answers lost.
+        int lostCommits = 0;
+        /// History up to this revision is gone.
+        std::uint64_t historyBegin = 0;
+    };
+
+    explicit FakeMetadataStore(VirtualTime &time);
+
+    void get(const std::string &key, Callback callback) override;
+    void list(const std::string &prefix, const std::string &afterKey, Callback callback) override;
+    void watch(const std::string &prefix, std::uint64_t afterRevision, Milliseconds span, Callback callback) override;
+    void commit(const MetadataChange &change, Callback callback) override;
+    void createLease(Milliseconds span, Callback callback) override;
+    void renewLease(std::uint64_t lease, Callback callback) override;
+    void endLease(std::uint64_t lease, Callback callback) override;
+
+    /// Writes as the operator or an endpoint does.
+    void put(const std::string &key, const std::string &value);
+    void erase(const std::string &key);
+    const MetadataItem *peek(const std::string &key) const;
+    std::vector<std::string> keysBelow(const std::string &prefix) const;
+
+    /// The earliest of several answers first: pages hold at most this many items.
+    std::size_t pageItems = 500;
+    Faults faults;
+    int calls = 0;
+
+    static constexpr Milliseconds Latency{4};
+    static constexpr Milliseconds SilenceTime{1200};
+
+private:
+    struct Watcher {
+        std::string prefix;
+        std::uint64_t after = 0;
+        Callback callback;
+        bool isOpen = true;
+    };
+
+    void answer(Callback callback, MetadataReply reply);
+    bool fails(const Callback &callback);
+    void change(MetadataItem item);
+    void dropExpiredLeases();
+    MetadataReply eventsAfter(const std::string &prefix, std::uint64_t revision) const;
+    MetadataReply execute(const MetadataChange &change);
+
+    VirtualTime &m_time;
+    std::map<std::string, MetadataItem> m_items;
+    std::vector<MetadataItem> m_history;
+    std::map<std::uint64_t, std::pair<Timestamp, Milliseconds>> m_leases;
+    std::deque<std::shared_ptr<Watcher>> m_watchers;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_lastLease = 0;
+};
+
+}
--- /dev/null
+++ b/tests/metadata/relayedtransport.cpp
@@ -0,0 +1,101 @@
+#include "metadata/relayedtransport.h"
+
+#include "metadata/fakemetadatastore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+/// Answers as it is told.
+class ScriptedTransport : public StoreTransport
+{
+public:
+    explicit ScriptedTransport(VirtualTime &time)
+        : m_time(time)
+    {
+    }
+
+    void send(const StoreRequest &request, Callback callback) override
+    {
+        ++calls;
+        targets.push_back(request.message.target);
+        m_time.schedule(Milliseconds(4), [this, callback = std::move(callback)] { callback(response); });
+    }
+
+    StoreResponse response{CallEnd::Complete, 200, "{}", 0};
+    int calls = 0;
+    std::vector<std::string> targets;
+
+private:
+    VirtualTime &m_time;
+};
+
+struct TransportFixture {
+    VirtualTime time{Timestamp(1'000'000)};
+    asio::io_context io;
+    WebClient client{io, [this] { return time.now(); }};
+    EventLog log{EventLogSettings(), [this] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); }};
+    ScriptedTransport direct{time};
+    RelayedTransport transport{direct, client, virtualLoop(time), log, {}, 0};
+    std::vector<StoreResponse> responses;
+
+    void send(bool isIdempotent)
+    {
+        transport.send({{"GET", "/-/x", {}, {}}, Milliseconds(1000), isIdempotent},
+                       [this](StoreResponse response) { responses.push_back(std::move(response)); });
+        time.advance(Milliseconds(10));
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(metadata, *boost::unit_test::label("metadata"))
+
+// Guards against a process that floods a store that is down: after two failures one probe runs, whatever the callers do.
+BOOST_FIXTURE_TEST_CASE(only_probes_reach_a_store_that_is_down, TransportFixture)
+{
+    direct.response = {CallEnd::Complete, 503, {}, 0};
+    for (int i = 0; i < 100; ++i) {
+        send(true);
+    }
+    BOOST_TEST(responses.size() == 100U);
+    BOOST_TEST(responses.back().isRefusal());
+    BOOST_TEST(direct.calls <= 2 + 1000 / 200 + 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(calls_go_directly_again_after_a_successful_probe, TransportFixture)
+{
+    direct.response = {CallEnd::ClosedUnanswered, 0, {}, 0};
+    send(true);
+    send(true);
+    direct.response = {CallEnd::Complete, 404, "{}", 0};
+    time.advance(Milliseconds(500));
+    send(true);
+    BOOST_TEST(responses.back().isAnswer());
+    BOOST_TEST(responses.back().status == 404);
+}
+
+// Guards against a write that is made twice: a lost answer proves nothing.
+BOOST_AUTO_TEST_CASE(only_a_refused_write_may_be_repeated_through_a_peer)
+{
+    BOOST_TEST(RelayRule::mayRepeat(true, false));
+    BOOST_TEST(!RelayRule::mayRepeat(false, false));
+    BOOST_TEST(RelayRule::mayRepeat(false, true));
+}
+
+BOOST_AUTO_TEST_CASE(one_failure_is_no_outage_and_one_answer_ends_it)
+{
+    RelayRule rule;
+    BOOST_TEST(!rule.noteDirect(false));
+    BOOST_TEST(rule.goesDirectly());
+    BOOST_TEST(!rule.isHealthy());
+    BOOST_TEST(rule.noteDirect(false));
+    BOOST_TEST(!rule.goesDirectly());
+    rule.noteDirect(true);
+    BOOST_TEST(rule.goesDirectly());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/scheduling/openbatch.cpp
@@ -0,0 +1,201 @@
+#include "scheduling/openbatch.h"
+
+#include "batches/batchrecords.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+BatchSubmission makeSubmission(std::size_t groups, std::size_t size, std::uint64_t minimumVersion = 5)
+{
+    BatchSubmission submission;
+    submission.minimumVersion = minimumVersion;
+    for (std::size_t g = 0; g < groups; ++g) {
+        for (std::size_t i = 0; i < size; ++i) {
+            BatchItem item;
+            item.group = "g" + std::to_string(g);
+            item.id = item.group + "-" + std::to_string(i);
+            submission.items.push_back(item);
+        }
+    }
+    return submission;
+}
+
+BatchIndex makeIndex()
+{
+    BatchIndex index;
+    index.id = "b";
+    index.submittedAtMs = 1000;
+    return index;
+}
+
+struct BatchFixture {
+    BatchRules rules{3, Milliseconds(40000), false};
+    OpenBatch batch{makeIndex(), makeSubmission(2, 2), {}};
+
+    void run(std::size_t i)
+    {
+        batch.progress(i).phase = ItemPhase::Running;
+    }
+    void generate(std::size_t i, std::uint64_t events, std::uint64_t version = 5)
+    {
+        for (std::uint64_t id = 1; id <= events; ++id) {
+            batch.addEvent(i, id, "e" + std::to_string(id), version, rules);
+        }
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(scheduling, *boost::unit_test::label("scheduling"))
+
+// Guards against a text with a gap, a repeat, or pieces of two runs.
+BOOST_FIXTURE_TEST_CASE(a_text_is_joined_only_from_consecutive_events, BatchFixture)
+{
+    run(0);
+    generate(0, 2);
+    BOOST_TEST(!batch.addEvent(0, 2, "again", 5, rules));
+    BOOST_TEST(!batch.addEvent(0, 4, "gap", 5, rules));
+    BOOST_TEST(batch.addEvent(0, 3, "e3", 6, rules));
+    batch.complete(0);
+    const auto results = batch.nextResults(1000);
+    BOOST_TEST(results.at(0).text == "e1\ne2\ne3");
+    BOOST_TEST((results.at(0).versions == std::vector<std::uint64_t>{5, 6}));
+}
+
+// Guards against samples on weights that the trainer does not allow.
+BOOST_FIXTURE_TEST_CASE(events_of_an_older_version_are_rejected, BatchFixture)
+{
+    run(0);
+    BOOST_TEST(!batch.addEvent(0, 1, "old", 4, rules));
+    BOOST_TEST(batch.progress(0).text.eventCount() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_single_version_route_starts_again_when_the_weights_change, BatchFixture)
+{
+    rules.singleVersion = true;
+    run(0);
+    generate(0, 2, 5);
+    BOOST_TEST(!batch.addEvent(0, 3, "e3", 6, rules));
+    BOOST_TEST(batch.progress(0).text.eventCount() == 0U);
+    BOOST_TEST(batch.addEvent(0, 1, "e1", 6, rules));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_item_goes_on_behind_its_last_event, BatchFixture)
+{
+    run(0);
+    generate(0, 3);
+    batch.requeue(0, "i-1", Timestamp(50));
+    BOOST_TEST((batch.progress(0).phase == ItemPhase::Waiting));
+    BOOST_TEST(batch.progress(0).text.lastEventId() == 3U);
+    BOOST_TEST(batch.progress(0).avoidedEndpoint == "i-1");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_item_is_given_up_only_after_as_many_errors_as_allowed_or_when_its_time_is_over, BatchFixture)
+{
+    run(0);
+    batch.noteServerError(0, rules);
+    batch.noteServerError(0, rules);
+    BOOST_TEST((batch.progress(0).phase == ItemPhase::Running));
+    batch.noteServerError(0, rules);
+    BOOST_TEST((batch.progress(0).phase == ItemPhase::Decided));
+    BOOST_TEST((batch.nextResults(1000).at(0).outcome == ItemOutcome::Terminated));
+    run(1);
+    BOOST_TEST(batch.expire(Timestamp(40999), rules).empty());
+    BOOST_TEST((batch.expire(Timestamp(41000), rules) == std::vector<std::size_t>{1}));
+    BOOST_TEST(batch.isDecided());
+}
+
+BOOST_FIXTURE_TEST_CASE(each_item_is_decided_once_and_listed_in_order, BatchFixture)
+{
+    run(0);
+    run(1);
+    generate(0, 1);
+    generate(1, 1);
+    batch.complete(1);
+    batch.complete(0);
+    batch.complete(0);
+    batch.terminate(0);
+    const auto results = batch.nextResults(1);
+    BOOST_TEST(results.size() == 1U);
+    BOOST_TEST(results.at(0).id == "g0-1");
+    batch.noteListed(1);
+    BOOST_TEST(batch.nextResults(1).at(0).id == "g0-0");
+    batch.noteListed(1);
+    BOOST_TEST(!batch.hasPending());
+    BOOST_TEST(batch.listedCount() == 2U);
+}
+
+// Guards against results that a successor lists again.
+BOOST_AUTO_TEST_CASE(listed_results_are_not_run_again)
+{
+    OpenBatch batch(makeIndex(), makeSubmission(1, 2), {{"g0-1", ItemOutcome::Completed, "t", {5}}});
+    BOOST_TEST((batch.progress(1).phase == ItemPhase::Decided));
+    BOOST_TEST((batch.progress(0).phase == ItemPhase::Waiting));
+    BOOST_TEST(batch.listedCount() == 1U);
+    BOOST_TEST(!batch.hasPending());
+}
+
+BOOST_FIXTURE_TEST_CASE(carried_items_go_on_with_their_text_where_the_versions_fit, BatchFixture)
+{
+    run(0);
+    run(1);
+    run(2);
+    generate(0, 2);
+    batch.complete(0);
+    generate(1, 1);
+    const auto kept = batch.textsToKeep();
+    BOOST_TEST(kept.size() == 4U);
+    OpenBatch next(makeIndex(), makeSubmission(2, 2, 5), {});
+    next.adopt(kept, rules);
+    BOOST_TEST((next.progress(0).phase == ItemPhase::Decided));
+    BOOST_TEST(next.progress(1).text.lastEventId() == 1U);
+    OpenBatch newer(makeIndex(), makeSubmission(2, 2, 6), {});
+    newer.adopt(kept, rules);
+    BOOST_TEST((newer.progress(0).phase == ItemPhase::Waiting));
+    BOOST_TEST(newer.progress(1).text.eventCount() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(texts_of_groups_that_the_trainer_has_whole_are_not_kept, BatchFixture)
+{
+    for (std::size_t i = 0; i < 2; ++i) {
+        run(i);
+        generate(i, 1);
+        batch.complete(i);
+    }
+    BOOST_TEST(batch.textsToKeep().size() == 4U);
+    batch.noteListed(2);
+    BOOST_TEST(batch.textsToKeep().size() == 2U);
+}
+
+// Guards against a result of a terminated item that counts as whole in a later batch.
+BOOST_FIXTURE_TEST_CASE(a_terminated_text_is_not_taken_for_a_whole_one, BatchFixture)
+{
+    run(0);
+    generate(0, 2);
+    batch.terminate(0);
+    OpenBatch next(makeIndex(), makeSubmission(2, 2), {});
+    next.adopt(batch.textsToKeep(), rules);
+    BOOST_TEST((next.progress(0).phase == ItemPhase::Waiting));
+}
+
+BOOST_AUTO_TEST_CASE(batch_records_are_read_as_they_were_written)
+{
+    BatchIndex index{"b1", "r", "h", "w", 1234567890123, 40, 2, false};
+    BOOST_TEST((BatchRecords::decodeIndex(BatchRecords::encodeIndex(index)).value() == index));
+    BOOST_TEST(BatchRecords::decodeIndex("{}").has_error());
+    const std::vector<ItemResult> results{{"a", ItemOutcome::Completed, "text\n\"q\"", {1, 2}}, {"b", ItemOutcome::Terminated, {}, {}}};
+    BOOST_TEST((BatchRecords::decodeResults(BatchRecords::encodeResults(results)).value() == results));
+    BOOST_TEST(BatchRecords::decodeResults("[1]").has_error());
+    BOOST_TEST(*BatchRecords::positionOfResultKey(BatchRecords::resultKey("b1", 120)) == 120U);
+    BOOST_TEST(BatchRecords::resultKey("b1", 9) < BatchRecords::resultKey("b1", 10));
+    BOOST_TEST(!BatchRecords::positionOfResultKey("batch/result/b1/x").has_value());
+    const auto parts = BatchRecords::splitSubmission("abcdefg", 3);
+    BOOST_TEST((parts == std::vector<std::string>{"abc", "def", "g"}));
+    BOOST_TEST(BatchRecords::splitSubmission("", 3).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/weights/orders.cpp
@@ -0,0 +1,109 @@
+#include "weights/modelassignment.h"
+#include "weights/orderplanner.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+std::vector<WeightEndpoint> endpoints(std::initializer_list<std::uint64_t> versions)
+{
+    std::vector<WeightEndpoint> result;
+    for (const auto version : versions) {
+        WeightEndpoint endpoint;
+        endpoint.id = "e" + std::to_string(result.size());
+        endpoint.version = version;
+        result.push_back(endpoint);
+    }
+    return result;
+}
+
+std::vector<AssignableEndpoint> fleet(std::size_t n)
+{
+    std::vector<AssignableEndpoint> result;
+    for (std::size_t i = 0; i < n; ++i) {
+        result.push_back({"e" + std::to_string(100 + i), {}});
+    }
+    return result;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(weights, *boost::unit_test::label("weights"))
+
+BOOST_AUTO_TEST_CASE(half_of_the_endpoints_follow_a_version_at_once_and_no_more_than_load_well_together)
+{
+    auto fleet = endpoints({1, 1, 1, 1, 1, 1, 1, 1, 1});
+    BOOST_TEST(planOrders(fleet, {2, 1}).size() == 2U);
+    fleet[0].isLoading = true;
+    BOOST_TEST(planOrders(fleet, {2, 1}).size() == 1U);
+    BOOST_TEST(planOrders(endpoints({2, 2, 2, 2, 2, 1, 1, 1, 1}), {2, 1}).empty());
+}
+
+// Guards against a step whose endpoints all have to load at once: those that are two versions behind come first.
+BOOST_AUTO_TEST_CASE(endpoints_that_no_step_can_use_are_ordered_first)
+{
+    const auto orders = planOrders(endpoints({2, 1, 2, 1, 2}), {3, 2});
+    BOOST_TEST((orders == std::vector<std::string>{"e1", "e3"}));
+    BOOST_TEST((planOrders(endpoints({5, 1, 4, 4, 4}), {5, 4}).front() == "e1"));
+}
+
+BOOST_AUTO_TEST_CASE(the_idlest_endpoint_is_ordered_first_and_a_paused_one_not)
+{
+    auto fleet = endpoints({1, 1, 1});
+    fleet[0].running = 5;
+    fleet[1].running = 2;
+    fleet[2].isPaused = true;
+    BOOST_TEST((planOrders(fleet, {2, 1}) == std::vector<std::string>{"e1", "e0"}));
+    BOOST_TEST(planOrders(fleet, {1, 1}).empty());
+    BOOST_TEST(loadsAtOnce(9) == 2);
+    BOOST_TEST(loadsAtOnce(48) == 9);
+}
+
+// Replays four trainers that each publish a version every 4 s to 48 endpoints of which 10 can load together in 0.9 s: when all
+// endpoints load all versions, 96 loads are due in 4 s and 42 fit. Divided, each trainer needs about 6.
+BOOST_AUTO_TEST_CASE(endpoints_are_divided_by_demand_and_stay)
+{
+    ModelAssignment assignment;
+    const ModelDemand demand{{"a", 100}, {"b", 300}, {"c", 300}, {"d", 200}};
+    assignment.update(fleet(48), demand);
+    BOOST_TEST(assignment.countOf("a") + assignment.countOf("b") + assignment.countOf("c") + assignment.countOf("d") == 48U);
+    BOOST_TEST(assignment.countOf("b") >= 14U);
+    BOOST_TEST(assignment.countOf("a") >= 5U);
+    const auto home = assignment.homeOf("e120");
+    assignment.update(fleet(48), {{"a", 104}, {"b", 298}, {"c", 301}, {"d", 205}});
+    BOOST_TEST(assignment.homeOf("e120") == home);
+}
+
+BOOST_AUTO_TEST_CASE(a_model_without_demand_keeps_half_of_an_equal_share)
+{
+    ModelAssignment assignment;
+    assignment.update(fleet(40), {{"a", 1000}, {"b", 0}});
+    BOOST_TEST(assignment.countOf("b") >= 7U);
+    BOOST_TEST(assignment.countOf("b") <= 14U);
+}
+
+// Guards against a division that has no endpoint left for a model after some are gone.
+BOOST_AUTO_TEST_CASE(lost_endpoints_and_new_models_are_evened_out)
+{
+    ModelAssignment assignment;
+    assignment.update(fleet(12), {{"a", 1}});
+    BOOST_TEST(assignment.countOf("a") == 12U);
+    assignment.update(fleet(12), {{"a", 1}, {"b", 1}, {"c", 1}});
+    BOOST_TEST(assignment.countOf("b") >= 3U);
+    BOOST_TEST(assignment.countOf("c") >= 3U);
+    std::vector<AssignableEndpoint> left;
+    for (const auto &endpoint : fleet(12)) {
+        if (assignment.homeOf(endpoint.id) != "b") {
+            left.push_back(endpoint);
+        }
+    }
+    assignment.update(left, {{"a", 1}, {"b", 1}, {"c", 1}});
+    BOOST_TEST(assignment.countOf("b") >= 1U);
+    assignment.update(left, {});
+    BOOST_TEST(assignment.homeOf(left.front().id).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
