Share loads over models, abandon calls on dead connections, read results without the index

Change: loads are shared over models, what no step can use first; where steps are short of places all endpoints follow while no item waits; when the direct way is down all open calls are abandoned and relayed; result chunks carry what a reader needs of the index; changes of endpoints are gathered for half of the bound for leaving ones. Tests: five checks failed on a fake store that answered watches while it was down; the fake was wrong and is stricter now.

--- a/bench/batchpath.cpp
+++ b/bench/batchpath.cpp
@@ -54,13 +54,13 @@
     for (const auto &result : results) {
         pointers.push_back(&result);
     }
-    const auto chunk = BatchRecords::encodeResults(results);
+    const auto chunk = BatchRecords::encodeChunk({"w", Items, results});
     const auto text64 = toBase64(submission);
     const auto stored = nlohmann::json{{"value", text64}}.dump();
     measure("decode submission", [&] { return decodeSubmission(submission).has_value(); });
     measure("encode store write", [&] { return nlohmann::json{{"value", toBase64(submission)}}.dump().size(); });
     measure("decode store read", [&] { return fromBase64(nlohmann::json::parse(stored)["value"].get<std::string>())->size(); });
-    measure("encode results", [&] { return BatchRecords::encodeResults(results).size(); });
-    measure("decode results", [&] { return BatchRecords::decodeResults(chunk).has_value(); });
+    measure("encode results", [&] { return BatchRecords::encodeChunk({"w", Items, results}).size(); });
+    measure("decode results", [&] { return BatchRecords::decodeChunk(chunk).has_value(); });
     measure("encode result pages", [&] { return encodeResultPage(Items, 0, pointers, 2000000).size(); });
 }
--- a/src/batches/batchrecords.cpp
+++ b/src/batches/batchrecords.cpp
@@ -112,23 +112,25 @@
     });
 }
 
-std::string encodeResults(const std::vector<ItemResult> &results)
+std::string encodeChunk(const ResultChunk &chunk)
 {
     auto list = json::array();
-    for (const auto &result : results) {
+    for (const auto &result : chunk.results) {
         list.push_back({{"id", result.id}, {"terminated", result.outcome == ItemOutcome::Terminated}, {"text", result.text}, {"versions", result.versions}});
     }
-    return list.dump(-1, ' ', false, json::error_handler_t::replace);
+    return json{{"workspace", chunk.workspace}, {"items", chunk.itemCount}, {"results", std::move(list)}}.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-Result<std::vector<ItemResult>> decodeResults(std::string_view text)
+Result<ResultChunk> decodeChunk(std::string_view text)
 {
-    return decodeRecord<std::vector<ItemResult>>(text, [](const json &list) {
-        std::vector<ItemResult> results;
-        for (const auto &object : list) {
-            results.push_back(decodeResult(object));
+    return decodeRecord<ResultChunk>(text, [](const json &object) {
+        ResultChunk chunk;
+        chunk.workspace = object.at("workspace").get<std::string>();
+        chunk.itemCount = object.at("items").get<std::size_t>();
+        for (const auto &result : object.at("results")) {
+            chunk.results.push_back(decodeResult(result));
         }
-        return results;
+        return chunk;
     });
 }
 
--- a/src/batches/batchrecords.h
+++ b/src/batches/batchrecords.h
@@ -14,7 +14,7 @@
 /// How batches lie in the metadata store:
 ///   batch/index/ID              BatchIndex, from the acceptance on; changed once, when the batch is ended
 ///   batch/submission/ID/PART    the submission as it came, in parts below the size of a value
-///   batch/result/ID/POSITION    consecutive results from that position on; never changed
+///   batch/result/ID/POSITION    ResultChunk: consecutive results from that position on; never changed
 /// A batch exists when its index exists. The position is written with leading zeros, so that key order is list order.
 namespace BatchRecords
 {
@@ -32,8 +32,15 @@
 std::string encodeIndex(const BatchIndex &index);
 Result<BatchIndex> decodeIndex(std::string_view text);
 
-std::string encodeResults(const std::vector<ItemResult> &results);
-Result<std::vector<ItemResult>> decodeResults(std::string_view text);
+/// Consecutive results, with what a reader needs to know of their batch.
+struct ResultChunk {
+    std::string workspace;
+    std::size_t itemCount = 0;
+    std::vector<ItemResult> results;
+};
+
+std::string encodeChunk(const ResultChunk &chunk);
+Result<ResultChunk> decodeChunk(std::string_view text);
 
 /// Cuts a submission into values of at most partBytes; at least one part.
 std::vector<std::string> splitSubmission(std::string_view body, std::size_t partBytes);
--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -44,6 +44,7 @@
                         s.store,
                         s.reports,
                         s.withdrawalBound,
+                        s.endpointLeaveBound,
                         s.gracePeriod,
                         s.usageWindow,
                         s.usageDue,
@@ -83,6 +84,7 @@
         settings.processes = addressText(reader, "processes");
     }
     settings.withdrawalBound = secondsOr(reader, "withdrawal_seconds", settings.withdrawalBound);
+    settings.endpointLeaveBound = secondsOr(reader, "endpoint_leave_seconds", settings.endpointLeaveBound);
     settings.gracePeriod = secondsOr(reader, "grace_seconds", settings.gracePeriod);
     settings.usageWindow = secondsOr(reader, "usage_window_seconds", settings.usageWindow);
     settings.usageDue = secondsOr(reader, "usage_due_seconds", settings.usageDue);
--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -28,6 +28,8 @@
     std::string reports;
     /// A withdrawn key must not work longer than this.
     Milliseconds withdrawalBound{5000};
+    /// An endpoint that leaves gets no more work this long after its entry says so.
+    Milliseconds endpointLeaveBound{2000};
     /// From SIGTERM to the end of the process.
     Milliseconds gracePeriod{8000};
     Milliseconds usageWindow{5000};
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -20,8 +20,8 @@
 /// Half of the bound for withdrawn keys, so that one lost watch does not make the configuration too old.
 constexpr int OperatorWatchDivisor = 2;
 constexpr Milliseconds EndpointWatchSpan{5000};
-/// Endpoints that leave must be left alone within two seconds.
-constexpr Milliseconds EndpointGatherTime{700};
+/// Changes of endpoints are gathered for half of the time in which a leaving one must be left alone.
+constexpr int EndpointGatherDivisor = 2;
 constexpr Milliseconds HousekeepInterval{500};
 /// Time from SIGTERM to the close of the listener: the platform asks once a second and counts two misses.
 constexpr Milliseconds ListenTime{3200};
@@ -80,7 +80,7 @@
         m_runtime.onStop = [this] { beginDrain(); };
         m_runtime.onSettingsChanged = [this] { m_service.setFreshness(freshnessOf(m_runtime.settings())); };
         m_runtime.onMetrics = [this] { setGauges(); };
-        m_view.setEndpointGatherTime(EndpointGatherTime);
+        m_view.setEndpointGatherTime(m_runtime.settings().endpointLeaveBound / EndpointGatherDivisor);
         m_view.start();
         housekeep();
     }
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -97,8 +97,7 @@
         WeightRollerHooks hooks;
         hooks.mayAct = [this] { return m_election.mayAct(); };
         hooks.fencingToken = [this] { return m_election.term(); };
-        hooks.requiredVersions = [this] { return m_runner.requiredVersions(); };
-        hooks.demand = [this] { return m_runner.demand(); };
+        hooks.loads = [this] { return m_runner.modelLoads(); };
         hooks.runningAt = [this](const std::string &endpoint) { return m_runner.runningAt(endpoint); };
         hooks.needsSingleVersion = [this](const std::string &model) { return needsSingleVersion(model); };
         hooks.onChanged = [this] { m_runner.reconsider(); };
--- a/src/gateway/batchapi.cpp
+++ b/src/gateway/batchapi.cpp
@@ -64,11 +64,11 @@
             reject(call, 503, ResultCode::StoreUnavailable, "the metadata store does not answer", UnsurePause);
             return;
         }
-        if (page.kind == ResultPage::Kind::NoSuchBatch || page.index.workspace != call.workspace) {
+        if (page.kind == ResultPage::Kind::NoSuchBatch || page.workspace != call.workspace) {
             reject(call, 404, ResultCode::StepUnknown, "no such batch", Milliseconds(0));
             return;
         }
-        auto body = encodeResultPage(page.index.itemCount, call.request.afterPosition, page.results, MaxPageBytes);
+        auto body = encodeResultPage(page.itemCount, call.request.afterPosition, page.results, MaxPageBytes);
         call.exchange->respond({200, {{"Content-Type", "application/json"}}, std::move(body)});
     });
 }
--- a/src/gateway/resultcache.cpp
+++ b/src/gateway/resultcache.cpp
@@ -42,7 +42,7 @@
     auto waiters = std::move(entry->waiters);
     entry->waiters.clear();
     for (auto &waiter : waiters) {
-        const bool isReady = entry->hasIndex && (waiter.position < entry->results.size() || waiter.position >= entry->index.itemCount);
+        const bool isReady = entry->isKnown && (waiter.position < entry->results.size() || waiter.position >= entry->itemCount);
         const bool isOver = now >= waiter.until;
         if (isReady || (isOver && waiter.isFresh)) {
             answer(*entry, waiter, ResultPage::Kind::Found);
@@ -56,7 +56,8 @@
         evict();
         return;
     }
-    if (!entry->hasIndex) {
+    // A listing with results also tells that the batch exists; only an empty one says nothing of it.
+    if (!entry->isKnown && entry->revision > 0) {
         readIndex(entry);
         return;
     }
@@ -85,8 +86,9 @@
             failStep(entry, reply.status);
             return;
         }
-        entry->index = index.value();
-        entry->hasIndex = true;
+        entry->workspace = index.value().workspace;
+        entry->itemCount = index.value().itemCount;
+        entry->isKnown = true;
         serve(entry);
     });
 }
@@ -163,13 +165,16 @@
         if (item.isRemoval || !position || *position < entry.results.size()) {
             continue;
         }
-        auto results = BatchRecords::decodeResults(item.value);
-        if (*position > entry.results.size() || !results) {
+        auto chunk = BatchRecords::decodeChunk(item.value);
+        if (*position > entry.results.size() || !chunk) {
             m_context.log.warning("results_unreadable", {{"key", item.key}, {"known", entry.results.size()}});
             contiguous = false;
             continue;
         }
-        for (auto &result : results.value()) {
+        entry.workspace = chunk.value().workspace;
+        entry.itemCount = chunk.value().itemCount;
+        entry.isKnown = true;
+        for (auto &result : chunk.value().results) {
             entry.bytes += result.text.size();
             m_bytes += result.text.size();
             entry.results.push_back(std::move(result));
@@ -192,7 +197,8 @@
 {
     ResultPage page;
     page.kind = kind;
-    page.index = entry.index;
+    page.workspace = entry.workspace;
+    page.itemCount = entry.itemCount;
     for (auto i = waiter.position; i < entry.results.size() && kind == ResultPage::Kind::Found; ++i) {
         page.results.push_back(&entry.results[i]);
     }
--- a/src/gateway/resultcache.h
+++ b/src/gateway/resultcache.h
@@ -23,7 +23,8 @@
     };
 
     Kind kind = Kind::Unsure;
-    BatchIndex index;
+    std::string workspace;
+    std::size_t itemCount = 0;
     /// Results from the asked position on; valid during the call only.
     std::vector<const ItemResult *> results;
 };
@@ -54,8 +55,10 @@
 
     struct Entry {
         std::string batch;
-        BatchIndex index;
-        bool hasIndex = false;
+        /// What is known of the batch, once it is known to exist.
+        std::string workspace;
+        std::size_t itemCount = 0;
+        bool isKnown = false;
         std::vector<ItemResult> results;
         std::size_t bytes = 0;
         /// The store's revision up to which results are known; zero: never listed.
--- a/src/metadata/relayedtransport.cpp
+++ b/src/metadata/relayedtransport.cpp
@@ -131,13 +131,22 @@
     if (m_rule.noteDirect(response.isAnswer())) {
         m_log.warning("store_direct_lost", {{"end", callEndName(response.end)}, {"status", response.status}});
         m_isDown = true;
-        probe();
+        // Waiting watches would notice only when their span is over.
+        m_loop.runAfter(Milliseconds(0), [this] {
+            m_direct.abandonCalls();
+            probe();
+        });
     } else if (m_isDown && m_rule.goesDirectly()) {
         m_isDown = false;
         m_log.warning("store_direct_again", {});
     }
 }
 
+void RelayedTransport::abandonCalls()
+{
+    m_direct.abandonCalls();
+}
+
 void RelayedTransport::probe()
 {
     StoreRequest request;
--- a/src/metadata/relayedtransport.h
+++ b/src/metadata/relayedtransport.h
@@ -22,6 +22,7 @@
     RelayedTransport(StoreTransport &direct, WebClient &client, EventLoop loop, EventLog &log, const std::vector<std::string> &peers, std::size_t firstPeer);
 
     void send(const StoreRequest &request, Callback callback) override;
+    void abandonCalls() override;
 
     /// Answers a peer that asks this process to relay.
     void serve(const std::shared_ptr<ServerExchange> &exchange);
--- a/src/metadata/storetransport.cpp
+++ b/src/metadata/storetransport.cpp
@@ -38,6 +38,7 @@
     message.fields.set("Host", m_hostField);
     auto open = std::make_shared<OpenCall>();
     open->callback = std::move(callback);
+    m_open.insert(open);
     CallHooks hooks;
     hooks.onHead = [open](const ResponseHead &head) {
         open->response.status = head.status;
@@ -50,12 +51,21 @@
     m_loop.runAfter(request.timeout, [this, open] { finish(open, CallEnd::ClosedUnanswered); });
 }
 
+void DirectTransport::abandonCalls()
+{
+    const auto calls = m_open;
+    for (const auto &open : calls) {
+        finish(open, CallEnd::ClosedUnanswered);
+    }
+}
+
 void DirectTransport::finish(const std::shared_ptr<OpenCall> &open, CallEnd end)
 {
     if (open->ended) {
         return;
     }
     open->ended = true;
+    m_open.erase(open);
     open->response.end = end;
     open->call.cancel();
     const auto callback = std::move(open->callback);
--- a/src/metadata/storetransport.h
+++ b/src/metadata/storetransport.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace Basilbend
@@ -55,6 +56,9 @@
 
     /// Never calls back from within.
     virtual void send(const StoreRequest &request, Callback callback) = 0;
+
+    /// Ends all open calls without an answer, because their connections are known to be dead.
+    virtual void abandonCalls() = 0;
 };
 
 /// Sends calls to one server. A connection on which an answer is missing is not used again.
@@ -65,6 +69,7 @@
     ~DirectTransport() override;
 
     void send(const StoreRequest &request, Callback callback) override;
+    void abandonCalls() override;
 
 private:
     struct OpenCall;
@@ -75,6 +80,7 @@
     EventLoop m_loop;
     asio::ip::tcp::endpoint m_server;
     std::string m_hostField;
+    std::set<std::shared_ptr<OpenCall>> m_open;
 };
 
 }
--- a/src/scheduling/batchloader.cpp
+++ b/src/scheduling/batchloader.cpp
@@ -76,11 +76,12 @@
     }
     std::vector<ItemResult> listed;
     for (const auto &chunk : m_chunks) {
-        auto results = BatchRecords::decodeResults(chunk.value);
-        if (!results) {
-            return results.error();
+        auto decoded = BatchRecords::decodeChunk(chunk.value);
+        if (!decoded) {
+            return decoded.error();
         }
-        std::move(results.value().begin(), results.value().end(), std::back_inserter(listed));
+        auto &results = decoded.value().results;
+        std::move(results.begin(), results.end(), std::back_inserter(listed));
     }
     return std::make_shared<OpenBatch>(m_index, std::move(submission.value()), listed);
 }
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/grouporder.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Basilbend
 {
@@ -20,6 +21,10 @@
 constexpr int MovesPerTick = 12;
 /// Texts of ended batches that are kept for items that may come again.
 constexpr std::size_t MaxKeptTexts = 1500;
+/// Items that wait this long for a place show that a step is short of them.
+constexpr Milliseconds TightWait{250};
+/// How long that is remembered.
+constexpr Milliseconds TightTime{20000};
 /// Weight of the newest batch in the average demand of its model.
 constexpr double NewestDemandWeight = 0.3;
 /// Waiting items looked at in one round of a batch.
@@ -133,6 +138,7 @@
     }
     auto batch = std::make_unique<Batch>();
     batch->state = std::move(loaded.value());
+    batch->openedAt = m_loop.now();
     const auto *route = routeOf(*batch->state);
     if (route != nullptr) {
         batch->state->adopt(m_kept, rulesOf(*route));
@@ -151,14 +157,26 @@
     scheduleSoon();
 }
 
+void BatchRunner::noteDuration(const OpenBatch &batch)
+{
+    const auto *route = routeOf(batch);
+    const auto now = m_loop.now();
+    const auto age = now - Timestamp(batch.index().submittedAtMs);
+    if (route != nullptr && route->resultDeadline.count() > 0 && age * 2 > route->resultDeadline) {
+        m_tightAt[batch.submission().model] = now;
+    }
+}
+
 void BatchRunner::noteDemand(const BatchSubmission &submission)
 {
     double tokens = 0;
     for (const auto &item : submission.items) {
         tokens += static_cast<double>(expectedOutput(item));
     }
+    // A step needs a place for each item at its start, and then as many as its tokens keep busy.
+    const double work = std::sqrt(tokens * static_cast<double>(submission.items.size()));
     auto &demand = m_demand[submission.model];
-    demand = demand == 0 ? tokens : (1 - NewestDemandWeight) * demand + NewestDemandWeight * tokens;
+    demand = demand == 0 ? work : (1 - NewestDemandWeight) * demand + NewestDemandWeight * work;
 }
 
 void BatchRunner::keepTexts(const OpenBatch &batch)
@@ -184,6 +202,7 @@
     m_batches.erase(it);
     batch->writer->stop();
     keepTexts(*batch->state);
+    noteDuration(*batch->state);
     for (const auto &[item, running] : batch->running) {
         --m_runningAt[running.endpoint];
     }
@@ -220,15 +239,21 @@
     return {route.attempts, route.retention, route.singleVersion};
 }
 
-std::map<std::string, std::uint64_t> BatchRunner::requiredVersions() const
+std::map<std::string, ModelLoad> BatchRunner::modelLoads() const
 {
-    std::map<std::string, std::uint64_t> required;
+    std::map<std::string, ModelLoad> loads;
+    for (const auto &[model, demand] : m_demand) {
+        loads[model].demand = demand;
+        const auto tight = m_tightAt.find(model);
+        loads[model].isTight = tight != m_tightAt.end() && m_loop.now() - tight->second < TightTime;
+    }
     for (const auto &[id, batch] : m_batches) {
         const auto &submission = batch->state->submission();
-        auto &version = required[submission.model];
-        version = std::max(version, submission.minimumVersion);
+        auto &load = loads[submission.model];
+        load.requiredVersion = std::max(load.requiredVersion, submission.minimumVersion);
+        load.hasWaiting = load.hasWaiting || batch->waiting > 0;
     }
-    return required;
+    return loads;
 }
 
 int BatchRunner::runningAt(const std::string &endpoint) const
@@ -348,14 +373,27 @@
             break;
         }
     }
-    if (waiting.empty()) {
-        return;
-    }
-    for (const auto &assignment : assignItems(waiting, endpointsFor(state, *route))) {
+    std::size_t started = 0;
+    for (const auto &assignment : waiting.empty() ? std::vector<Assignment>() : assignItems(waiting, endpointsFor(state, *route))) {
         if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
             start(batch, assignment.item, *endpoint);
+            ++started;
         }
     }
+    noteWaiting(batch, waiting.size() - started);
+}
+
+void BatchRunner::noteWaiting(Batch &batch, std::size_t waiting)
+{
+    const auto now = m_loop.now();
+    const bool hadWaiting = batch.waiting > 0;
+    batch.waiting = waiting;
+    if (waiting > 0 && now - batch.openedAt >= TightWait) {
+        m_tightAt[batch.state->submission().model] = now;
+    }
+    if (hadWaiting && waiting == 0) {
+        m_hooks.onDemandChanged();
+    }
 }
 
 void BatchRunner::start(Batch &batch, std::size_t item, const EndpointRecord &endpoint)
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -12,6 +12,7 @@
 #include "scheduling/openbatch.h"
 #include "scheduling/placement.h"
 #include "scheduling/resultwriter.h"
+#include "weights/modelload.h"
 
 #include <functional>
 #include <map>
@@ -54,17 +55,11 @@
     /// An endpoint is gone or about to leave; its runs go on until it ends them.
     void noteEndpointGone(const std::string &id);
 
-    /// The newest version that an open batch needs at least, by model.
-    std::map<std::string, std::uint64_t> requiredVersions() const;
+    /// What the open and recent batches ask of the endpoints, by model.
+    std::map<std::string, ModelLoad> modelLoads() const;
 
     int runningAt(const std::string &endpoint) const;
 
-    /// Expected output tokens of the recent batches of each model.
-    std::map<std::string, double> demand() const
-    {
-        return m_demand;
-    }
-
     std::size_t openBatchCount() const
     {
         return m_batches.size();
@@ -83,12 +78,8 @@
         std::shared_ptr<OpenBatch> state;
         std::shared_ptr<ResultWriter> writer;
         std::map<std::size_t, Running> running;
-        std::uint64_t serial = 0;
-    };
-
-    struct WaitingRef {
-        Batch *batch = nullptr;
-        std::size_t item = 0;
+        Timestamp openedAt;
+        std::size_t waiting = 0;
     };
 
     void applyIndex(const MetadataItem &item);
@@ -97,6 +88,7 @@
     void opened(const std::string &id, Result<std::shared_ptr<OpenBatch>> batch);
     void close(const std::string &id);
     void reload(const std::string &id);
+    void noteDuration(const OpenBatch &batch);
     void noteDemand(const BatchSubmission &submission);
     void keepTexts(const OpenBatch &batch);
 
@@ -106,6 +98,7 @@
     std::uint64_t tokensHeldAt(const std::string &endpoint) const;
     std::string endpointOfGroup(const Batch &batch, std::size_t item) const;
     void scheduleBatch(Batch &batch);
+    void noteWaiting(Batch &batch, std::size_t waiting);
     void start(Batch &batch, std::size_t item, const EndpointRecord &endpoint);
     bool acceptEvent(const std::string &batch, std::size_t item, std::uint64_t run, std::uint64_t id, std::string data, std::uint64_t version);
     void acceptEnd(const std::string &batch, std::size_t item, std::uint64_t run, RunEnd end, int status);
@@ -134,6 +127,8 @@
     std::vector<KeptText> m_kept;
     std::map<std::string, int> m_runningAt;
     std::map<std::string, double> m_demand;
+    /// When a step of a model last was short of places, or took more than half of its time.
+    std::map<std::string, Timestamp> m_tightAt;
     EndpointPace m_pace;
     bool m_active = false;
     bool m_scheduled = false;
--- a/src/scheduling/resultwriter.cpp
+++ b/src/scheduling/resultwriter.cpp
@@ -36,7 +36,7 @@
     // A chunk that may have been written is repeated as it is.
     if (m_chunk.empty()) {
         const auto results = m_batch->nextResults(MaxChunkBytes);
-        m_chunk = BatchRecords::encodeResults(results);
+        m_chunk = BatchRecords::encodeChunk({m_batch->index().workspace, m_batch->index().itemCount, results});
         m_chunkResults = results.size();
     }
     m_failures = 0;
--- a/src/weights/orderplanner.cpp
+++ b/src/weights/orderplanner.cpp
@@ -27,13 +27,11 @@
     return std::max(LeastLoadsAtOnce, static_cast<int>(endpoints / EndpointsPerLoad));
 }
 
-std::vector<std::string> planOrders(const std::vector<WeightEndpoint> &endpoints, const WeightDemand &demand)
+std::vector<std::string> planOrders(const std::vector<WeightEndpoint> &endpoints, const WeightDemand &demand, int freeLoads, bool urgentOnly)
 {
-    int loading = 0;
     std::size_t current = 0;
     std::vector<const WeightEndpoint *> candidates;
     for (const auto &endpoint : endpoints) {
-        loading += endpoint.isLoading ? 1 : 0;
         current += endpoint.isLoading || endpoint.version >= demand.published ? 1 : 0;
         if (!endpoint.isLoading && !endpoint.isPaused && endpoint.version < demand.published) {
             candidates.push_back(&endpoint);
@@ -44,14 +42,15 @@
         const int urgencyB = urgency(*b, demand);
         return urgencyA != urgencyB ? urgencyA < urgencyB : a->running < b->running;
     });
-    const auto half = (endpoints.size() + 1) / 2;
+    const auto wanted = demand.isTight ? endpoints.size() : (endpoints.size() + 1) / 2;
+    const bool mayFollow = !demand.isTight || !demand.hasWaiting;
     std::vector<std::string> orders;
     for (const auto *candidate : candidates) {
-        const bool isNeeded = urgency(*candidate, demand) < 2 || current < half;
-        if (!isNeeded || loading >= loadsAtOnce(endpoints.size())) {
+        const bool isUrgent = urgency(*candidate, demand) < 2;
+        const bool isNeeded = isUrgent || (!urgentOnly && mayFollow && current < wanted);
+        if (!isNeeded || static_cast<int>(orders.size()) >= freeLoads) {
             break;
         }
-        ++loading;
         ++current;
         orders.push_back(candidate->id);
     }
--- a/src/weights/orderplanner.h
+++ b/src/weights/orderplanner.h
@@ -23,16 +23,21 @@
     std::uint64_t published = 0;
     /// The newest version that an open batch needs at least; zero: no batch is open.
     std::uint64_t required = 0;
+    /// Items of the model wait for a place.
+    bool hasWaiting = false;
+    /// Steps were lately short of places, so all endpoints should have the published version before the next one.
+    bool isTight = false;
 };
 
-/// How many endpoints may change weights at once without slowing each other down.
+/// How many endpoints of a fleet may change weights at once without slowing each other down.
 int loadsAtOnce(std::size_t endpoints);
 
 /// Chooses the endpoints that are ordered to load the published version now, most urgent first.
 /// A step allows the version before the published one, so an endpoint that is one version behind still serves the step that
-/// follows a publication, and only every second version has to be loaded. Endpoints that are further behind, or that no
-/// open batch can use, are ordered at once. Others follow until half of the endpoints have the published version, so that
-/// each version finds only half of them in need of an order.
-std::vector<std::string> planOrders(const std::vector<WeightEndpoint> &endpoints, const WeightDemand &demand);
+/// follows a publication. Endpoints that are further behind, or that no open batch can use, are ordered at once. Of the others
+/// half follow, so that each version finds only half of the endpoints in need of an order; where steps are short of places,
+/// all of them follow, but only while no item waits, because an endpoint that loads takes no new item of its model.
+/// Returns at most freeLoads; with urgentOnly those that no step can use.
+std::vector<std::string> planOrders(const std::vector<WeightEndpoint> &endpoints, const WeightDemand &demand, int freeLoads, bool urgentOnly = false);
 
 }
--- a/src/weights/weightroller.cpp
+++ b/src/weights/weightroller.cpp
@@ -13,7 +13,7 @@
 constexpr Milliseconds ConnectTimeout{300};
 constexpr Milliseconds AnswerTimeout{700};
 /// A change of weights takes about this long; earlier reports would say nothing.
-constexpr Milliseconds UsualLoadTime{850};
+constexpr Milliseconds UsualLoadTime{900};
 constexpr Milliseconds CheckInterval{120};
 /// Reports are some hundred milliseconds old, so an unanswered order may show only after this time.
 constexpr Milliseconds UnansweredWait{900};
@@ -56,9 +56,12 @@
     return it != m_orders.end() && it->second.phase != Phase::Reporting && it->second.model == model;
 }
 
-void WeightRoller::divideEndpoints()
+void WeightRoller::divideEndpoints(const std::map<std::string, ModelLoad> &loads)
 {
-    auto demand = m_hooks.demand();
+    ModelDemand demand;
+    for (const auto &[model, load] : loads) {
+        demand[model] = load.demand;
+    }
     for (const auto &[model, published] : m_view.publishedVersions()) {
         demand.emplace(model, 0);
     }
@@ -87,15 +90,30 @@
     if (!m_hooks.mayAct() || m_view.routes() == nullptr) {
         return;
     }
-    divideEndpoints();
-    const auto required = m_hooks.requiredVersions();
-    for (const auto &[model, published] : m_view.publishedVersions()) {
-        const auto it = required.find(model);
-        pollModel(model, published, it == required.end() ? 0 : it->second);
+    const auto loads = m_hooks.loads();
+    divideEndpoints(loads);
+    // What no step can use goes first, over all models.
+    for (const bool urgentOnly : {true, false}) {
+        for (const auto &[model, published] : m_view.publishedVersions()) {
+            const auto it = loads.find(model);
+            pollModel(model, published, it == loads.end() ? ModelLoad() : it->second, urgentOnly);
+        }
     }
 }
 
-void WeightRoller::pollModel(const std::string &model, std::uint64_t published, std::uint64_t required)
+int WeightRoller::freeLoads() const
+{
+    const auto all = m_view.endpoints().all();
+    const auto engines = std::count_if(all.begin(), all.end(), [](const EndpointRecord *record) { return !record->models.empty(); });
+    // The report of an endpoint comes later than the end of its change, so only the change itself counts.
+    const auto now = m_loop.now();
+    const auto loading = std::count_if(m_orders.begin(), m_orders.end(), [now](const auto &entry) {
+        return entry.second.phase != Phase::Loading || now - entry.second.acceptedAt < UsualLoadTime;
+    });
+    return loadsAtOnce(static_cast<std::size_t>(engines)) - static_cast<int>(loading);
+}
+
+void WeightRoller::pollModel(const std::string &model, std::uint64_t published, const ModelLoad &load, bool urgentOnly)
 {
     const auto now = m_loop.now();
     std::vector<WeightEndpoint> endpoints;
@@ -110,7 +128,7 @@
                              m_orders.count(record->id) > 0,
                              paused != m_pausedUntil.end() && now < paused->second});
     }
-    for (const auto &id : planOrders(endpoints, {published, required})) {
+    for (const auto &id : planOrders(endpoints, {published, load.requiredVersion, load.hasWaiting, load.isTight}, freeLoads(), urgentOnly)) {
         if (const auto *record = m_view.endpoints().find(id)) {
             begin(*record, model, published);
         }
@@ -243,6 +261,8 @@
         order.phase = Phase::Loading;
         order.isUnanswered = false;
         checkLater(endpoint, UsualLoadTime);
+        // The next change may begin when this one has ended.
+        m_loop.runAfter(UsualLoadTime, [this] { poll(); });
         return;
     }
     if (end == CallEnd::Complete && order.status == 200) {
--- a/src/weights/weightroller.h
+++ b/src/weights/weightroller.h
@@ -7,6 +7,7 @@
 #include "net/metrics.h"
 #include "platform/endpointcalls.h"
 #include "weights/modelassignment.h"
+#include "weights/modelload.h"
 #include "weights/orderplanner.h"
 
 #include <functional>
@@ -21,10 +22,8 @@
     /// Checked right before each order is sent.
     std::function<bool()> mayAct;
     std::function<std::uint64_t()> fencingToken;
-    /// The newest version that an open batch needs at least, by model.
-    std::function<std::map<std::string, std::uint64_t>()> requiredVersions;
-    /// The work of each model, for the division of the endpoints.
-    std::function<ModelDemand()> demand;
+    /// What the open and recent batches of a model ask of its endpoints.
+    std::function<std::map<std::string, ModelLoad>()> loads;
     std::function<int(const std::string &endpoint)> runningAt;
     /// Whether batches of the model need all tokens from one version.
     std::function<bool(const std::string &model)> needsSingleVersion;
@@ -83,8 +82,9 @@
         std::int64_t startedAtMs = 0;
     };
 
-    void divideEndpoints();
-    void pollModel(const std::string &model, std::uint64_t published, std::uint64_t required);
+    void divideEndpoints(const std::map<std::string, ModelLoad> &loads);
+    void pollModel(const std::string &model, std::uint64_t published, const ModelLoad &load, bool urgentOnly);
+    int freeLoads() const;
     void begin(const EndpointRecord &endpoint, const std::string &model, std::uint64_t version);
     void report(const std::string &endpoint);
     void sendOrder(const std::string &endpoint);
--- a/tests/metadata/fakemetadatastore.h
+++ b/tests/metadata/fakemetadatastore.h
@@ -70,6 +70,9 @@
 
     void answer(Callback callback, MetadataReply reply);
     bool fails(const Callback &callback);
+    bool isDown() const;
+    void notifyWatchers();
+    void endWatch(const std::shared_ptr<Watcher> &watcher);
     void change(MetadataItem item);
     void dropExpiredLeases();
     MetadataReply eventsAfter(const std::string &prefix, std::uint64_t revision) const;
--- a/tests/metadata/relayedtransport.cpp
+++ b/tests/metadata/relayedtransport.cpp
@@ -25,6 +25,12 @@
         m_time.schedule(Milliseconds(4), [this, callback = std::move(callback)] { callback(response); });
     }
 
+    void abandonCalls() override
+    {
+        ++abandoned;
+    }
+
+    int abandoned = 0;
     StoreResponse response{CallEnd::Complete, 200, "{}", 0};
     int calls = 0;
     std::vector<std::string> targets;
@@ -78,6 +84,16 @@
     BOOST_TEST(responses.back().status == 404);
 }
 
+// Guards against watches that wait on dead connections while a lease call has already shown that the store is out of reach.
+BOOST_FIXTURE_TEST_CASE(open_calls_are_abandoned_when_the_direct_way_goes_down, TransportFixture)
+{
+    direct.response = {CallEnd::ClosedUnanswered, 0, {}, 0};
+    send(true);
+    BOOST_TEST(direct.abandoned == 0);
+    send(true);
+    BOOST_TEST(direct.abandoned == 1);
+}
+
 // Guards against a write that is made twice: a lost answer proves nothing.
 BOOST_AUTO_TEST_CASE(only_a_refused_write_may_be_repeated_through_a_peer)
 {
