--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,6 +4,7 @@
 #include "app/democommand.h"
 #include "app/entrycommand.h"
 #include "app/exitcode.h"
+#include "app/explaincommand.h"
 #include "app/operatorcommands.h"
 #include "app/replaycommand.h"
 #include "app/sidecarcommand.h"
@@ -18,6 +19,7 @@
     Basilbend::addCheckCommand(app);
     Basilbend::addCodesCommand(app);
     Basilbend::addDaemonCommands(app);
+    Basilbend::addExplainCommand(app);
     Basilbend::addReplayCommand(app);
     Basilbend::addEntryCommand(app);
     Basilbend::addSidecarCommand(app);
--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -93,4 +93,13 @@
     return settings;
 }
 
+bool isDaemonSettingsFile(const std::string &fileName)
+{
+    std::ifstream input(fileName);
+    std::ostringstream text;
+    text << input.rdbuf();
+    SettingsReader reader(text.str(), fileName);
+    return reader.has("role") && !reader.oneOf("role", {"gateway", "scheduler"}, {}).empty();
+}
+
 }
--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -44,4 +44,7 @@
 /// SettingsInvalid and one line for each fault: file, line, key, and what is allowed.
 Result<DaemonSettings> readDaemonSettings(const std::string &fileName, const std::string &role);
 
+/// Whether a file is meant for a gateway or a scheduler, by its role.
+bool isDaemonSettingsFile(const std::string &fileName);
+
 }
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -347,7 +347,7 @@
 {
     ResponseMessage response{answered.head.status, answered.head.fields, std::move(answered.body)};
     response.fields.removeHopByHop();
-    m_exchange->respond(std::move(response));
+    m_exchange->respond(response);
     finish("answered", answered.head.status);
 }
 
--- a/src/gateway/resultcache.cpp
+++ b/src/gateway/resultcache.cpp
@@ -44,7 +44,7 @@
     for (auto &waiter : waiters) {
         const bool isReady = entry->isKnown && (waiter.position < entry->results.size() || waiter.position >= entry->itemCount);
         const bool isOver = now >= waiter.until;
-        if (isReady || (isOver && waiter.isFresh)) {
+        if (isReady || (isOver && waiter.isFresh && entry->isKnown)) {
             answer(*entry, waiter, ResultPage::Kind::Found);
         } else if (now >= waiter.until + StorePatience) {
             answer(*entry, waiter, ResultPage::Kind::Unsure);
@@ -97,12 +97,10 @@
 {
     entry->isBusy = true;
     const auto afterKey = entry->results.empty() ? std::string() : BatchRecords::resultKey(entry->batch, entry->results.size() - 1);
-    m_context.store.list(BatchRecords::resultPrefix(entry->batch), afterKey, [this, entry, sentAt = m_context.loop.now()](MetadataReply reply) {
-        acceptList(entry, std::move(reply), sentAt);
-    });
+    m_context.store.list(BatchRecords::resultPrefix(entry->batch), afterKey, [this, entry](const MetadataReply &reply) { acceptList(entry, reply); });
 }
 
-void ResultCache::acceptList(const EntryPtr &entry, MetadataReply reply, Timestamp)
+void ResultCache::acceptList(const EntryPtr &entry, const MetadataReply &reply)
 {
     entry->isBusy = false;
     if (reply.status != MetadataStatus::Done) {
@@ -134,7 +132,7 @@
         BatchRecords::resultPrefix(entry->batch), entry->revision, span, [this, entry](MetadataReply reply) { acceptWatch(entry, std::move(reply)); });
 }
 
-void ResultCache::acceptWatch(const EntryPtr &entry, MetadataReply reply)
+void ResultCache::acceptWatch(const EntryPtr &entry, const MetadataReply &reply)
 {
     entry->isBusy = false;
     if (reply.status == MetadataStatus::HistoryGone) {
--- a/src/gateway/resultcache.h
+++ b/src/gateway/resultcache.h
@@ -74,9 +74,9 @@
     void serve(const EntryPtr &entry);
     void readIndex(const EntryPtr &entry);
     void listResults(const EntryPtr &entry);
-    void acceptList(const EntryPtr &entry, MetadataReply reply, Timestamp sentAt);
+    void acceptList(const EntryPtr &entry, const MetadataReply &reply);
     void watchResults(const EntryPtr &entry);
-    void acceptWatch(const EntryPtr &entry, MetadataReply reply);
+    void acceptWatch(const EntryPtr &entry, const MetadataReply &reply);
     bool append(Entry &entry, const std::vector<MetadataItem> &items);
     void failStep(const EntryPtr &entry, MetadataStatus status);
     void answer(Entry &entry, const Waiter &waiter, ResultPage::Kind kind);
--- a/src/http/serverexchange.cpp
+++ b/src/http/serverexchange.cpp
@@ -16,7 +16,7 @@
     return !m_ended && !m_session.expired();
 }
 
-void ServerExchange::respond(ResponseMessage response)
+void ServerExchange::respond(const ResponseMessage &response)
 {
     if (const auto session = m_session.lock(); session && !m_ended) {
         m_ended = true;
@@ -43,7 +43,7 @@
 {
     if (const auto session = m_session.lock(); session && !m_ended) {
         m_ended = true;
-        session->send(std::string(LastChunk));
+        session->send(LastChunk);
         session->finishExchange();
     }
 }
--- a/src/http/serverexchange.h
+++ b/src/http/serverexchange.h
@@ -26,7 +26,7 @@
     /// Whether the client is still connected and no response has ended the exchange.
     bool isOpen() const;
 
-    void respond(ResponseMessage response);
+    void respond(const ResponseMessage &response);
 
     /// Starts a chunked response.
     void beginStream(const ResponseHead &head);
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -193,7 +193,7 @@
     return keep ? Persistence::KeepAlive : Persistence::Close;
 }
 
-void ServerSession::send(std::string bytes)
+void ServerSession::send(std::string_view bytes)
 {
     if (m_closed) {
         return;
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -54,7 +54,7 @@
 private:
     friend class ServerExchange;
 
-    void send(std::string bytes);
+    void send(std::string_view bytes);
     void finishExchange();
     void closeNow();
     std::size_t pendingBytes() const;
--- a/src/http/webserver.cpp
+++ b/src/http/webserver.cpp
@@ -16,8 +16,7 @@
 }
 
 WebServer::WebServer(asio::io_context &io, const std::string &address, ServerHooks hooks)
-    : m_io(io)
-    , m_hooks(std::move(hooks))
+    : m_hooks(std::move(hooks))
     , m_acceptor(io)
     , m_retryTimer(io)
 {
--- a/src/http/webserver.h
+++ b/src/http/webserver.h
@@ -35,7 +35,6 @@
 private:
     void accept();
 
-    asio::io_context &m_io;
     ServerHooks m_hooks;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_retryTimer;
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -96,14 +96,14 @@
     // An answer with a change proves the state only for the time at which the watch was sent, so the next watch ends early
     // enough to prove it again within one span.
     const auto span = std::clamp(m_span - (sentAt - *m_currentAsOf), std::min(ShortestSpan, m_span), m_span);
-    m_store.watch(m_prefix, m_revision, span, [this, generation = m_generation, sentAt, span](MetadataReply reply) {
+    m_store.watch(m_prefix, m_revision, span, [this, generation = m_generation, sentAt, span](const MetadataReply &reply) {
         if (generation == m_generation) {
-            acceptWatch(std::move(reply), sentAt, span);
+            acceptWatch(reply, sentAt, span);
         }
     });
 }
 
-void PrefixFeed::acceptWatch(MetadataReply reply, Timestamp sentAt, Milliseconds span)
+void PrefixFeed::acceptWatch(const MetadataReply &reply, Timestamp sentAt, Milliseconds span)
 {
     if (reply.status == MetadataStatus::HistoryGone) {
         noteSuccess();
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -48,7 +48,7 @@
     void listPage(const std::string &afterKey);
     void acceptPage(MetadataReply reply);
     void watch();
-    void acceptWatch(MetadataReply reply, Timestamp sentAt, Milliseconds span);
+    void acceptWatch(const MetadataReply &reply, Timestamp sentAt, Milliseconds span);
     void acceptEmptyWatch(std::uint64_t revision);
     void retryAfterFailure(std::function<void()> step);
     void noteSuccess();
--- a/src/platform/endpointcalls.cpp
+++ b/src/platform/endpointcalls.cpp
@@ -28,9 +28,9 @@
 std::optional<EndpointLoad> decodeLoad(std::string_view text)
 {
     std::array<int, 3> numbers{};
-    for (std::size_t i = 0; i < numbers.size(); ++i) {
+    for (auto &number : numbers) {
         const auto comma = std::min(text.find(','), text.size());
-        const auto [end, ec] = std::from_chars(text.data(), text.data() + comma, numbers[i]);
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + comma, number);
         if (ec != std::errc{} || end != text.data() + comma) {
             return std::nullopt;
         }
--- /dev/null
+++ b/src/scheduling/batchdemand.cpp
@@ -0,0 +1,55 @@
+#include "scheduling/batchdemand.h"
+
+#include "scheduling/grouporder.h"
+
+#include <cmath>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// Weight of the newest batch in the average work of its model.
+constexpr double NewestWeight = 0.3;
+
+}
+
+void BatchDemand::noteBatch(const BatchSubmission &submission)
+{
+    double tokens = 0;
+    for (const auto &item : submission.items) {
+        tokens += static_cast<double>(expectedOutput(item));
+    }
+    // A step needs a place for each item at its start, and then as many as its tokens keep busy.
+    const double newest = std::sqrt(tokens * static_cast<double>(submission.items.size()));
+    auto &work = m_work[submission.model];
+    work = work == 0 ? newest : (1 - NewestWeight) * work + NewestWeight * newest;
+}
+
+void BatchDemand::noteWaiting(const std::string &model, Milliseconds age, Timestamp now)
+{
+    if (age >= TightWait) {
+        m_tightAt[model] = now;
+    }
+}
+
+void BatchDemand::noteDuration(const std::string &model, Milliseconds age, Milliseconds deadline, Timestamp now)
+{
+    if (deadline.count() > 0 && age * 2 > deadline) {
+        m_tightAt[model] = now;
+    }
+}
+
+std::map<std::string, ModelLoad> BatchDemand::loads(Timestamp now) const
+{
+    std::map<std::string, ModelLoad> loads;
+    for (const auto &[model, work] : m_work) {
+        const auto tight = m_tightAt.find(model);
+        loads[model].demand = work;
+        loads[model].isTight = tight != m_tightAt.end() && now - tight->second < TightTime;
+    }
+    return loads;
+}
+
+}
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -3,7 +3,6 @@
 #include "scheduling/grouporder.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Basilbend
 {
@@ -21,12 +20,6 @@
 constexpr int MovesPerTick = 12;
 /// Texts of ended batches that are kept for items that may come again.
 constexpr std::size_t MaxKeptTexts = 1500;
-/// Items that wait this long for a place show that a step is short of them.
-constexpr Milliseconds TightWait{250};
-/// How long that is remembered.
-constexpr Milliseconds TightTime{20000};
-/// Weight of the newest batch in the average demand of its model.
-constexpr double NewestDemandWeight = 0.3;
 /// Waiting items looked at in one round of a batch.
 constexpr std::size_t MaxWaitingInRound = 512;
 /// Part of an endpoint's memory that expected tokens may fill; estimates are often too low.
@@ -89,7 +82,7 @@
     m_batches.clear();
     m_ended.clear();
     m_kept.clear();
-    m_runningAt.clear();
+    m_use.clear();
 }
 
 void BatchRunner::applyIndex(const MetadataItem &item)
@@ -151,7 +144,7 @@
                 {"minimum_version", batch->state->submission().minimumVersion},
                 {"desired_groups", batch->state->submission().desiredGroups},
                 {"age_ms", m_loop.now().milliseconds() - batch->state->index().submittedAtMs}});
-    noteDemand(batch->state->submission());
+    m_demand.noteBatch(batch->state->submission());
     m_batches[id] = std::move(batch);
     m_hooks.onDemandChanged();
     scheduleSoon();
@@ -159,26 +152,12 @@
 
 void BatchRunner::noteDuration(const OpenBatch &batch)
 {
-    const auto *route = routeOf(batch);
     const auto now = m_loop.now();
-    const auto age = now - Timestamp(batch.index().submittedAtMs);
-    if (route != nullptr && route->resultDeadline.count() > 0 && age * 2 > route->resultDeadline) {
-        m_tightAt[batch.submission().model] = now;
+    if (const auto *route = routeOf(batch)) {
+        m_demand.noteDuration(batch.submission().model, now - Timestamp(batch.index().submittedAtMs), route->resultDeadline, now);
     }
 }
 
-void BatchRunner::noteDemand(const BatchSubmission &submission)
-{
-    double tokens = 0;
-    for (const auto &item : submission.items) {
-        tokens += static_cast<double>(expectedOutput(item));
-    }
-    // A step needs a place for each item at its start, and then as many as its tokens keep busy.
-    const double work = std::sqrt(tokens * static_cast<double>(submission.items.size()));
-    auto &demand = m_demand[submission.model];
-    demand = demand == 0 ? work : (1 - NewestDemandWeight) * demand + NewestDemandWeight * work;
-}
-
 void BatchRunner::keepTexts(const OpenBatch &batch)
 {
     auto texts = batch.textsToKeep();
@@ -204,7 +183,7 @@
     keepTexts(*batch->state);
     noteDuration(*batch->state);
     for (const auto &[item, running] : batch->running) {
-        --m_runningAt[running.endpoint];
+        m_use.noteEnded(running.endpoint, running.expectedTokens);
     }
     m_log.info("batch_closed",
                {{"batch", id}, {"listed", batch->state->listedCount()}, {"of", batch->state->index().itemCount}, {"cancelled", batch->running.size()}});
@@ -241,12 +220,7 @@
 
 std::map<std::string, ModelLoad> BatchRunner::modelLoads() const
 {
-    std::map<std::string, ModelLoad> loads;
-    for (const auto &[model, demand] : m_demand) {
-        loads[model].demand = demand;
-        const auto tight = m_tightAt.find(model);
-        loads[model].isTight = tight != m_tightAt.end() && m_loop.now() - tight->second < TightTime;
-    }
+    auto loads = m_demand.loads(m_loop.now());
     for (const auto &[id, batch] : m_batches) {
         const auto &submission = batch->state->submission();
         auto &load = loads[submission.model];
@@ -256,12 +230,6 @@
     return loads;
 }
 
-int BatchRunner::runningAt(const std::string &endpoint) const
-{
-    const auto it = m_runningAt.find(endpoint);
-    return it == m_runningAt.end() ? 0 : it->second;
-}
-
 void BatchRunner::reconsider()
 {
     if (m_active) {
@@ -301,15 +269,11 @@
     }
 }
 
-std::uint64_t BatchRunner::tokensHeldAt(const std::string &endpoint) const
+std::uint64_t BatchRunner::expectedTokens(const BatchItem &item)
 {
-    std::uint64_t tokens = 0;
-    for (const auto &[id, batch] : m_batches) {
-        for (const auto &[item, running] : batch->running) {
-            tokens += running.endpoint == endpoint ? running.expectedTokens : 0;
-        }
-    }
-    return tokens;
+    // The limit names prompt and output together, and outputs seldom reach it.
+    const auto prompt = item.tokens / 2;
+    return std::min(item.tokens, prompt + expectedOutput(item));
 }
 
 std::vector<PlacementEndpoint> BatchRunner::endpointsFor(const OpenBatch &batch, const RouteRule &route) const
@@ -327,8 +291,8 @@
             PlacementEndpoint endpoint;
             endpoint.id = record->id;
             endpoint.slots = record->slots;
-            endpoint.running = runningAt(record->id);
-            endpoint.tokensHeld = tokensHeldAt(record->id);
+            endpoint.running = m_use.running(record->id);
+            endpoint.tokensHeld = m_use.tokens(record->id);
             endpoint.tokenCapacity = static_cast<std::uint64_t>(MemoryShare * static_cast<double>(capacity));
             endpoint.version = m_hooks.versionAt(*record, batch.submission().model);
             endpoint.isSlow = m_pace.isSlow(record->id, now);
@@ -365,10 +329,7 @@
         if (progress.phase != ItemPhase::Waiting || now < progress.notBefore) {
             continue;
         }
-        const auto &item = state.item(i);
-        const auto prompt = item.tokens > 0 ? item.tokens / 2 : 0;
-        waiting.push_back(
-            {i, state.submission().minimumVersion, std::min(item.tokens, prompt + expectedOutput(item)), endpointOfGroup(batch, i), progress.avoidedEndpoint});
+        waiting.push_back({i, state.submission().minimumVersion, expectedTokens(state.item(i)), endpointOfGroup(batch, i), progress.avoidedEndpoint});
         if (waiting.size() >= MaxWaitingInRound) {
             break;
         }
@@ -388,8 +349,8 @@
     const auto now = m_loop.now();
     const bool hadWaiting = batch.waiting > 0;
     batch.waiting = waiting;
-    if (waiting > 0 && now - batch.openedAt >= TightWait) {
-        m_tightAt[batch.state->submission().model] = now;
+    if (waiting > 0) {
+        m_demand.noteWaiting(batch.state->submission().model, now - batch.openedAt, now);
     }
     if (hadWaiting && waiting == 0) {
         m_hooks.onDemandChanged();
@@ -412,17 +373,17 @@
     hooks.onEnd = [this, id, item, run](RunEnd end, int status) { acceptEnd(id, item, run, end, status); };
     Running running;
     running.endpoint = endpoint.id;
-    running.expectedTokens = std::min(state.item(item).tokens, state.item(item).tokens / 2 + expectedOutput(state.item(item)));
+    running.expectedTokens = expectedTokens(state.item(item));
     running.run = std::make_unique<ItemRun>(m_client, m_loop, endpoint, m_hooks.versionAt(endpoint, state.submission().model), std::move(hooks));
     m_log.info("item_sent",
                {{"batch", id},
                 {"item", state.item(item).id},
                 {"endpoint", endpoint.id},
                 {"after_event", progress.text.lastEventId()},
-                {"running", runningAt(endpoint.id)},
+                {"running", m_use.running(endpoint.id)},
                 {"endpoint_version", m_hooks.versionAt(endpoint, state.submission().model)}});
     running.run->start(state.item(item), state.index(), progress.text.lastEventId());
-    ++m_runningAt[endpoint.id];
+    m_use.noteStarted(endpoint.id, running.expectedTokens);
     batch.running.emplace(item, std::move(running));
     m_metrics.count("basilbend_item_runs_total");
 }
@@ -468,12 +429,10 @@
         return;
     }
     auto &state = *batch->state;
-    const auto node = batch->running.extract(item);
-    const auto &running = node.mapped();
-    const auto endpoint = running.endpoint;
+    const auto running = takeRun(*batch, item);
+    const auto endpoint = running->endpoint;
     const auto now = m_loop.now();
-    --m_runningAt[endpoint];
-    noteRunEnd(endpoint, end, running.hasEvent);
+    noteRunEnd(endpoint, end, running->hasEvent);
     const auto *route = routeOf(state);
     const auto rules = route == nullptr ? BatchRules() : rulesOf(*route);
     const bool isWhole = end == RunEnd::Complete && state.progress(item).text.eventCount() > 0;
@@ -496,7 +455,7 @@
                        {"status", status},
                        {"events", state.progress(item).text.eventCount()},
                        {"server_errors", state.progress(item).serverErrors},
-                       {"after_ms", now - running.run->startedAt()}});
+                       {"after_ms", now - running->run->startedAt()}});
     }
     m_metrics.count("basilbend_item_run_ends_total", {{"end", std::string(runEndName(end))}});
     batch->writer->poll();
@@ -527,21 +486,30 @@
     }
 }
 
-void BatchRunner::cancelRun(Batch &batch, std::size_t item, const char *why)
+std::optional<BatchRunner::Running> BatchRunner::takeRun(Batch &batch, std::size_t item)
 {
-    const auto node = batch.running.extract(item);
+    auto node = batch.running.extract(item);
     if (node.empty()) {
+        return std::nullopt;
+    }
+    m_use.noteEnded(node.mapped().endpoint, node.mapped().expectedTokens);
+    return std::move(node.mapped());
+}
+
+void BatchRunner::cancelRun(Batch &batch, std::size_t item, const char *why)
+{
+    const auto running = takeRun(batch, item);
+    if (!running) {
         return;
     }
-    const auto endpoint = node.mapped().endpoint;
-    --m_runningAt[endpoint];
+    const auto endpoint = running->endpoint;
     m_log.warning("run_cancelled",
                   {{"batch", batch.state->index().id},
                    {"item", batch.state->item(item).id},
                    {"endpoint", endpoint},
                    {"why", why},
                    {"events", batch.state->progress(item).text.eventCount()},
-                   {"silent_ms", m_loop.now() - node.mapped().run->lastActivity()}});
+                   {"silent_ms", m_loop.now() - running->run->lastActivity()}});
     batch.state->requeue(item, endpoint, Timestamp());
     m_metrics.count("basilbend_item_runs_cancelled_total", {{"why", why}});
     scheduleSoon();
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -6,17 +6,19 @@
 #include "log/eventlog.h"
 #include "metadata/prefixfeed.h"
 #include "net/metrics.h"
+#include "scheduling/batchdemand.h"
 #include "scheduling/batchloader.h"
 #include "scheduling/endpointpace.h"
+#include "scheduling/endpointuse.h"
 #include "scheduling/itemrun.h"
 #include "scheduling/openbatch.h"
 #include "scheduling/placement.h"
 #include "scheduling/resultwriter.h"
-#include "weights/modelload.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,7 +60,10 @@
     /// What the open and recent batches ask of the endpoints, by model.
     std::map<std::string, ModelLoad> modelLoads() const;
 
-    int runningAt(const std::string &endpoint) const;
+    int runningAt(const std::string &endpoint) const
+    {
+        return m_use.running(endpoint);
+    }
 
     std::size_t openBatchCount() const
     {
@@ -89,13 +94,14 @@
     void close(const std::string &id);
     void reload(const std::string &id);
     void noteDuration(const OpenBatch &batch);
-    void noteDemand(const BatchSubmission &submission);
     void keepTexts(const OpenBatch &batch);
 
     void scheduleSoon();
     void schedule();
     std::vector<PlacementEndpoint> endpointsFor(const OpenBatch &batch, const RouteRule &route) const;
-    std::uint64_t tokensHeldAt(const std::string &endpoint) const;
+    /// Takes a run out; its connection closes when the returned value is destroyed.
+    std::optional<Running> takeRun(Batch &batch, std::size_t item);
+    static std::uint64_t expectedTokens(const BatchItem &item);
     std::string endpointOfGroup(const Batch &batch, std::size_t item) const;
     void scheduleBatch(Batch &batch);
     void noteWaiting(Batch &batch, std::size_t waiting);
@@ -125,10 +131,8 @@
     std::map<std::string, std::unique_ptr<Batch>> m_batches;
     std::map<std::string, bool> m_ended;
     std::vector<KeptText> m_kept;
-    std::map<std::string, int> m_runningAt;
-    std::map<std::string, double> m_demand;
-    /// When a step of a model last was short of places, or took more than half of its time.
-    std::map<std::string, Timestamp> m_tightAt;
+    EndpointUse m_use;
+    BatchDemand m_demand;
     EndpointPace m_pace;
     bool m_active = false;
     bool m_scheduled = false;
--- a/src/weights/weightroller.cpp
+++ b/src/weights/weightroller.cpp
@@ -146,7 +146,7 @@
     report(endpoint.id);
 }
 
-void WeightRoller::call(const std::string &endpoint, RequestMessage message, std::function<void(CallEnd)> onEnd)
+void WeightRoller::call(const std::string &endpoint, const RequestMessage &message, const std::function<void(CallEnd)> &onEnd)
 {
     auto &order = m_orders.at(endpoint);
     const auto serial = order.serial;
--- a/src/weights/weightroller.h
+++ b/src/weights/weightroller.h
@@ -88,7 +88,7 @@
     void begin(const EndpointRecord &endpoint, const std::string &model, std::uint64_t version);
     void report(const std::string &endpoint);
     void sendOrder(const std::string &endpoint);
-    void call(const std::string &endpoint, RequestMessage message, std::function<void(CallEnd)> onEnd);
+    void call(const std::string &endpoint, const RequestMessage &message, const std::function<void(CallEnd)> &onEnd);
     void acceptReport(const std::string &endpoint, CallEnd end);
     void acceptOrderAnswer(const std::string &endpoint, CallEnd end);
     void checkLater(const std::string &endpoint, Milliseconds pause);
--- a/tests/daemon/daemonsettings.cpp
+++ b/tests/daemon/daemonsettings.cpp
@@ -48,6 +48,17 @@
     BOOST_TEST(settings.value().usageDue.count() == 10000);
 }
 
+BOOST_AUTO_TEST_CASE(files_of_other_roles_are_told_apart)
+{
+    const auto name = "daemonsettings-role.yaml";
+    for (const auto &[text, expected] :
+         {std::pair{"role: gateway\n", true}, std::pair{"role: scheduler\n", true}, std::pair{"role: entry\n", false}, std::pair{"node: x\n", false}}) {
+        std::ofstream(name) << text;
+        BOOST_TEST(isDaemonSettingsFile(name) == expected);
+    }
+    std::remove(name);
+}
+
 BOOST_AUTO_TEST_CASE(each_fault_names_its_line_and_key)
 {
     for (const auto &[from, to, expected] : {std::tuple{"grace_seconds: 8.5", "grace_seconds: 0", ":12"},
--- a/tests/gateway/batchcalls.cpp
+++ b/tests/gateway/batchcalls.cpp
@@ -208,6 +208,20 @@
     }
 }
 
+// Guards against a batch without results that is answered as unknown: an empty listing does not tell whose it is.
+BOOST_FIXTURE_TEST_CASE(a_batch_without_results_is_known_at_any_gateway, BatchFixture)
+{
+    submit(0);
+    run(50);
+    for (const auto *wait : {"0", "300"}) {
+        const auto empty = read(1, 0, wait);
+        run(500);
+        BOOST_TEST(empty->status == 200);
+        BOOST_TEST(empty->json().at("total") == 2);
+        BOOST_TEST(empty->json().at("next") == 0);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(a_read_waits_for_a_result_and_ends_with_its_wait, BatchFixture)
 {
     submit(0);
