Keep the progress of long samples for a successor and remove old batches

Batches also stayed in the store for good. Change: once a second the leader writes what its long samples have generated; a successor goes on behind it. Batches are removed three minutes after their submission when they have ended, an hour after it when not.

--- a/src/batches/batchrecords.cpp
+++ b/src/batches/batchrecords.cpp
@@ -60,6 +60,11 @@
     return submissionPrefix(id) + paddedNumber(part);
 }
 
+std::string progressKey(const std::string &id)
+{
+    return "batch/progress/" + id;
+}
+
 std::string resultPrefix(const std::string &id)
 {
     return ResultPrefix + id + "/";
--- a/src/batches/batchrecords.h
+++ b/src/batches/batchrecords.h
@@ -15,6 +15,7 @@
 ///   batch/index/ID              BatchIndex, from the acceptance on; changed once, when the batch is ended
 ///   batch/submission/ID/PART    the submission as it came, in parts below the size of a value
 ///   batch/result/ID/POSITION    ResultChunk: consecutive results from that position on; never changed
+///   batch/progress/ID           what long items have generated so far, for a successor; may be old or missing
 /// A batch exists when its index exists. The position is written with leading zeros, so that key order is list order.
 namespace BatchRecords
 {
@@ -23,6 +24,7 @@
 std::string indexKey(const std::string &id);
 std::string submissionKey(const std::string &id, std::size_t part);
 std::string submissionPrefix(const std::string &id);
+std::string progressKey(const std::string &id);
 std::string resultKey(const std::string &id, std::size_t position);
 std::string resultPrefix(const std::string &id);
 
--- /dev/null
+++ b/src/scheduling/batchcleaner.cpp
@@ -0,0 +1,112 @@
+#include "scheduling/batchcleaner.h"
+
+#include "batches/batchrecords.h"
+#include "election/leaderelection.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// Entries of one change of the store.
+constexpr std::size_t MaxRemovals = 30;
+
+}
+
+BatchCleaner::BatchCleaner(MetadataStore &store, EventLoop loop, EventLog &log, std::function<std::uint64_t()> term)
+    : m_store(store)
+    , m_loop(std::move(loop))
+    , m_log(log)
+    , m_term(std::move(term))
+{
+}
+
+void BatchCleaner::noteIndex(const BatchIndex &index)
+{
+    m_known[index.id] = {Timestamp(index.submittedAtMs), index.ended};
+}
+
+void BatchCleaner::noteRemoved(const std::string &id)
+{
+    m_known.erase(id);
+}
+
+void BatchCleaner::clear()
+{
+    m_known.clear();
+}
+
+bool BatchCleaner::isDue(const Known &known) const
+{
+    return m_loop.now() - known.submittedAt > (known.ended ? EndedLife : OpenLife);
+}
+
+void BatchCleaner::poll()
+{
+    if (m_isBusy || m_term() == 0) {
+        return;
+    }
+    const auto it = std::find_if(m_known.begin(), m_known.end(), [this](const auto &entry) { return isDue(entry.second); });
+    if (it == m_known.end()) {
+        return;
+    }
+    m_isBusy = true;
+    const auto &id = it->first;
+    collect(id, {BatchRecords::submissionPrefix(id), BatchRecords::resultPrefix(id), BatchRecords::progressKey(id)}, {});
+}
+
+void BatchCleaner::collect(const std::string &id, std::vector<std::string> prefixes, std::vector<std::string> keys)
+{
+    if (prefixes.empty()) {
+        // The index goes last, so that a removal that is cut short is repeated.
+        keys.push_back(BatchRecords::indexKey(id));
+        remove(id, std::move(keys));
+        return;
+    }
+    const auto afterKey = !keys.empty() && keys.back().compare(0, prefixes.back().size(), prefixes.back()) == 0 ? keys.back() : std::string();
+    m_store.list(prefixes.back(), afterKey, [this, id, prefixes, keys](const MetadataReply &reply) mutable {
+        if (reply.status != MetadataStatus::Done) {
+            finish(id, false);
+            return;
+        }
+        for (const auto &item : reply.items) {
+            keys.push_back(item.key);
+        }
+        if (!reply.hasMore || reply.items.empty()) {
+            prefixes.pop_back();
+        }
+        collect(id, std::move(prefixes), std::move(keys));
+    });
+}
+
+void BatchCleaner::remove(const std::string &id, std::vector<std::string> keys)
+{
+    if (keys.empty()) {
+        finish(id, true);
+        return;
+    }
+    const auto n = std::min(keys.size(), MaxRemovals);
+    const MetadataChange change{{{LeaderElection::holderKey(), m_term()}}, {}, {keys.begin(), keys.begin() + static_cast<std::ptrdiff_t>(n)}};
+    keys.erase(keys.begin(), keys.begin() + static_cast<std::ptrdiff_t>(n));
+    m_store.commit(change, [this, id, keys = std::move(keys)](const MetadataReply &reply) {
+        if (reply.status == MetadataStatus::Done) {
+            remove(id, keys);
+        } else {
+            finish(id, false);
+        }
+    });
+}
+
+void BatchCleaner::finish(const std::string &id, bool removed)
+{
+    m_isBusy = false;
+    m_log.info(removed ? "batch_removed" : "batch_not_removed", {{"batch", id}});
+    if (removed) {
+        m_known.erase(id);
+    }
+}
+
+}
--- a/src/scheduling/batchloader.cpp
+++ b/src/scheduling/batchloader.cpp
@@ -12,6 +12,7 @@
 
 constexpr Milliseconds RetryPause{80};
 constexpr int LongestRetryFactor = 6;
+constexpr Milliseconds NewBatchAge{1000};
 
 }
 
@@ -26,10 +27,21 @@
 void BatchLoader::start()
 {
     readPage(BatchRecords::submissionPrefix(m_index.id), {}, m_parts, [this] {
-        readPage(BatchRecords::resultPrefix(m_index.id), {}, m_chunks, [this] { finish(); });
+        readPage(BatchRecords::resultPrefix(m_index.id), {}, m_chunks, [this] { readProgress(); });
     });
 }
 
+void BatchLoader::readProgress()
+{
+    // A batch that has just been submitted has none.
+    const bool isNew = m_chunks.empty() && m_loop.now() - Timestamp(m_index.submittedAtMs) < NewBatchAge;
+    if (isNew) {
+        finish();
+    } else {
+        readPage(BatchRecords::progressKey(m_index.id), {}, m_progress, [this] { finish(); });
+    }
+}
+
 void BatchLoader::cancel()
 {
     m_callback = nullptr;
@@ -64,7 +76,7 @@
     callback(decode());
 }
 
-Result<std::shared_ptr<OpenBatch>> BatchLoader::decode() const
+Result<LoadedBatch> BatchLoader::decode() const
 {
     std::string body;
     for (const auto &part : m_parts) {
@@ -83,7 +95,14 @@
         auto &results = decoded.value().results;
         std::move(results.begin(), results.end(), std::back_inserter(listed));
     }
-    return std::make_shared<OpenBatch>(m_index, std::move(submission.value()), listed);
+    LoadedBatch loaded{std::make_shared<OpenBatch>(m_index, std::move(submission.value()), listed), {}};
+    for (const auto &item : m_progress) {
+        // Without it the items start again from the beginning, so an unreadable one is no failure of the batch.
+        if (auto texts = decodeKeptTexts(item.value)) {
+            loaded.progress = std::move(texts.value());
+        }
+    }
+    return loaded;
 }
 
 }
--- a/src/scheduling/batchloader.h
+++ b/src/scheduling/batchloader.h
@@ -13,11 +13,18 @@
 namespace Basilbend
 {
 
+/// A batch as the store holds it.
+struct LoadedBatch {
+    std::shared_ptr<OpenBatch> batch;
+    /// What an earlier leader had generated of its long items.
+    std::vector<KeptText> progress;
+};
+
 /// Reads a batch and its listed results from the metadata store; repeats until the store answers.
 class BatchLoader : public std::enable_shared_from_this<BatchLoader>
 {
 public:
-    using Callback = std::function<void(Result<std::shared_ptr<OpenBatch>>)>;
+    using Callback = std::function<void(Result<LoadedBatch>)>;
 
     BatchLoader(MetadataStore &store, EventLoop loop, BatchIndex index, Callback callback);
 
@@ -28,8 +35,9 @@
 
 private:
     void readPage(const std::string &prefix, const std::string &afterKey, std::vector<MetadataItem> &items, std::function<void()> then);
+    void readProgress();
     void finish();
-    Result<std::shared_ptr<OpenBatch>> decode() const;
+    Result<LoadedBatch> decode() const;
 
     MetadataStore &m_store;
     EventLoop m_loop;
@@ -37,6 +45,7 @@
     Callback m_callback;
     std::vector<MetadataItem> m_parts;
     std::vector<MetadataItem> m_chunks;
+    std::vector<MetadataItem> m_progress;
     int m_failures = 0;
 };
 
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -35,6 +35,7 @@
     , m_store(store)
     , m_view(view)
     , m_hooks(std::move(hooks))
+    , m_cleaner(store, m_loop, log, m_hooks.term)
 {
 }
 
@@ -81,6 +82,7 @@
     }
     m_batches.clear();
     m_ended.clear();
+    m_cleaner.clear();
     m_kept.clear();
     m_use.clear();
 }
@@ -91,6 +93,7 @@
         const auto id = item.key.substr(std::string_view(BatchRecords::IndexPrefix).size());
         close(id);
         m_ended.erase(id);
+        m_cleaner.noteRemoved(id);
         return;
     }
     const auto index = BatchRecords::decodeIndex(item.value);
@@ -98,6 +101,7 @@
         m_log.warning("batch_unreadable", {{"key", item.key}, {"reason", index.error().message}});
         return;
     }
+    m_cleaner.noteIndex(index.value());
     if (index.value().ended) {
         m_ended[index.value().id] = true;
         close(index.value().id);
@@ -116,13 +120,12 @@
 
 void BatchRunner::load(const BatchIndex &index)
 {
-    auto loader = std::make_shared<BatchLoader>(
-        m_store, m_loop, index, [this, id = index.id](Result<std::shared_ptr<OpenBatch>> batch) { opened(id, std::move(batch)); });
+    auto loader = std::make_shared<BatchLoader>(m_store, m_loop, index, [this, id = index.id](Result<LoadedBatch> batch) { opened(id, std::move(batch)); });
     m_loading[index.id] = loader;
     loader->start();
 }
 
-void BatchRunner::opened(const std::string &id, Result<std::shared_ptr<OpenBatch>> loaded)
+void BatchRunner::opened(const std::string &id, Result<LoadedBatch> loaded)
 {
     m_loading.erase(id);
     if (!loaded) {
@@ -130,13 +133,16 @@
         return;
     }
     auto batch = std::make_unique<Batch>();
-    batch->state = std::move(loaded.value());
+    batch->state = std::move(loaded.value().batch);
     batch->openedAt = m_loop.now();
     const auto *route = routeOf(*batch->state);
     if (route != nullptr) {
-        batch->state->adopt(m_kept, rulesOf(*route));
+        auto texts = m_kept;
+        std::move(loaded.value().progress.begin(), loaded.value().progress.end(), std::back_inserter(texts));
+        batch->state->adopt(texts, rulesOf(*route));
     }
     batch->writer = std::make_shared<ResultWriter>(m_store, m_loop, m_log, batch->state, ResultWriter::Hooks{m_hooks.term, [this, id] { reload(id); }});
+    batch->progress = std::make_shared<ProgressWriter>(m_store, m_loop, m_log, batch->state, m_hooks.term);
     m_log.info("batch_opened",
                {{"batch", id},
                 {"items", batch->state->index().itemCount},
@@ -523,6 +529,7 @@
     for (const auto &[id, batch] : m_batches) {
         tickBatch(*batch);
     }
+    m_cleaner.poll();
     scheduleSoon();
     m_loop.runAfter(TickInterval, [this, generation = m_generation] {
         if (generation == m_generation) {
@@ -552,6 +559,7 @@
     }
     moveFromSlowEndpoints(batch);
     batch.writer->poll();
+    batch.progress->poll();
 }
 
 void BatchRunner::moveFromSlowEndpoints(Batch &batch)
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -6,6 +6,7 @@
 #include "log/eventlog.h"
 #include "metadata/prefixfeed.h"
 #include "net/metrics.h"
+#include "scheduling/batchcleaner.h"
 #include "scheduling/batchdemand.h"
 #include "scheduling/batchloader.h"
 #include "scheduling/endpointpace.h"
@@ -13,6 +14,7 @@
 #include "scheduling/itemrun.h"
 #include "scheduling/openbatch.h"
 #include "scheduling/placement.h"
+#include "scheduling/progresswriter.h"
 #include "scheduling/resultwriter.h"
 
 #include <functional>
@@ -82,6 +84,7 @@
     struct Batch {
         std::shared_ptr<OpenBatch> state;
         std::shared_ptr<ResultWriter> writer;
+        std::shared_ptr<ProgressWriter> progress;
         std::map<std::size_t, Running> running;
         Timestamp openedAt;
         std::size_t waiting = 0;
@@ -90,7 +93,7 @@
     void applyIndex(const MetadataItem &item);
     void open(const BatchIndex &index);
     void load(const BatchIndex &index);
-    void opened(const std::string &id, Result<std::shared_ptr<OpenBatch>> batch);
+    void opened(const std::string &id, Result<LoadedBatch> loaded);
     void close(const std::string &id);
     void reload(const std::string &id);
     void noteDuration(const OpenBatch &batch);
@@ -134,6 +137,7 @@
     EndpointUse m_use;
     BatchDemand m_demand;
     EndpointPace m_pace;
+    BatchCleaner m_cleaner;
     bool m_active = false;
     bool m_scheduled = false;
     std::uint64_t m_generation = 0;
--- a/src/scheduling/itemtext.cpp
+++ b/src/scheduling/itemtext.cpp
@@ -28,12 +28,12 @@
 
 bool ItemText::isAtLeast(std::uint64_t minimumVersion) const
 {
-    return std::all_of(m_events.begin(), m_events.end(), [minimumVersion](const Event &event) { return event.version >= minimumVersion; });
+    return std::all_of(m_events.begin(), m_events.end(), [minimumVersion](const TextEvent &event) { return event.version >= minimumVersion; });
 }
 
 bool ItemText::isOnly(std::uint64_t version) const
 {
-    return std::all_of(m_events.begin(), m_events.end(), [version](const Event &event) { return event.version == version; });
+    return std::all_of(m_events.begin(), m_events.end(), [version](const TextEvent &event) { return event.version == version; });
 }
 
 std::string ItemText::joined() const
--- a/src/scheduling/itemtext.h
+++ b/src/scheduling/itemtext.h
@@ -7,6 +7,12 @@
 namespace Basilbend
 {
 
+/// The data of one event and the version that generated it.
+struct TextEvent {
+    std::string data;
+    std::uint64_t version = 0;
+};
+
 /// The events of one item generated so far, each with the weight version that generated it. Events carry consecutive ids,
 /// so that a run that goes on elsewhere can be joined without a gap or a repeat.
 class ItemText
@@ -21,6 +27,11 @@
         return m_events.empty() ? 0 : m_lastId;
     }
 
+    const std::vector<TextEvent> &events() const
+    {
+        return m_events;
+    }
+
     std::size_t eventCount() const
     {
         return m_events.size();
@@ -41,12 +52,7 @@
     void clear();
 
 private:
-    struct Event {
-        std::string data;
-        std::uint64_t version = 0;
-    };
-
-    std::vector<Event> m_events;
+    std::vector<TextEvent> m_events;
     std::uint64_t m_lastId = 0;
 };
 
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -149,6 +149,29 @@
     m_listed += n;
 }
 
+std::vector<KeptText> OpenBatch::progressTexts(std::size_t maxBytes) const
+{
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < m_progress.size(); ++i) {
+        if (m_progress[i].phase != ItemPhase::Decided && m_progress[i].text.eventCount() > 0) {
+            order.push_back(i);
+        }
+    }
+    std::sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) { return m_progress[a].text.eventCount() > m_progress[b].text.eventCount(); });
+    std::vector<KeptText> texts;
+    std::size_t bytes = 0;
+    for (const auto i : order) {
+        for (const auto &event : m_progress[i].text.events()) {
+            bytes += event.data.size();
+        }
+        if (bytes > maxBytes) {
+            break;
+        }
+        texts.push_back({m_submission.items[i].id, m_progress[i].text, false});
+    }
+    return texts;
+}
+
 std::vector<KeptText> OpenBatch::textsToKeep() const
 {
     std::map<std::string, bool> groupIsComplete;
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "batches/batch.h"
-#include "scheduling/itemtext.h"
+#include "scheduling/kepttext.h"
 
 #include <cstddef>
 #include <deque>
@@ -35,13 +35,6 @@
     Timestamp notBefore;
 };
 
-/// Text of an item whose batch has ended, kept because the item may come again in a later batch.
-struct KeptText {
-    std::string itemId;
-    ItemText text;
-    bool isComplete = false;
-};
-
 /// What the rules of its route say of a batch.
 struct BatchRules {
     int attempts = 1;
@@ -129,6 +122,9 @@
     /// The first n pending results are listed.
     void noteListed(std::size_t n);
 
+    /// What long items have generated so far, longest first, at most this many bytes.
+    std::vector<KeptText> progressTexts(std::size_t maxBytes) const;
+
     /// What may be of use when items come again: text of items in groups that are not complete.
     std::vector<KeptText> textsToKeep() const;
 
--- /dev/null
+++ b/tests/scheduling/batchlife.cpp
@@ -0,0 +1,161 @@
+#include "scheduling/batchcleaner.h"
+#include "scheduling/batchloader.h"
+#include "scheduling/progresswriter.h"
+
+#include "batches/batchrecords.h"
+#include "election/leaderelection.h"
+#include "metadata/fakemetadatastore.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+constexpr const char *SubmissionText = R"({"model":"m","minimum_version":5,"items":[{"id":"i1","path":"/p"},{"id":"i2","path":"/p"},{"id":"i3","path":"/p"}]})";
+
+struct LifeFixture {
+    VirtualTime time{Timestamp(1'000'000)};
+    FakeMetadataStore store{time};
+    EventLog log{EventLogSettings(), [this] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); }};
+    std::uint64_t term = 0;
+    BatchIndex index = makeIndex();
+
+    LifeFixture()
+    {
+        store.put(LeaderElection::holderKey(), "me");
+        term = store.peek(LeaderElection::holderKey())->revision;
+        write();
+    }
+
+    static BatchIndex makeIndex()
+    {
+        BatchIndex result;
+        result.id = "b";
+        result.submittedAtMs = 1'000'000;
+        result.itemCount = 3;
+        result.parts = 2;
+        return result;
+    }
+
+    void write()
+    {
+        const std::string text = SubmissionText;
+        store.put(BatchRecords::indexKey("b"), BatchRecords::encodeIndex(index));
+        store.put(BatchRecords::submissionKey("b", 0), text.substr(0, 40));
+        store.put(BatchRecords::submissionKey("b", 1), text.substr(40));
+    }
+
+    std::optional<LoadedBatch> load(int ms = 200)
+    {
+        std::optional<LoadedBatch> loaded;
+        const auto loader = std::make_shared<BatchLoader>(store, virtualLoop(time), index, [&loaded](Result<LoadedBatch> batch) { loaded = batch.value(); });
+        loader->start();
+        time.advance(Milliseconds(ms));
+        loader->cancel();
+        return loaded;
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(scheduling, *boost::unit_test::label("scheduling"))
+
+BOOST_FIXTURE_TEST_CASE(a_batch_is_loaded_with_what_is_listed_through_an_outage, LifeFixture)
+{
+    store.put(BatchRecords::resultKey("b", 0), BatchRecords::encodeChunk({"w", 3, {{"i2", ItemOutcome::Completed, "t", {5}}}}));
+    store.faults.refuses = true;
+    time.schedule(Milliseconds(1500), [this] { store.faults.refuses = false; });
+    const auto loaded = load(3000);
+    BOOST_REQUIRE(loaded.has_value());
+    BOOST_TEST(loaded->batch->submission().items.size() == 3U);
+    BOOST_TEST(loaded->batch->listedCount() == 1U);
+    BOOST_TEST((loaded->batch->progress(1).phase == ItemPhase::Decided));
+}
+
+// Guards against long samples that a successor starts again: they would come after the step's time.
+BOOST_FIXTURE_TEST_CASE(a_successor_goes_on_behind_what_was_written_of_long_items, LifeFixture)
+{
+    auto first = load();
+    const auto writer = std::make_shared<ProgressWriter>(store, virtualLoop(time), log, first->batch, [this] { return term; });
+    first->batch->progress(0).phase = ItemPhase::Running;
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        first->batch->addEvent(0, id, "e" + std::to_string(id), id < 20 ? 5 : 6, {});
+    }
+    for (int i = 0; i < 40; ++i) {
+        writer->poll();
+        time.advance(Milliseconds(100));
+    }
+    BOOST_TEST(store.peek(BatchRecords::progressKey("b")) != nullptr);
+    auto second = load();
+    second->batch->adopt(second->progress, {});
+    BOOST_TEST(second->batch->progress(0).text.lastEventId() == 40U);
+    BOOST_TEST((second->batch->progress(0).text.versions() == std::vector<std::uint64_t>{5, 6}));
+    BOOST_TEST(second->batch->progress(2).text.eventCount() == 0U);
+    second->batch->progress(0).phase = ItemPhase::Running;
+    BOOST_TEST(second->batch->addEvent(0, 41, "e41", 6, {}));
+    second->batch->complete(0);
+    const auto text = second->batch->nextResults(10000).at(0).text;
+    BOOST_TEST(text.substr(0, 6) == "e1\ne2\n");
+    BOOST_TEST(text.substr(text.size() - 4) == "\ne41");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_unreadable_progress_costs_nothing_but_time, LifeFixture)
+{
+    time.advance(Milliseconds(2000));
+    store.put(BatchRecords::progressKey("b"), "not json");
+    const auto loaded = load();
+    BOOST_REQUIRE(loaded.has_value());
+    BOOST_TEST(loaded->progress.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_deposed_leader_writes_no_progress, LifeFixture)
+{
+    auto loaded = load();
+    const auto writer = std::make_shared<ProgressWriter>(store, virtualLoop(time), log, loaded->batch, [this] { return term; });
+    store.put(LeaderElection::holderKey(), "another");
+    loaded->batch->progress(0).phase = ItemPhase::Running;
+    loaded->batch->addEvent(0, 1, "e1", 5, {});
+    time.advance(Milliseconds(3000));
+    writer->poll();
+    time.advance(Milliseconds(100));
+    BOOST_TEST(store.peek(BatchRecords::progressKey("b")) == nullptr);
+}
+
+// Guards against a store that fills with old batches, and against results that vanish while they may still be read.
+BOOST_FIXTURE_TEST_CASE(batches_are_removed_whole_when_their_time_is_over, LifeFixture)
+{
+    for (std::size_t position = 0; position < 70; ++position) {
+        store.put(BatchRecords::resultKey("b", position), "chunk");
+    }
+    index.ended = true;
+    BatchCleaner cleaner(store, virtualLoop(time), log, [this] { return term; });
+    cleaner.noteIndex(index);
+    time.advance(BatchCleaner::EndedLife - Milliseconds(1000));
+    cleaner.poll();
+    time.advance(Milliseconds(500));
+    BOOST_TEST(store.keysBelow("batch/").size() == 73U);
+    time.advance(Milliseconds(2000));
+    cleaner.poll();
+    time.advance(Milliseconds(1000));
+    BOOST_TEST(store.keysBelow("batch/").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(an_open_batch_is_kept_long_and_a_follower_removes_nothing, LifeFixture)
+{
+    BatchCleaner cleaner(store, virtualLoop(time), log, [this] { return term; });
+    cleaner.noteIndex(index);
+    time.advance(BatchCleaner::EndedLife * 2);
+    cleaner.poll();
+    time.advance(Milliseconds(500));
+    BOOST_TEST(store.keysBelow("batch/").size() == 3U);
+    index.ended = true;
+    cleaner.noteIndex(index);
+    store.put(LeaderElection::holderKey(), "another");
+    cleaner.poll();
+    time.advance(Milliseconds(500));
+    BOOST_TEST(store.keysBelow("batch/").size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
