Split the batch runner and share what reads sockets and files

Cause: batchrunner.cpp had grown to 590 lines with two jobs; the server's and the client's reading of a socket, and three readers of whole files, stood twice. Change: BatchWatch follows the batches in the store, BatchRunner runs them; SocketReader and readTextFile serve all.

--- a/src/app/settingsfile.cpp
+++ b/src/app/settingsfile.cpp
@@ -1,27 +1,24 @@
 #include "app/settingsfile.h"
 
 #include "app/exitcode.h"
+#include "base/textfile.h"
 #include "config/settingsreader.h"
 #include "entry/entrysettingsreader.h"
 #include "sidecar/sidecarsettingsreader.h"
 
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace Basilbend
 {
 
 Result<SettingsFile> readSettingsFile(const std::string &fileName)
 {
-    std::ifstream input(fileName);
-    if (!input) {
+    const auto text = readTextFile(fileName);
+    if (!text) {
         return Error{ResultCode::SettingsInvalid, fileName + ": can't be read"};
     }
-    std::ostringstream text;
-    text << input.rdbuf();
-    SettingsReader reader(text.str(), fileName);
+    SettingsReader reader(*text, fileName);
     SettingsFile file;
     if (reader.oneOf("role", {"entry", "sidecar"}, "entry") == "sidecar") {
         file.sidecar = readSidecarSettings(reader);
--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemonruntime.h"
 
 #include "base/systemclock.h"
+#include "base/textfile.h"
 #include "http/socketoptions.h"
 
 #include <algorithm>
@@ -8,7 +9,6 @@
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
-#include <fstream>
 #include <poll.h>
 #include <random>
 #include <sstream>
@@ -28,14 +28,6 @@
 constexpr int FlushesPerSettingsCheck = 4;
 constexpr int FlushesPerCountsLine = 40;
 
-std::string readFile(const std::string &fileName)
-{
-    std::ifstream input(fileName);
-    std::ostringstream text;
-    text << input.rdbuf();
-    return text.str();
-}
-
 EventLoop makeLoop(asio::io_context &io)
 {
     EventLoop loop;
@@ -84,7 +76,7 @@
 
 DaemonRuntime::DaemonRuntime(std::string settingsFile, DaemonSettings settings)
     : m_settingsFile(std::move(settingsFile))
-    , m_settingsText(readFile(m_settingsFile))
+    , m_settingsText(readTextFile(m_settingsFile).value_or(std::string()))
     , m_settings(std::move(settings))
     , m_incarnation(makeIncarnation())
     , m_io(1)
@@ -193,11 +185,11 @@
 
 void DaemonRuntime::reload(const char *why)
 {
-    auto text = readFile(m_settingsFile);
-    if (text == m_settingsText) {
+    const auto text = readTextFile(m_settingsFile);
+    if (!text || *text == m_settingsText) {
         return;
     }
-    m_settingsText = std::move(text);
+    m_settingsText = *text;
     auto settings = readDaemonSettings(m_settingsFile, m_settings.role);
     if (!settings) {
         m_log.warning("settings_refused", {{"why", why}, {"reason", settings.error().message}});
--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -1,10 +1,9 @@
 #include "daemon/daemonsettings.h"
 
+#include "base/textfile.h"
 #include "config/settingsreader.h"
 
 #include <cmath>
-#include <fstream>
-#include <sstream>
 #include <tuple>
 
 namespace Basilbend
@@ -55,13 +54,11 @@
 
 Result<DaemonSettings> readDaemonSettings(const std::string &fileName, const std::string &role)
 {
-    std::ifstream input(fileName);
-    if (!input) {
+    const auto text = readTextFile(fileName);
+    if (!text) {
         return Error{ResultCode::SettingsInvalid, fileName + ": can't be read"};
     }
-    std::ostringstream text;
-    text << input.rdbuf();
-    SettingsReader reader(text.str(), fileName);
+    SettingsReader reader(*text, fileName);
     DaemonSettings settings;
     settings.role = reader.oneOf("role", {"gateway", "scheduler"}, role);
     if (!role.empty() && settings.role != role) {
@@ -95,10 +92,7 @@
 
 bool isDaemonSettingsFile(const std::string &fileName)
 {
-    std::ifstream input(fileName);
-    std::ostringstream text;
-    text << input.rdbuf();
-    SettingsReader reader(text.str(), fileName);
+    SettingsReader reader(readTextFile(fileName).value_or(std::string()), fileName);
     return reader.has("role") && !reader.oneOf("role", {"gateway", "scheduler"}, {}).empty();
 }
 
--- a/src/http/clientchannel.cpp
+++ b/src/http/clientchannel.cpp
@@ -3,7 +3,6 @@
 #include "http/socketoptions.h"
 
 #include <algorithm>
-#include <array>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
@@ -15,14 +14,6 @@
 namespace
 {
 
-constexpr std::size_t ReadBufferBytes = 64 * 1024;
-
-/// Reads for one wake-up, so that a fast server does not keep the loop from its other work.
-constexpr int ReadsAtOnce = 8;
-
-/// One thread runs all channels, and the bytes are used up before the next read.
-std::array<char, ReadBufferBytes> readBuffer;
-
 /// The number behind "timeout=" in a Keep-Alive field, in milliseconds; zero when there is none.
 Milliseconds keepAliveTimeOf(std::string_view text)
 {
@@ -62,6 +53,7 @@
                {[this](MessageHead &&head) { acceptHead(std::move(head)); },
                 [this](std::string_view data) { acceptBody(data); },
                 [this] { m_messageComplete = true; }})
+    , m_reader(m_socket, {[this](std::string_view bytes) { feed(bytes); }, [this](bool inOrder) { streamEnded(inOrder); }, [this] { return !m_closed; }})
     , m_onIdle(std::move(onIdle))
     , m_onClosed(std::move(onClosed))
 {
@@ -103,7 +95,7 @@
         }
         self->m_connected = true;
         applyConnectionOptions(self->m_socket);
-        self->waitReadable();
+        self->m_reader.wait(self);
         self->writeRequest();
     });
 }
@@ -120,40 +112,6 @@
     });
 }
 
-void ClientChannel::waitReadable()
-{
-    if (m_waiting || m_closed) {
-        return;
-    }
-    m_waiting = true;
-    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code &ec) {
-        self->m_waiting = false;
-        if (!ec && !self->m_closed) {
-            self->readAvailable();
-        }
-    });
-}
-
-void ClientChannel::readAvailable()
-{
-    for (int reads = 0; reads < ReadsAtOnce && !m_closed; ++reads) {
-        asio::error_code ec;
-        const auto n = m_socket.read_some(asio::buffer(readBuffer), ec);
-        if (ec == asio::error::would_block || ec == asio::error::interrupted) {
-            break;
-        }
-        if (ec) {
-            streamEnded(ec == asio::error::eof);
-            return;
-        }
-        feed({readBuffer.data(), n});
-        if (n < readBuffer.size()) {
-            break;
-        }
-    }
-    waitReadable();
-}
-
 void ClientChannel::feed(std::string_view bytes)
 {
     while (!bytes.empty() && !m_closed) {
--- a/src/http/clientchannel.h
+++ b/src/http/clientchannel.h
@@ -3,6 +3,7 @@
 #include "base/timestamp.h"
 #include "http/clientcall.h"
 #include "http/messageparser.h"
+#include "http/socketreader.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -51,8 +52,6 @@
 private:
     void connect(Milliseconds timeout);
     void writeRequest();
-    void waitReadable();
-    void readAvailable();
     void feed(std::string_view bytes);
     void acceptHead(MessageHead &&head);
     void acceptBody(std::string_view data);
@@ -65,6 +64,7 @@
     asio::ip::tcp::endpoint m_server;
     asio::steady_timer m_connectTimer;
     MessageParser m_parser;
+    SocketReader m_reader;
     IdleHook m_onIdle;
     ClosedHook m_onClosed;
     /// Shared with the calls into it, because a hook may cancel its own call.
@@ -74,7 +74,6 @@
     bool m_connected = false;
     bool m_closed = false;
     bool m_busy = false;
-    bool m_waiting = false;
     bool m_requestWritten = false;
     bool m_responseKeepsAlive = false;
     bool m_responseStarted = false;
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -2,7 +2,6 @@
 
 #include "http/socketoptions.h"
 
-#include <array>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
@@ -20,11 +19,6 @@
 /// dropped for this time.
 constexpr Milliseconds LingerTime{400};
 
-constexpr std::size_t ReadBufferBytes = 64 * 1024;
-
-/// One thread runs all sessions, and the bytes are used up before the next read.
-std::array<char, ReadBufferBytes> readBuffer;
-
 std::size_t headBytes(const MessageHead &head)
 {
     std::size_t n = head.target.size();
@@ -42,6 +36,10 @@
     , m_timer(m_socket.get_executor())
     , m_parser(MessageParser::Kind::Request,
                {[this](MessageHead &&head) { acceptHead(std::move(head)); }, [this](std::string_view data) { acceptBody(data); }, [this] { acceptMessage(); }})
+    , m_reader(m_socket,
+               {[this](std::string_view bytes) { acceptBytes(bytes); },
+                [this](bool) { clientLeft(); },
+                [this] { return !m_closed && m_input.size() < MaxPipelinedBytes; }})
 {
 }
 
@@ -68,41 +66,18 @@
 
 void ServerSession::waitReadable()
 {
-    if (m_waiting || m_closed) {
-        return;
-    }
-    m_waiting = true;
-    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code &ec) {
-        self->m_waiting = false;
-        if (!ec && !self->m_closed) {
-            self->readAvailable();
-        }
-    });
+    m_reader.wait(shared_from_this());
 }
 
-void ServerSession::readAvailable()
+void ServerSession::acceptBytes(std::string_view bytes)
 {
-    asio::error_code ec;
-    const auto n = m_socket.read_some(asio::buffer(readBuffer), ec);
-    if (ec == asio::error::would_block || ec == asio::error::interrupted) {
-        waitReadable();
-        return;
-    }
-    if (ec) {
-        clientLeft();
-        return;
-    }
     if (m_lingering) {
-        waitReadable();
         return;
     }
-    m_input.append(readBuffer.data(), n);
+    m_input.append(bytes);
     if (!m_exchange) {
         feedInput();
     }
-    if (!m_closed && m_input.size() < MaxPipelinedBytes) {
-        waitReadable();
-    }
 }
 
 void ServerSession::feedInput()
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -3,6 +3,7 @@
 #include "base/timestamp.h"
 #include "http/messageparser.h"
 #include "http/serverexchange.h"
+#include "http/socketreader.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -61,7 +62,7 @@
     Persistence persistenceOf(const ServerExchange &exchange);
 
     void waitReadable();
-    void readAvailable();
+    void acceptBytes(std::string_view bytes);
     void feedInput();
     void acceptHead(MessageHead &&head);
     void acceptBody(std::string_view data);
@@ -81,13 +82,13 @@
     /// The idle limit that the running wait ends at.
     Milliseconds m_idleLimit{0};
     MessageParser m_parser;
+    SocketReader m_reader;
     RequestMessage m_request;
     std::shared_ptr<ServerExchange> m_exchange;
     /// Bytes behind the current request, up to MaxPipelinedBytes.
     std::string m_input;
     std::string m_output;
     std::string m_writing;
-    bool m_waiting = false;
     bool m_closed = false;
     bool m_closeAfterWrite = false;
     bool m_requestKeepsAlive = true;
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -10,7 +10,6 @@
 namespace
 {
 
-constexpr Milliseconds IndexWatchSpan{5000};
 constexpr Milliseconds TickInterval{100};
 /// A run without a byte for this long is given up. Longer than a change of weights, during which a run may pause.
 constexpr Milliseconds SilenceLimit{1800};
@@ -35,7 +34,10 @@
     , m_store(store)
     , m_view(view)
     , m_hooks(std::move(hooks))
-    , m_cleaner(store, m_loop, log, m_hooks.term)
+    , m_watch(store,
+              m_loop,
+              log,
+              {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
 {
 }
 
@@ -46,20 +48,7 @@
     }
     m_active = true;
     ++m_generation;
-    m_feed = std::make_unique<PrefixFeed>(m_store,
-                                          m_loop,
-                                          BatchRecords::IndexPrefix,
-                                          IndexWatchSpan,
-                                          PrefixFeedHooks{[this](const std::vector<MetadataItem> &items) {
-                                                              for (const auto &item : items) {
-                                                                  applyIndex(item);
-                                                              }
-                                                          },
-                                                          [this](const MetadataItem &item) { applyIndex(item); },
-                                                          [this](bool reachable) {
-                                                              m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "batches"}});
-                                                          }});
-    m_feed->start();
+    m_watch.start();
     tick();
 }
 
@@ -70,75 +59,24 @@
     }
     m_active = false;
     ++m_generation;
-    m_feed->stop();
-    // Answers to its calls may still come.
-    m_stoppedFeeds.push_back(std::move(m_feed));
-    for (auto &[id, loader] : m_loading) {
-        loader->cancel();
-    }
-    m_loading.clear();
+    m_watch.stop();
     for (auto &[id, batch] : m_batches) {
         batch->writer->stop();
     }
     m_batches.clear();
-    m_ended.clear();
-    m_cleaner.clear();
     m_kept.clear();
     m_use.clear();
 }
 
-void BatchRunner::applyIndex(const MetadataItem &item)
-{
-    if (item.isRemoval) {
-        const auto id = item.key.substr(std::string_view(BatchRecords::IndexPrefix).size());
-        close(id);
-        m_ended.erase(id);
-        m_cleaner.noteRemoved(id);
-        return;
-    }
-    const auto index = BatchRecords::decodeIndex(item.value);
-    if (!index) {
-        m_log.warning("batch_unreadable", {{"key", item.key}, {"reason", index.error().message}});
-        return;
-    }
-    m_cleaner.noteIndex(index.value());
-    if (index.value().ended) {
-        m_ended[index.value().id] = true;
-        close(index.value().id);
-    } else {
-        open(index.value());
-    }
-}
-
-void BatchRunner::open(const BatchIndex &index)
+void BatchRunner::open(const std::string &id, LoadedBatch loaded)
 {
-    const bool isKnown = m_batches.count(index.id) > 0 || m_loading.count(index.id) > 0 || m_ended.count(index.id) > 0;
-    if (!isKnown) {
-        load(index);
-    }
-}
-
-void BatchRunner::load(const BatchIndex &index)
-{
-    auto loader = std::make_shared<BatchLoader>(m_store, m_loop, index, [this, id = index.id](Result<LoadedBatch> batch) { opened(id, std::move(batch)); });
-    m_loading[index.id] = loader;
-    loader->start();
-}
-
-void BatchRunner::opened(const std::string &id, Result<LoadedBatch> loaded)
-{
-    m_loading.erase(id);
-    if (!loaded) {
-        m_log.warning("batch_unreadable", {{"batch", id}, {"reason", loaded.error().message}});
-        return;
-    }
     auto batch = std::make_unique<Batch>();
-    batch->state = std::move(loaded.value().batch);
+    batch->state = std::move(loaded.batch);
     batch->openedAt = m_loop.now();
     const auto *route = routeOf(*batch->state);
     if (route != nullptr) {
         auto texts = m_kept;
-        std::move(loaded.value().progress.begin(), loaded.value().progress.end(), std::back_inserter(texts));
+        std::move(loaded.progress.begin(), loaded.progress.end(), std::back_inserter(texts));
         batch->state->adopt(texts, rulesOf(*route));
     }
     batch->writer = std::make_shared<ResultWriter>(m_store, m_loop, m_log, batch->state, ResultWriter::Hooks{m_hooks.term, [this, id] { reload(id); }});
@@ -175,10 +113,6 @@
 
 void BatchRunner::close(const std::string &id)
 {
-    if (const auto it = m_loading.find(id); it != m_loading.end()) {
-        it->second->cancel();
-        m_loading.erase(it);
-    }
     const auto it = m_batches.find(id);
     if (it == m_batches.end()) {
         return;
@@ -205,7 +139,7 @@
     }
     const auto index = batch->state->index();
     close(id);
-    load(index);
+    m_watch.reload(index);
 }
 
 BatchRunner::Batch *BatchRunner::find(const std::string &id)
@@ -529,7 +463,7 @@
     for (const auto &[id, batch] : m_batches) {
         tickBatch(*batch);
     }
-    m_cleaner.poll();
+    m_watch.poll();
     scheduleSoon();
     m_loop.runAfter(TickInterval, [this, generation = m_generation] {
         if (generation == m_generation) {
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -4,11 +4,9 @@
 #include "catalog/systemview.h"
 #include "http/webclient.h"
 #include "log/eventlog.h"
-#include "metadata/prefixfeed.h"
 #include "net/metrics.h"
-#include "scheduling/batchcleaner.h"
 #include "scheduling/batchdemand.h"
-#include "scheduling/batchloader.h"
+#include "scheduling/batchwatch.h"
 #include "scheduling/endpointpace.h"
 #include "scheduling/endpointuse.h"
 #include "scheduling/itemrun.h"
@@ -90,10 +88,7 @@
         std::size_t waiting = 0;
     };
 
-    void applyIndex(const MetadataItem &item);
-    void open(const BatchIndex &index);
-    void load(const BatchIndex &index);
-    void opened(const std::string &id, Result<LoadedBatch> loaded);
+    void open(const std::string &id, LoadedBatch loaded);
     void close(const std::string &id);
     void reload(const std::string &id);
     void noteDuration(const OpenBatch &batch);
@@ -128,16 +123,12 @@
     MetadataStore &m_store;
     SystemView &m_view;
     BatchRunnerHooks m_hooks;
-    std::unique_ptr<PrefixFeed> m_feed;
-    std::vector<std::unique_ptr<PrefixFeed>> m_stoppedFeeds;
-    std::map<std::string, std::shared_ptr<BatchLoader>> m_loading;
+    BatchWatch m_watch;
     std::map<std::string, std::unique_ptr<Batch>> m_batches;
-    std::map<std::string, bool> m_ended;
     std::vector<KeptText> m_kept;
     EndpointUse m_use;
     BatchDemand m_demand;
     EndpointPace m_pace;
-    BatchCleaner m_cleaner;
     bool m_active = false;
     bool m_scheduled = false;
     std::uint64_t m_generation = 0;
--- /dev/null
+++ b/src/scheduling/batchwatch.cpp
@@ -0,0 +1,122 @@
+#include "scheduling/batchwatch.h"
+
+#include "batches/batchrecords.h"
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds IndexWatchSpan{5000};
+
+}
+
+BatchWatch::BatchWatch(MetadataStore &store, EventLoop loop, EventLog &log, BatchWatchHooks hooks)
+    : m_store(store)
+    , m_loop(std::move(loop))
+    , m_log(log)
+    , m_hooks(std::move(hooks))
+    , m_cleaner(store, m_loop, log, m_hooks.term)
+{
+}
+
+void BatchWatch::start()
+{
+    PrefixFeedHooks hooks;
+    hooks.onSnapshot = [this](const std::vector<MetadataItem> &items) {
+        for (const auto &item : items) {
+            applyIndex(item);
+        }
+    };
+    hooks.onChange = [this](const MetadataItem &item) { applyIndex(item); };
+    hooks.onReachable = [this](bool reachable) { m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "batches"}}); };
+    m_feed = std::make_unique<PrefixFeed>(m_store, m_loop, BatchRecords::IndexPrefix, IndexWatchSpan, std::move(hooks));
+    m_feed->start();
+}
+
+void BatchWatch::stop()
+{
+    if (!m_feed) {
+        return;
+    }
+    m_feed->stop();
+    m_stoppedFeeds.push_back(std::move(m_feed));
+    for (auto &[id, loader] : m_loading) {
+        loader->cancel();
+    }
+    m_loading.clear();
+    m_opened.clear();
+    m_ended.clear();
+    m_cleaner.clear();
+}
+
+void BatchWatch::poll()
+{
+    m_cleaner.poll();
+}
+
+void BatchWatch::applyIndex(const MetadataItem &item)
+{
+    if (item.isRemoval) {
+        const auto id = item.key.substr(std::string_view(BatchRecords::IndexPrefix).size());
+        end(id);
+        m_ended.erase(id);
+        m_cleaner.noteRemoved(id);
+        return;
+    }
+    const auto index = BatchRecords::decodeIndex(item.value);
+    if (!index) {
+        m_log.warning("batch_unreadable", {{"key", item.key}, {"reason", index.error().message}});
+        return;
+    }
+    m_cleaner.noteIndex(index.value());
+    if (index.value().ended) {
+        m_ended.insert(index.value().id);
+        end(index.value().id);
+        return;
+    }
+    const auto &id = index.value().id;
+    const bool isKnown = m_opened.count(id) > 0 || m_loading.count(id) > 0 || m_ended.count(id) > 0;
+    if (!isKnown) {
+        load(index.value());
+    }
+}
+
+void BatchWatch::load(const BatchIndex &index)
+{
+    const auto loader =
+        std::make_shared<BatchLoader>(m_store, m_loop, index, [this, id = index.id](Result<LoadedBatch> loaded) { finishLoad(id, std::move(loaded)); });
+    m_loading[index.id] = loader;
+    loader->start();
+}
+
+void BatchWatch::finishLoad(const std::string &id, Result<LoadedBatch> loaded)
+{
+    m_loading.erase(id);
+    if (!loaded) {
+        m_log.warning("batch_unreadable", {{"batch", id}, {"reason", loaded.error().message}});
+        return;
+    }
+    m_opened.insert(id);
+    m_hooks.onOpened(id, std::move(loaded.value()));
+}
+
+void BatchWatch::reload(const BatchIndex &index)
+{
+    m_opened.erase(index.id);
+    load(index);
+}
+
+void BatchWatch::end(const std::string &id)
+{
+    if (const auto it = m_loading.find(id); it != m_loading.end()) {
+        it->second->cancel();
+        m_loading.erase(it);
+    }
+    if (m_opened.erase(id) > 0) {
+        m_hooks.onEnded(id);
+    }
+}
+
+}
