Bound what ended calls and batches keep

Cause, from reading the code: the time-limit timer of an ended live call kept its body for up to ten seconds; texts of ended batches were bounded by count, which can be 75 MB of a host that has 130; the cache of results never forgot small batches. Change: the timers hold no call; kept texts have 8 MB; the cache has 1000 entries.

--- a/bench/batchpath.cpp
+++ b/bench/batchpath.cpp
@@ -47,10 +47,12 @@
     const auto submission = makeSubmission();
     std::printf("submission of %zu bytes\n", submission.size());
     std::vector<ItemResult> results;
+    results.reserve(Items);
     for (int i = 0; i < Items; ++i) {
         results.push_back({"e5b2907c14da" + std::to_string(i), ItemOutcome::Completed, std::string(2400, 'x'), {6, 7}});
     }
     std::vector<const ItemResult *> pointers;
+    pointers.reserve(Items);
     for (const auto &result : results) {
         pointers.push_back(&result);
     }
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -77,7 +77,12 @@
             call->finish("client_left", 0);
         }
     };
-    m_context.loop.runAfter(std::max(timeLeft(), Milliseconds(1)), [self = shared_from_this()] { self->onTimeout(); });
+    // The call is kept by its tries; the timers of an ended one must not keep its body.
+    m_context.loop.runAfter(std::max(timeLeft(), Milliseconds(1)), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onTimeout();
+        }
+    });
     launch();
 }
 
@@ -166,18 +171,26 @@
     if (!mayHedge) {
         return;
     }
-    m_context.loop.runAfter(m_route.latencyTarget / 2, [self = shared_from_this(), tries = m_tries.size()] {
-        const bool stillOpen = !self->m_done && self->m_tries.size() == tries && !self->m_tries.back()->ended && !self->m_tries.back()->hasHead;
-        if (stillOpen && self->m_ranTries + self->openTries() < self->m_route.attempts) {
-            self->m_context.log.info("request_hedged", {{"request", self->m_request.attemptId}, {"slow_endpoint", self->m_tries.back()->endpoint.id}});
-            const auto ready = self->m_context.view.endpoints().readyOf(self->m_service);
-            if (const auto *other = self->m_context.picker.pick(ready, self->m_excluded, self->m_context.loop.now())) {
-                self->send(*other);
-            }
+    m_context.loop.runAfter(m_route.latencyTarget / 2, [weak = weak_from_this(), tries = m_tries.size()] {
+        if (const auto self = weak.lock()) {
+            self->hedge(tries);
         }
     });
 }
 
+void LiveCall::hedge(std::size_t tries)
+{
+    const bool isWaiting = !m_done && m_tries.size() == tries && !m_tries.back()->ended && !m_tries.back()->hasHead;
+    if (!isWaiting || m_ranTries + openTries() >= m_route.attempts) {
+        return;
+    }
+    const auto ready = m_context.view.endpoints().readyOf(m_service);
+    if (const auto *other = m_context.picker.pick(ready, m_excluded, m_context.loop.now())) {
+        m_context.log.info("request_hedged", {{"request", m_request.attemptId}, {"slow_endpoint", m_tries.back()->endpoint.id}});
+        send(*other);
+    }
+}
+
 void LiveCall::acceptHead(std::size_t index, const ResponseHead &head)
 {
     auto &attempt = *m_tries[index];
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -49,6 +49,8 @@
     void decide(std::size_t index, TryOutcome outcome);
     void waitForRoom();
     void armHedge();
+    /// Tries a second endpoint when the first has given no sign for half of the latency target.
+    void hedge(std::size_t tries);
     void onTimeout();
     void noteBegan(Timestamp at);
 
--- a/src/gateway/resultcache.cpp
+++ b/src/gateway/resultcache.cpp
@@ -129,7 +129,7 @@
     const auto span = std::min(LongestWatch, until - now);
     entry->isBusy = true;
     m_context.store.watch(
-        BatchRecords::resultPrefix(entry->batch), entry->revision, span, [this, entry](MetadataReply reply) { acceptWatch(entry, std::move(reply)); });
+        BatchRecords::resultPrefix(entry->batch), entry->revision, span, [this, entry](const MetadataReply &reply) { acceptWatch(entry, reply); });
 }
 
 void ResultCache::acceptWatch(const EntryPtr &entry, const MetadataReply &reply)
@@ -214,7 +214,7 @@
 
 void ResultCache::evict()
 {
-    while (m_bytes > MaxBytes) {
+    while (m_bytes > MaxBytes || m_entries.size() > MaxEntries) {
         auto oldest = m_entries.end();
         for (auto it = m_entries.begin(); it != m_entries.end(); ++it) {
             const bool isIdle = it->second->waiters.empty() && !it->second->isBusy;
--- a/src/gateway/resultcache.h
+++ b/src/gateway/resultcache.h
@@ -43,6 +43,7 @@
 
     /// Bytes of result text kept; the batch that was read longest ago goes first.
     static constexpr std::size_t MaxBytes = 12 * 1024 * 1024;
+    static constexpr std::size_t MaxEntries = 1000;
 
 private:
     struct Waiter {
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -19,6 +19,7 @@
 constexpr int MovesPerTick = 12;
 /// Texts of ended batches that are kept for items that may come again.
 constexpr std::size_t MaxKeptTexts = 1500;
+constexpr std::size_t MaxKeptBytes = 8 * 1024 * 1024;
 /// Waiting items looked at in one round of a batch.
 constexpr std::size_t MaxWaitingInRound = 512;
 /// Part of an endpoint's memory that expected tokens may fill; estimates are often too low.
@@ -65,6 +66,7 @@
     }
     m_batches.clear();
     m_kept.clear();
+    m_keptBytes = 0;
     m_use.clear();
 }
 
@@ -75,7 +77,7 @@
     batch->openedAt = m_loop.now();
     const auto *route = routeOf(*batch->state);
     if (route != nullptr) {
-        auto texts = m_kept;
+        std::vector<KeptText> texts(m_kept.begin(), m_kept.end());
         std::move(loaded.progress.begin(), loaded.progress.end(), std::back_inserter(texts));
         batch->state->adopt(texts, rulesOf(*route));
     }
@@ -104,10 +106,13 @@
 
 void BatchRunner::keepTexts(const OpenBatch &batch)
 {
-    auto texts = batch.textsToKeep();
-    std::move(texts.begin(), texts.end(), std::back_inserter(m_kept));
-    if (m_kept.size() > MaxKeptTexts) {
-        m_kept.erase(m_kept.begin(), m_kept.end() - static_cast<std::ptrdiff_t>(MaxKeptTexts));
+    for (auto &text : batch.textsToKeep()) {
+        m_keptBytes += text.text.bytes();
+        m_kept.push_back(std::move(text));
+    }
+    while (m_keptBytes > MaxKeptBytes || m_kept.size() > MaxKeptTexts) {
+        m_keptBytes -= m_kept.front().text.bytes();
+        m_kept.pop_front();
     }
 }
 
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -15,6 +15,7 @@
 #include "scheduling/progresswriter.h"
 #include "scheduling/resultwriter.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -125,7 +126,9 @@
     BatchRunnerHooks m_hooks;
     BatchWatch m_watch;
     std::map<std::string, std::unique_ptr<Batch>> m_batches;
-    std::vector<KeptText> m_kept;
+    /// Texts of ended batches, oldest first.
+    std::deque<KeptText> m_kept;
+    std::size_t m_keptBytes = 0;
     EndpointUse m_use;
     BatchDemand m_demand;
     EndpointPace m_pace;
--- a/src/scheduling/itemtext.cpp
+++ b/src/scheduling/itemtext.cpp
@@ -15,6 +15,15 @@
     return true;
 }
 
+std::size_t ItemText::bytes() const
+{
+    std::size_t n = 0;
+    for (const auto &event : m_events) {
+        n += event.data.size();
+    }
+    return n;
+}
+
 std::vector<std::uint64_t> ItemText::versions() const
 {
     std::vector<std::uint64_t> versions;
--- a/src/scheduling/itemtext.h
+++ b/src/scheduling/itemtext.h
@@ -37,6 +37,9 @@
         return m_events.size();
     }
 
+    /// Bytes of all data.
+    std::size_t bytes() const;
+
     /// All versions that generated an event, ascending, each once.
     std::vector<std::uint64_t> versions() const;
 
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -161,9 +161,7 @@
     std::vector<KeptText> texts;
     std::size_t bytes = 0;
     for (const auto i : order) {
-        for (const auto &event : m_progress[i].text.events()) {
-            bytes += event.data.size();
-        }
+        bytes += m_progress[i].text.bytes();
         if (bytes > maxBytes) {
             break;
         }
