Ask each peer once, count late usage reports

Cause, from reading the diff: a peer's answer 504 reset the count of peers that were asked, so a call that no peer could answer went round among them for good. The new test hangs on the code before and passes now. Also: late usage reports have a counter and a line; the rule after a try reads shorter; a parameter without use is gone.

--- a/src/billing/usageduty.cpp
+++ b/src/billing/usageduty.cpp
@@ -211,6 +211,10 @@
     if (end == CallEnd::Complete && status == 200) {
         m_log.info("usage_reported", {{"window", m_window}, {"requests", total}, {"token", m_hooks.term()}, {"age_ms", age}});
         m_metrics.count("basilbend_usage_reports_total");
+        if (age > m_settings.dueAfter) {
+            m_metrics.count("basilbend_usage_reports_late_total");
+            m_log.warning("usage_reported_late", {{"window", m_window}, {"age_ms", age}, {"due_ms", m_settings.dueAfter}});
+        }
         noteReported();
         return;
     }
--- a/src/catalog/endpointregistry.cpp
+++ b/src/catalog/endpointregistry.cpp
@@ -5,7 +5,7 @@
 namespace Basilbend
 {
 
-void EndpointRegistry::put(const EndpointRecord &record, Timestamp)
+void EndpointRegistry::put(const EndpointRecord &record)
 {
     m_entries[record.id] = {record, std::nullopt};
 }
@@ -33,7 +33,7 @@
     std::set<std::string> listed;
     for (const auto &record : records) {
         listed.insert(record.id);
-        put(record, now);
+        put(record);
     }
     std::vector<std::string> missing;
     for (const auto &[id, entry] : m_entries) {
--- a/src/catalog/endpointregistry.h
+++ b/src/catalog/endpointregistry.h
@@ -16,7 +16,7 @@
 {
 public:
     /// Adds or replaces an entry.
-    void put(const EndpointRecord &record, Timestamp now);
+    void put(const EndpointRecord &record);
 
     /// An entry is gone, or no longer readable.
     void remove(const std::string &id, Timestamp now);
--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -163,7 +163,7 @@
         m_log.info(record.value().isDraining ? "endpoint_draining" : "endpoint_seen",
                    {{"endpoint", id}, {"service", record.value().service}, {"address", record.value().address}, {"revision", item.revision}});
     }
-    m_endpoints.put(record.value(), m_loop.now());
+    m_endpoints.put(record.value());
     if (onEndpointsChanged) {
         onEndpointsChanged();
     }
--- a/src/forwarding/attemptrule.cpp
+++ b/src/forwarding/attemptrule.cpp
@@ -27,13 +27,12 @@
     if (outcome == TryOutcome::Answered) {
         return TryDecision::PassAnswer;
     }
-    const bool mayRepeat = history.kind == RouteKind::Idempotent;
-    const bool attemptsLeft = history.ran < history.attemptsAllowed;
-    const bool mayTry = history.timeLeft && (outcome == TryOutcome::NotRun ? history.ran == 0 || (mayRepeat && attemptsLeft) : mayRepeat && attemptsLeft);
     if (history.open > 0) {
         return TryDecision::WaitForOther;
     }
-    if (mayTry) {
+    const bool nothingRan = outcome == TryOutcome::NotRun && history.ran == 0;
+    const bool mayRepeat = history.kind == RouteKind::Idempotent && history.ran < history.attemptsAllowed;
+    if (history.timeLeft && (nothingRan || mayRepeat)) {
         return TryDecision::TryAgain;
     }
     if (outcome == TryOutcome::AnsweredFailure) {
--- a/src/metadata/relayedtransport.cpp
+++ b/src/metadata/relayedtransport.cpp
@@ -96,9 +96,8 @@
                        call.message.body};
     relayed.timeout = call.timeout;
     m_peers[peer]->send(relayed, [this, open, peer](StoreResponse response) {
-        if (response.isAnswer()) {
+        if (response.end == CallEnd::Complete && response.status == 200) {
             m_peer = peer;
-            open->peersTried = 1;
         }
         acceptPeer(open, std::move(response));
     });
--- a/tests/catalog/endpointregistry.cpp
+++ b/tests/catalog/endpointregistry.cpp
@@ -24,9 +24,9 @@
 {
     EndpointRegistry registry;
     const Timestamp now(1000);
-    registry.put(endpoint("a"), now);
-    registry.put(endpoint("b"), now);
-    registry.put(endpoint("b", true), now);
+    registry.put(endpoint("a"));
+    registry.put(endpoint("b"));
+    registry.put(endpoint("b", true));
     BOOST_TEST(registry.readyOf("s").size() == 1U);
     registry.remove("a", now);
     BOOST_TEST(registry.readyOf("s").empty());
@@ -36,13 +36,13 @@
 BOOST_AUTO_TEST_CASE(entries_that_lapse_in_an_outage_are_kept_until_they_had_time_to_return)
 {
     EndpointRegistry registry;
-    registry.put(endpoint("a"), Timestamp(0));
-    registry.put(endpoint("b"), Timestamp(0));
+    registry.put(endpoint("a"));
+    registry.put(endpoint("b"));
     registry.noteStoreReachable(false, Timestamp(1000));
     registry.noteStoreReachable(true, Timestamp(6000));
     registry.replaceAll({}, Timestamp(6010));
     BOOST_TEST(registry.readyOf("s").size() == 2U);
-    registry.put(endpoint("b"), Timestamp(7000));
+    registry.put(endpoint("b"));
     BOOST_TEST(registry.expire(Timestamp(7900)).empty());
     BOOST_TEST((registry.expire(Timestamp(8001)) == std::vector<std::string>{"a"}));
     BOOST_TEST(registry.readyOf("s").size() == 1U);
@@ -51,7 +51,7 @@
 BOOST_AUTO_TEST_CASE(a_draining_endpoint_that_lapses_in_an_outage_does_not_come_back)
 {
     EndpointRegistry registry;
-    registry.put(endpoint("a", true), Timestamp(0));
+    registry.put(endpoint("a", true));
     registry.noteStoreReachable(false, Timestamp(1000));
     registry.remove("a", Timestamp(1100));
     BOOST_TEST(registry.find("a") == nullptr);
--- a/tests/metadata/relayedtransport.cpp
+++ b/tests/metadata/relayedtransport.cpp
@@ -1,8 +1,10 @@
 #include "metadata/relayedtransport.h"
 
+#include "http/webserver.h"
 #include "metadata/fakemetadatastore.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 using namespace Basilbend;
 
@@ -114,4 +116,77 @@
     BOOST_TEST(rule.goesDirectly());
 }
 
+// A peer on the loopback address that gives each relayed call the same answer.
+struct PeerFixture {
+    asio::io_context io;
+    VirtualTime time{Timestamp(1'000'000)};
+    int status = 504;
+    int asked = 0;
+    EventLog log{EventLogSettings(), [this] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); }};
+    WebClient client{io, [this] { return time.now(); }};
+    ScriptedTransport direct{time};
+    WebServer first{io, "127.0.0.1:0", hooks()};
+    WebServer second{io, "127.0.0.1:0", hooks()};
+    RelayedTransport transport{direct, client, virtualLoop(time), log, {address(first), address(second)}, 0};
+
+    ServerHooks hooks()
+    {
+        ServerHooks result;
+        result.onRequest = [this](const std::shared_ptr<ServerExchange> &exchange) {
+            ++asked;
+            exchange->respond({status, {{RelayStatusField, "404"}}, "body"});
+        };
+        result.refusal = [](int refused) { return ResponseMessage{refused, {}, {}}; };
+        result.limits = [] { return ServerLimits(); };
+        result.isDraining = [] { return false; };
+        return result;
+    }
+    static std::string address(const WebServer &server)
+    {
+        return "127.0.0.1:" + std::to_string(server.port());
+    }
+    std::optional<StoreResponse> send(bool isIdempotent)
+    {
+        std::optional<StoreResponse> seen;
+        transport.send({{"GET", "/-/x", {}, {}}, Milliseconds(1000), isIdempotent}, [&seen](StoreResponse response) { seen = std::move(response); });
+        for (int i = 0; i < 100; ++i) {
+            time.advance(Milliseconds(5));
+            io.restart();
+            io.poll();
+        }
+        return seen;
+    }
+};
+
+// Guards against a call that is handed from peer to peer for good: each is asked once.
+BOOST_FIXTURE_TEST_CASE(each_peer_is_asked_once_and_then_the_call_fails, PeerFixture)
+{
+    direct.response = {CallEnd::Complete, 503, {}, 0};
+    const auto response = send(true);
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(!response->isRefusal());
+    BOOST_TEST(asked == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_relayed_answer_carries_the_stores_own_status, PeerFixture)
+{
+    direct.response = {CallEnd::Complete, 503, {}, 0};
+    status = 200;
+    const auto response = send(false);
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->status == 404);
+    BOOST_TEST(response->body == "body");
+    BOOST_TEST(asked == 1);
+}
+
+// Guards against a write that is made twice: a peer that got no answer proves nothing.
+BOOST_FIXTURE_TEST_CASE(a_write_that_a_peer_may_have_made_is_not_repeated, PeerFixture)
+{
+    direct.response = {CallEnd::Complete, 503, {}, 0};
+    const auto response = send(false);
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(!response->isRefusal());
+    BOOST_TEST(asked == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
