--- a/tests/http/webpath.cpp
+++ b/tests/http/webpath.cpp
@@ -63,7 +63,7 @@
         std::optional<CallEnd> end;
     };
 
-    ClientCall call(RequestMessage request, Outcome &outcome)
+    ClientCall call(const RequestMessage &request, Outcome &outcome)
     {
         CallHooks hooks;
         hooks.onHead = [&outcome](const ResponseHead &head) { outcome.head = head; };
