--- a/tests/metadata/prefixfeed.cpp
+++ b/tests/metadata/prefixfeed.cpp
@@ -73,7 +73,7 @@
     time.advance(Milliseconds(2000));
     store.faults.watchesAreDeaf = true;
     store.put("op/config", "new");
-    time.advance(Milliseconds(400));
+    time.advance(Milliseconds(800));
     store.faults.watchesAreDeaf = false;
     time.advance(Milliseconds(3000));
     BOOST_TEST(copy.count("op/config") == 1U);
