Keep a feed's position until a watch that heard everything confirms it

Cause: PrefixFeed moved its position after two empty watches in a row. Both can fall into the second in which the store's watches miss changes, so a change made across the start of the second watch was never told. Ruled out: the fake store; it replays history for a watch that opens when watches hear again, as the store does. Change: the position moves to a revision only when an empty watch that was sent 1.5 s or more after that revision was told finds nothing either. Before: metadata/a_change_that_a_watch_missed_is_told_by_the_next_one failed (0 changes instead of 1, known red).

--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -14,6 +14,9 @@
 /// Shortest wait of a watch.
 constexpr Milliseconds ShortestSpan{300};
 
+/// Longest time during which the store's watches may miss changes, with a margin: the store states one second.
+constexpr Milliseconds LongestMissedSpan{1500};
+
 /// One lost answer is no outage; the second one in a row is.
 constexpr int FailuresOfOutage = 2;
 
@@ -78,7 +81,7 @@
     // Pages are not a snapshot: the watch goes on from the first page, and changes that a later page already shows are
     // recognized by their revision.
     m_revision = m_listRevision;
-    m_emptyRevision.reset();
+    m_unconfirmed.reset();
     m_toldRevisions.clear();
     for (const auto &item : m_pages) {
         m_toldRevisions[item.key] = item.revision;
@@ -119,12 +122,12 @@
         // The store answers an empty watch when its span is over, so the state is proven for that moment.
         const bool waitedOut = m_loop.now() - sentAt >= span;
         m_currentAsOf = std::max(*m_currentAsOf, waitedOut ? sentAt + span : sentAt);
-        acceptEmptyWatch(reply.revision);
+        acceptEmptyWatch(reply.revision, sentAt);
         watch();
         return;
     }
     m_currentAsOf = std::max(*m_currentAsOf, sentAt);
-    m_emptyRevision.reset();
+    m_unconfirmed.reset();
     m_revision = std::max(m_revision, reply.revision);
     for (const auto &item : reply.items) {
         auto &told = m_toldRevisions[item.key];
@@ -140,14 +143,17 @@
     }
 }
 
-void PrefixFeed::acceptEmptyWatch(std::uint64_t revision)
+void PrefixFeed::acceptEmptyWatch(std::uint64_t revision, Timestamp sentAt)
 {
-    // A watch can miss changes for a moment. The position moves on only when a second watch from the same position has
-    // found nothing either.
-    if (m_emptyRevision) {
-        m_revision = std::max(m_revision, *m_emptyRevision);
+    // A watch that starts after the store's watches hear again reports at once what earlier ones missed. Only such a watch,
+    // when it finds nothing, confirms a revision that was told before.
+    if (m_unconfirmed && sentAt - m_unconfirmed->toldAt < LongestMissedSpan) {
+        return;
+    }
+    if (m_unconfirmed) {
+        m_revision = std::max(m_revision, m_unconfirmed->revision);
     }
-    m_emptyRevision = revision;
+    m_unconfirmed = SilentRevision{revision, m_loop.now()};
 }
 
 void PrefixFeed::retryAfterFailure(std::function<void()> step)
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -45,11 +45,17 @@
     }
 
 private:
+    /// A revision up to which a watch has told of no change, and when it said so.
+    struct SilentRevision {
+        std::uint64_t revision;
+        Timestamp toldAt;
+    };
+
     void listPage(const std::string &afterKey);
     void acceptPage(MetadataReply reply);
     void watch();
     void acceptWatch(const MetadataReply &reply, Timestamp sentAt, Milliseconds span);
-    void acceptEmptyWatch(std::uint64_t revision);
+    void acceptEmptyWatch(std::uint64_t revision, Timestamp sentAt);
     void retryAfterFailure(std::function<void()> step);
     void noteSuccess();
     void runIfCurrent(std::uint64_t generation, const std::function<void()> &step) const;
@@ -64,8 +70,8 @@
     Timestamp m_listStartedAt;
     std::uint64_t m_listRevision = 0;
     std::uint64_t m_revision = 0;
-    /// The store's revision in the last answer, if that answer was an empty watch.
-    std::optional<std::uint64_t> m_emptyRevision;
+    /// The position to move to once a later watch confirms that nothing was missed before it.
+    std::optional<SilentRevision> m_unconfirmed;
     std::map<std::string, std::uint64_t> m_toldRevisions;
     std::optional<Timestamp> m_currentAsOf;
     int m_failures = 0;
--- a/tests/metadata/prefixfeed.cpp
+++ b/tests/metadata/prefixfeed.cpp
@@ -80,6 +80,20 @@
     BOOST_TEST(changes == 1);
 }
 
+// Guards against a position that moves past a missed change because several short watches fall into one gap.
+BOOST_FIXTURE_TEST_CASE(a_change_missed_by_several_short_watches_is_told, FeedFixture)
+{
+    PrefixFeed shortFeed(store, virtualLoop(time), "op/", Milliseconds(300), {[](const auto &) {}, [this](const auto &) { ++changes; }, [](bool) {}});
+    shortFeed.start();
+    time.advance(Milliseconds(650));
+    store.faults.watchesAreDeaf = true;
+    store.put("op/config", "new");
+    time.advance(Milliseconds(1000));
+    store.faults.watchesAreDeaf = false;
+    time.advance(Milliseconds(400));
+    BOOST_TEST(changes == 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_lost_history_is_replaced_by_a_listing, FeedFixture)
 {
     feed.start();
