Count running samples by a forecast of their memory

Placement counted each run at half of its token limit plus its hint, about 7,000 of the 32,595 tokens of an engine, so 3 or 4 runs filled an engine of 8 places; the limit is that of the longest sample, and most generate a tenth of it. Ruled out: slow endpoints (still the same when none was slow), outdated versions (10 endpoints of the model had the version), places taken by other models. Change: the prompt is taken from the client's token counts; TokenForecast gives the most tokens that the runs of an endpoint will hold at once, because runs grow by a token at a time and give everything back at their end; EndpointUse learns the tokens of an event from complete runs. EndpointBoard gathers what placement sees. One line items_waiting per batch and half second tells what waiting items lack.

What binds next is to be read from items_waiting again.

--- a/src/batches/batch.h
+++ b/src/batches/batch.h
@@ -20,6 +20,8 @@
     std::string body;
     /// Prompt tokens and the most output tokens together.
     std::uint64_t tokens = 0;
+    /// Zero: not known.
+    std::uint64_t promptTokens = 0;
     /// Items of a group share their prompt, and the trainer needs all of them.
     std::string group;
     /// The client's estimate of the output tokens; zero: none.
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -86,8 +86,8 @@
         BatchRunnerHooks hooks;
         hooks.term = [this] { return m_election.term(); };
         hooks.mayStart = [this] { return m_isLeading && m_election.uncertainFor() < UncertainRunTime; };
-        hooks.versionAt = [this](const EndpointRecord &endpoint, const std::string &model) { return m_weights.versionAt(endpoint, model); };
-        hooks.isLoading = [this](const std::string &endpoint, const std::string &model) { return m_weights.isLoading(endpoint, model); };
+        hooks.endpoints.versionAt = [this](const EndpointRecord &endpoint, const std::string &model) { return m_weights.versionAt(endpoint, model); };
+        hooks.endpoints.isLoading = [this](const std::string &endpoint, const std::string &model) { return m_weights.isLoading(endpoint, model); };
         hooks.onDemandChanged = [this] { pollWeights(); };
         return hooks;
     }
--- a/src/platform/batchcodec.cpp
+++ b/src/platform/batchcodec.cpp
@@ -35,12 +35,12 @@
     return fields;
 }
 
-std::uint64_t lengthHintOf(const HttpFields &fields)
+/// The whole number that a text begins with, or zero. Wire::TokenCounts begins with the tokens of the prompt.
+std::uint64_t leadingNumber(std::string_view text)
 {
-    const auto text = fields.value(Wire::LengthHint);
-    std::uint64_t hint = 0;
-    std::from_chars(text.data(), text.data() + text.size(), hint);
-    return hint;
+    std::uint64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
 }
 
 BatchItem decodeItem(const json &object)
@@ -56,7 +56,8 @@
     item.body = *body;
     item.tokens = Wire::wholeOr(object, "tokens", 0);
     item.group = Wire::textOr(object, "group", item.id);
-    item.lengthHint = lengthHintOf(item.fields);
+    item.promptTokens = std::min(item.tokens, leadingNumber(item.fields.value(Wire::TokenCounts)));
+    item.lengthHint = leadingNumber(item.fields.value(Wire::LengthHint));
     return item;
 }
 
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -22,8 +22,8 @@
 constexpr std::size_t MaxKeptBytes = 8 * 1024 * 1024;
 /// Waiting items looked at in one round of a batch.
 constexpr std::size_t MaxWaitingInRound = 512;
-/// Part of an endpoint's memory that expected tokens may fill; estimates are often too low.
-constexpr double MemoryShare = 0.92;
+/// Each batch tells at most once in this time that items wait.
+constexpr Milliseconds WaitLogInterval{500};
 
 }
 
@@ -39,6 +39,7 @@
               m_loop,
               log,
               {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
+    , m_board(m_view, m_pace, m_use, m_hooks.endpoints)
 {
 }
 
@@ -128,7 +129,7 @@
     keepTexts(*batch->state);
     noteDuration(*batch->state);
     for (const auto &[item, running] : batch->running) {
-        m_use.noteEnded(running.endpoint, running.expectedTokens);
+        m_use.noteEnded(running.endpoint, running.number);
     }
     m_log.info("batch_closed",
                {{"batch", id}, {"listed", batch->state->listedCount()}, {"of", batch->state->index().itemCount}, {"cancelled", batch->running.size()}});
@@ -214,39 +215,10 @@
     }
 }
 
-std::uint64_t BatchRunner::expectedTokens(const BatchItem &item)
+RunTokens BatchRunner::runTokens(const OpenBatch &batch, std::size_t item)
 {
-    // The limit names prompt and output together, and outputs seldom reach it.
-    const auto prompt = item.tokens / 2;
-    return std::min(item.tokens, prompt + expectedOutput(item));
-}
-
-std::vector<PlacementEndpoint> BatchRunner::endpointsFor(const OpenBatch &batch, const RouteRule &route) const
-{
-    const auto now = m_loop.now();
-    const double median = m_pace.medianGapMs(now);
-    std::vector<PlacementEndpoint> endpoints;
-    for (const auto &share : route.shares) {
-        const auto *service = m_view.routes()->serviceNamed(share.service);
-        const auto capacity = service != nullptr && service->engine ? service->engine->kvCacheTokens : 0;
-        for (const auto *record : m_view.endpoints().readyOf(share.service)) {
-            if (share.weight <= 0 || m_pace.isSuspended(record->id, now) || m_hooks.isLoading(record->id, batch.submission().model)) {
-                continue;
-            }
-            PlacementEndpoint endpoint;
-            endpoint.id = record->id;
-            endpoint.slots = record->slots;
-            endpoint.running = m_use.running(record->id);
-            endpoint.tokensHeld = m_use.tokens(record->id);
-            endpoint.tokenCapacity = static_cast<std::uint64_t>(MemoryShare * static_cast<double>(capacity));
-            endpoint.version = m_hooks.versionAt(*record, batch.submission().model);
-            endpoint.isSlow = m_pace.isSlow(record->id, now);
-            const double gap = m_pace.lastGapMs(record->id);
-            endpoint.pace = gap > 0 && median > 0 ? gap / median : 1;
-            endpoints.push_back(std::move(endpoint));
-        }
-    }
-    return endpoints;
+    const auto &asked = batch.item(item);
+    return {asked.promptTokens, expectedOutput(asked), asked.tokens - asked.promptTokens, batch.progress(item).text.eventCount()};
 }
 
 std::string BatchRunner::endpointOfGroup(const Batch &batch, std::size_t item) const
@@ -274,34 +246,65 @@
         if (progress.phase != ItemPhase::Waiting || now < progress.notBefore) {
             continue;
         }
-        waiting.push_back({i, state.submission().minimumVersion, expectedTokens(state.item(i)), endpointOfGroup(batch, i), progress.avoidedEndpoint});
+        waiting.push_back({i, state.submission().minimumVersion, m_use.tokenUse(runTokens(state, i)), endpointOfGroup(batch, i), progress.avoidedEndpoint});
         if (waiting.size() >= MaxWaitingInRound) {
             break;
         }
     }
     std::size_t started = 0;
-    for (const auto &assignment : waiting.empty() ? std::vector<Assignment>() : assignItems(waiting, endpointsFor(state, *route))) {
+    const auto endpoints = waiting.empty() ? std::vector<PlacementEndpoint>() : m_board.endpointsFor(*route, state.submission().model, now);
+    for (const auto &assignment : assignItems(waiting, endpoints)) {
         if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
             start(batch, assignment.item, *endpoint);
             ++started;
         }
     }
-    noteWaiting(batch, waiting.size() - started);
+    noteWaiting(batch, waiting.size() - started, endpoints);
 }
 
-void BatchRunner::noteWaiting(Batch &batch, std::size_t waiting)
+void BatchRunner::noteWaiting(Batch &batch, std::size_t waiting, const std::vector<PlacementEndpoint> &endpoints)
 {
     const auto now = m_loop.now();
     const bool hadWaiting = batch.waiting > 0;
     batch.waiting = waiting;
     if (waiting > 0) {
         m_demand.noteWaiting(batch.state->submission().model, now - batch.openedAt, now);
+        logWaiting(batch, endpoints);
     }
     if (hadWaiting && waiting == 0) {
         m_hooks.onDemandChanged();
     }
 }
 
+void BatchRunner::logWaiting(Batch &batch, const std::vector<PlacementEndpoint> &endpoints)
+{
+    const auto now = m_loop.now();
+    if (now - batch.waitLoggedAt < WaitLogInterval) {
+        return;
+    }
+    batch.waitLoggedAt = now;
+    const auto minimum = batch.state->submission().minimumVersion;
+    int outdated = 0;
+    int full = 0;
+    int slow = 0;
+    for (const auto &endpoint : endpoints) {
+        outdated += endpoint.version < minimum ? 1 : 0;
+        full += endpoint.version >= minimum && endpoint.running >= endpoint.slots ? 1 : 0;
+        slow += endpoint.isSlow ? 1 : 0;
+    }
+    m_log.info("items_waiting",
+               {{"batch", batch.state->index().id},
+                {"model", batch.state->submission().model},
+                {"minimum_version", minimum},
+                {"waiting", batch.waiting},
+                {"running", batch.running.size()},
+                {"since_ms", now - batch.openedAt},
+                {"endpoints", endpoints.size()},
+                {"outdated", outdated},
+                {"full", full},
+                {"slow", slow}});
+}
+
 void BatchRunner::start(Batch &batch, std::size_t item, const EndpointRecord &endpoint)
 {
     auto &state = *batch.state;
@@ -318,17 +321,17 @@
     hooks.onEnd = [this, id, item, run](RunEnd end, int status) { acceptEnd(id, item, run, end, status); };
     Running running;
     running.endpoint = endpoint.id;
-    running.expectedTokens = expectedTokens(state.item(item));
-    running.run = std::make_unique<ItemRun>(m_client, m_loop, endpoint, m_hooks.versionAt(endpoint, state.submission().model), std::move(hooks));
+    running.number = run;
+    running.run = std::make_unique<ItemRun>(m_client, m_loop, endpoint, m_hooks.endpoints.versionAt(endpoint, state.submission().model), std::move(hooks));
     m_log.info("item_sent",
                {{"batch", id},
                 {"item", state.item(item).id},
                 {"endpoint", endpoint.id},
                 {"after_event", progress.text.lastEventId()},
                 {"running", m_use.running(endpoint.id)},
-                {"endpoint_version", m_hooks.versionAt(endpoint, state.submission().model)}});
+                {"endpoint_version", m_hooks.endpoints.versionAt(endpoint, state.submission().model)}});
     running.run->start(state.item(item), state.index(), progress.text.lastEventId());
-    m_use.noteStarted(endpoint.id, running.expectedTokens);
+    m_use.noteStarted(endpoint.id, run, runTokens(state, item));
     batch.running.emplace(item, std::move(running));
     m_metrics.count("basilbend_item_runs_total");
 }
@@ -347,6 +350,7 @@
     }
     running.hasEvent = true;
     running.lastEventAt = now;
+    m_use.noteEvent(running.endpoint, run);
     const bool isAccepted = batch->state->addEvent(item, event, std::move(data), version, route == nullptr ? BatchRules() : rulesOf(*route));
     if (!isAccepted) {
         m_log.warning("event_rejected",
@@ -382,6 +386,7 @@
     const auto rules = route == nullptr ? BatchRules() : rulesOf(*route);
     const bool isWhole = end == RunEnd::Complete && state.progress(item).text.eventCount() > 0;
     if (isWhole) {
+        m_use.noteCompleted(expectedOutput(state.item(item)), state.progress(item).text.eventCount());
         state.complete(item);
     } else if (end == RunEnd::Unprocessable) {
         state.terminate(item);
@@ -437,7 +442,7 @@
     if (node.empty()) {
         return std::nullopt;
     }
-    m_use.noteEnded(node.mapped().endpoint, node.mapped().expectedTokens);
+    m_use.noteEnded(node.mapped().endpoint, node.mapped().number);
     return std::move(node.mapped());
 }
 
@@ -508,11 +513,11 @@
         return;
     }
     int places = 0;
-    for (const auto &endpoint : endpointsFor(*batch.state, *route)) {
+    const auto now = m_loop.now();
+    for (const auto &endpoint : m_board.endpointsFor(*route, batch.state->submission().model, now)) {
         const bool isUsable = !endpoint.isSlow && endpoint.version >= batch.state->submission().minimumVersion;
         places += isUsable ? std::max(0, endpoint.slots - endpoint.running) : 0;
     }
-    const auto now = m_loop.now();
     std::vector<std::size_t> slow;
     for (const auto &[item, running] : batch.running) {
         if (running.hasEvent && m_pace.isSlow(running.endpoint, now)) {
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -7,6 +7,7 @@
 #include "net/metrics.h"
 #include "scheduling/batchdemand.h"
 #include "scheduling/batchwatch.h"
+#include "scheduling/endpointboard.h"
 #include "scheduling/endpointpace.h"
 #include "scheduling/endpointuse.h"
 #include "scheduling/itemrun.h"
@@ -31,10 +32,7 @@
     std::function<std::uint64_t()> term;
     /// Whether new runs may be started.
     std::function<bool()> mayStart;
-    /// The version of a model's weights at an endpoint, as far as it is known.
-    std::function<std::uint64_t(const EndpointRecord &, const std::string &model)> versionAt;
-    /// The endpoint is changing its weights and refuses new runs.
-    std::function<bool(const std::string &endpoint, const std::string &model)> isLoading;
+    EndpointBoardHooks endpoints;
     /// Work has come or gone, which may change which weights are needed.
     std::function<void()> onDemandChanged;
 };
@@ -77,7 +75,7 @@
         std::string endpoint;
         Timestamp lastEventAt;
         bool hasEvent = false;
-        std::uint64_t expectedTokens = 0;
+        std::uint64_t number = 0;
     };
 
     struct Batch {
@@ -87,6 +85,7 @@
         std::map<std::size_t, Running> running;
         Timestamp openedAt;
         std::size_t waiting = 0;
+        Timestamp waitLoggedAt;
     };
 
     void open(const std::string &id, LoadedBatch loaded);
@@ -97,13 +96,13 @@
 
     void scheduleSoon();
     void schedule();
-    std::vector<PlacementEndpoint> endpointsFor(const OpenBatch &batch, const RouteRule &route) const;
     /// Takes a run out; its connection closes when the returned value is destroyed.
     std::optional<Running> takeRun(Batch &batch, std::size_t item);
-    static std::uint64_t expectedTokens(const BatchItem &item);
+    static RunTokens runTokens(const OpenBatch &batch, std::size_t item);
     std::string endpointOfGroup(const Batch &batch, std::size_t item) const;
     void scheduleBatch(Batch &batch);
-    void noteWaiting(Batch &batch, std::size_t waiting);
+    void noteWaiting(Batch &batch, std::size_t waiting, const std::vector<PlacementEndpoint> &endpoints);
+    void logWaiting(Batch &batch, const std::vector<PlacementEndpoint> &endpoints);
     void start(Batch &batch, std::size_t item, const EndpointRecord &endpoint);
     bool acceptEvent(const std::string &batch, std::size_t item, std::uint64_t run, std::uint64_t id, std::string data, std::uint64_t version);
     void acceptEnd(const std::string &batch, std::size_t item, std::uint64_t run, RunEnd end, int status);
@@ -132,6 +131,7 @@
     EndpointUse m_use;
     BatchDemand m_demand;
     EndpointPace m_pace;
+    EndpointBoard m_board;
     bool m_active = false;
     bool m_scheduled = false;
     std::uint64_t m_generation = 0;
--- a/src/scheduling/endpointuse.cpp
+++ b/src/scheduling/endpointuse.cpp
@@ -1,42 +1,83 @@
 #include "scheduling/endpointuse.h"
 
+#include <algorithm>
+
 namespace Basilbend
 {
 
-void EndpointUse::noteStarted(const std::string &endpoint, std::uint64_t expectedTokens)
+namespace
+{
+
+/// A run that is longer than expected is taken to go on for a further part of what it has generated: estimates are often far
+/// too low, and the longer a run is, the longer is the rest.
+constexpr std::uint64_t OverrunDivisor = 4;
+
+}
+
+void EndpointUse::noteStarted(const std::string &endpoint, std::uint64_t run, const RunTokens &tokens)
 {
-    auto &use = m_uses[endpoint];
-    ++use.running;
-    use.tokens += expectedTokens;
+    m_runs[endpoint][run] = tokens;
 }
 
-void EndpointUse::noteEnded(const std::string &endpoint, std::uint64_t expectedTokens)
+void EndpointUse::noteEvent(const std::string &endpoint, std::uint64_t run)
 {
-    const auto it = m_uses.find(endpoint);
-    if (it == m_uses.end()) {
+    const auto runs = m_runs.find(endpoint);
+    if (runs == m_runs.end()) {
         return;
     }
-    it->second.tokens -= expectedTokens;
-    if (--it->second.running == 0) {
-        m_uses.erase(it);
+    const auto it = runs->second.find(run);
+    if (it != runs->second.end()) {
+        ++it->second.events;
     }
 }
 
+void EndpointUse::noteEnded(const std::string &endpoint, std::uint64_t run)
+{
+    const auto runs = m_runs.find(endpoint);
+    if (runs == m_runs.end()) {
+        return;
+    }
+    runs->second.erase(run);
+    if (runs->second.empty()) {
+        m_runs.erase(runs);
+    }
+}
+
+void EndpointUse::noteCompleted(std::uint64_t expectedOutput, std::size_t events)
+{
+    m_completedTokens += static_cast<double>(expectedOutput);
+    m_completedEvents += static_cast<double>(events);
+}
+
 void EndpointUse::clear()
 {
-    m_uses.clear();
+    m_runs.clear();
 }
 
 int EndpointUse::running(const std::string &endpoint) const
 {
-    const auto it = m_uses.find(endpoint);
-    return it == m_uses.end() ? 0 : it->second.running;
+    const auto it = m_runs.find(endpoint);
+    return it == m_runs.end() ? 0 : static_cast<int>(it->second.size());
 }
 
-std::uint64_t EndpointUse::tokens(const std::string &endpoint) const
+TokenUse EndpointUse::tokenUse(const RunTokens &tokens) const
 {
-    const auto it = m_uses.find(endpoint);
-    return it == m_uses.end() ? 0 : it->second.tokens;
+    const double tokensPerEvent = m_completedEvents > 0 ? m_completedTokens / m_completedEvents : 0;
+    const auto generated = std::min(tokens.maximumOutput, static_cast<std::uint64_t>(tokensPerEvent * static_cast<double>(tokens.events)));
+    const auto expected = std::max(tokens.expectedOutput, generated + generated / OverrunDivisor);
+    return {tokens.prompt + generated, std::min(expected, tokens.maximumOutput) - generated};
+}
+
+TokenForecast EndpointUse::forecast(const std::string &endpoint) const
+{
+    TokenForecast forecast;
+    const auto runs = m_runs.find(endpoint);
+    if (runs != m_runs.end()) {
+        for (const auto &[run, tokens] : runs->second) {
+            forecast.add(tokenUse(tokens));
+        }
+    }
+    return forecast;
 }
 
 }
--- a/src/scheduling/endpointuse.h
+++ b/src/scheduling/endpointuse.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "scheduling/tokenforecast.h"
+
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -7,26 +10,41 @@
 namespace Basilbend
 {
 
-/// What the runs of this process take up at each endpoint.
+/// What is known of the tokens of a run when it starts.
+struct RunTokens {
+    std::uint64_t prompt = 0;
+    /// Output that is expected in all, and the most there can be.
+    std::uint64_t expectedOutput = 0;
+    std::uint64_t maximumOutput = 0;
+    /// Events that earlier runs have generated; the run reads them again.
+    std::size_t events = 0;
+};
+
+/// What the runs of this process take up at each endpoint. Events are the only sign of what a run has generated; the tokens of
+/// an event are learned from runs that are complete.
 class EndpointUse
 {
 public:
-    void noteStarted(const std::string &endpoint, std::uint64_t expectedTokens);
-    void noteEnded(const std::string &endpoint, std::uint64_t expectedTokens);
+    void noteStarted(const std::string &endpoint, std::uint64_t run, const RunTokens &tokens);
+    void noteEvent(const std::string &endpoint, std::uint64_t run);
+    void noteEnded(const std::string &endpoint, std::uint64_t run);
+
+    /// An item that was expected to generate so many tokens is complete with so many events.
+    void noteCompleted(std::uint64_t expectedOutput, std::size_t events);
     void clear();
 
     int running(const std::string &endpoint) const;
 
-    /// Tokens that the runs are expected to hold.
-    std::uint64_t tokens(const std::string &endpoint) const;
+    /// Tokens of all runs at the endpoint.
+    TokenForecast forecast(const std::string &endpoint) const;
 
-private:
-    struct Use {
-        int running = 0;
-        std::uint64_t tokens = 0;
-    };
+    /// Tokens that a run holds and is still to generate.
+    TokenUse tokenUse(const RunTokens &tokens) const;
 
-    std::map<std::string, Use> m_uses;
+private:
+    std::map<std::string, std::map<std::uint64_t, RunTokens>> m_runs;
+    double m_completedTokens = 0;
+    double m_completedEvents = 0;
 };
 
 }
--- a/src/scheduling/grouporder.cpp
+++ b/src/scheduling/grouporder.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-/// Items without a hint are expected to use this part of their token limit.
+/// Items without a hint are expected to generate this part of the most they may.
 constexpr std::uint64_t UnhintedDivisor = 4;
 
 struct GroupRank {
@@ -41,7 +41,7 @@
 
 std::uint64_t expectedOutput(const BatchItem &item)
 {
-    return item.lengthHint > 0 ? item.lengthHint : item.tokens / UnhintedDivisor;
+    return item.lengthHint > 0 ? item.lengthHint : (item.tokens - item.promptTokens) / UnhintedDivisor;
 }
 
 std::vector<std::size_t> startOrder(const BatchSubmission &submission, const std::set<std::string> &carried)
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -21,7 +21,7 @@
         return false;
     }
     // An endpoint without runs takes an item of any size.
-    return endpoint.tokenCapacity == 0 || endpoint.running == 0 || endpoint.tokensHeld + item.expectedTokens <= endpoint.tokenCapacity;
+    return endpoint.tokenCapacity == 0 || endpoint.running == 0 || endpoint.forecast.peakWith(item.tokens) <= endpoint.tokenCapacity;
 }
 
 double expectedTime(const PlacementEndpoint &endpoint)
@@ -73,7 +73,7 @@
             continue;
         }
         ++endpoint->running;
-        endpoint->tokensHeld += item.expectedTokens;
+        endpoint->forecast.add(item.tokens);
         assignments.push_back({item.index, endpoint->id});
     }
     return assignments;
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "scheduling/tokenforecast.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,8 +14,8 @@
     std::string id;
     int slots = 1;
     int running = 0;
-    /// Tokens that its runs are expected to hold, and what its memory holds; zero capacity: not known.
-    std::uint64_t tokensHeld = 0;
+    /// Tokens of its runs, and what its memory holds; zero capacity: not known.
+    TokenForecast forecast;
     std::uint64_t tokenCapacity = 0;
     std::uint64_t version = 0;
     /// Generates at less than half of the usual speed.
@@ -27,7 +29,7 @@
     /// Handed back with the assignment.
     std::size_t index = 0;
     std::uint64_t minimumVersion = 0;
-    std::uint64_t expectedTokens = 0;
+    TokenUse tokens;
     /// The endpoint that holds the group's prompt; empty: none.
     std::string preferredEndpoint;
     /// An endpoint where the item has just failed or was too slow; used only when there is no other.
--- /dev/null
+++ b/src/scheduling/tokenforecast.cpp
@@ -0,0 +1,40 @@
+#include "scheduling/tokenforecast.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+void TokenForecast::add(const TokenUse &use)
+{
+    const auto position = std::upper_bound(m_uses.begin(), m_uses.end(), use, [](const TokenUse &a, const TokenUse &b) { return a.remaining > b.remaining; });
+    m_uses.insert(position, use);
+}
+
+std::uint64_t TokenForecast::peakWith(const TokenUse &added) const
+{
+    // The total only falls when a run ends, so the peak lies right before the end of one of them. From the last end backwards,
+    // each run that is met is one more that still runs at that time.
+    std::uint64_t heldSum = 0;
+    std::uint64_t runs = 0;
+    std::uint64_t peak = 0;
+    const auto visit = [&](const TokenUse &use) {
+        heldSum += use.held;
+        ++runs;
+        peak = std::max(peak, heldSum + runs * use.remaining);
+    };
+    bool isVisited = false;
+    for (const auto &use : m_uses) {
+        if (!isVisited && added.remaining >= use.remaining) {
+            visit(added);
+            isVisited = true;
+        }
+        visit(use);
+    }
+    if (!isVisited) {
+        visit(added);
+    }
+    return peak;
+}
+
+}
--- /dev/null
+++ b/src/scheduling/tokenforecast.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// Tokens of one run in the memory of its endpoint: held now, and still to be generated.
+struct TokenUse {
+    std::uint64_t held = 0;
+    std::uint64_t remaining = 0;
+};
+
+/// Forecasts the memory that the runs of one endpoint need together. Runs grow by a token at a time and give all their memory
+/// back at their end, so the most that is needed at once is far less than the sum of their final sizes.
+class TokenForecast
+{
+public:
+    void add(const TokenUse &use);
+
+    /// The most tokens that will be held at any one time if a run is added and all runs generate at the same rate.
+    std::uint64_t peakWith(const TokenUse &added) const;
+
+private:
+    /// Descending by what remains.
+    std::vector<TokenUse> m_uses;
+};
+
+}
--- /dev/null
+++ b/tests/scheduling/endpointuse.cpp
@@ -0,0 +1,104 @@
+#include "scheduling/endpointuse.h"
+
+#include "scheduling/placement.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+/// An engine with room for 30,000 tokens and 8 runs at once.
+PlacementEndpoint engine(const std::string &id)
+{
+    PlacementEndpoint result;
+    result.id = id;
+    result.slots = 8;
+    result.tokenCapacity = 30'000;
+    return result;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(scheduling, *boost::unit_test::label("scheduling"))
+
+BOOST_AUTO_TEST_CASE(the_peak_lies_before_the_end_of_a_run_and_not_at_the_sum_of_all_sizes)
+{
+    TokenForecast forecast;
+    BOOST_TEST(forecast.peakWith({100, 50}) == 150U);
+    forecast.add({100, 1000});
+    // The short run ends when both have grown by 10; the long one then goes on alone.
+    BOOST_TEST(forecast.peakWith({100, 10}) == 1100U);
+    // Both end together.
+    BOOST_TEST(forecast.peakWith({100, 1000}) == 2200U);
+    // Much is given back early, so what counts is the moment before.
+    BOOST_TEST(forecast.peakWith({5000, 10}) == 5000U + 100U + 2 * 10U);
+}
+
+// Replays the start of a step on engines for 8 runs: 128 samples whose limit is 12,000 tokens and of which most are short. Guards
+// against runs that are counted at their limit, which left most places of the engines free while samples waited for seconds.
+BOOST_AUTO_TEST_CASE(samples_far_shorter_than_their_limit_fill_all_places)
+{
+    EndpointUse use;
+    std::vector<PlacementItem> waiting;
+    for (std::size_t i = 0; i < 128; ++i) {
+        PlacementItem item;
+        item.index = i;
+        const std::uint64_t expected = i < 10 ? 8000 : 1100;
+        item.tokens = use.tokenUse({276, expected, 12'000, 0});
+        waiting.push_back(item);
+    }
+    std::vector<PlacementEndpoint> endpoints;
+    for (int i = 0; i < 10; ++i) {
+        endpoints.push_back(engine(std::to_string(i)));
+    }
+    BOOST_TEST(assignItems(waiting, endpoints).size() == 80U);
+}
+
+// Guards against an engine whose memory runs out because several of the longest samples run there together.
+BOOST_AUTO_TEST_CASE(the_longest_samples_are_not_put_together_on_one_engine)
+{
+    EndpointUse use;
+    std::vector<PlacementItem> waiting(8);
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+        waiting[i].index = i;
+        waiting[i].tokens = use.tokenUse({276, 11'000, 12'000, 0});
+    }
+    BOOST_TEST(assignItems(waiting, {engine("a")}).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(the_tokens_of_an_event_are_learned_from_complete_samples)
+{
+    EndpointUse use;
+    use.noteStarted("a", 1, {200, 1000, 4000, 0});
+    use.noteEvent("a", 1);
+    BOOST_TEST(use.forecast("a").peakWith({}) == 1200U);
+    use.noteCompleted(800, 10);
+    use.noteCompleted(800, 10);
+    // One event of 80 tokens is held; the expected end stays where it was.
+    const auto now = use.tokenUse({200, 1000, 4000, 1});
+    BOOST_TEST(now.held == 280U);
+    BOOST_TEST(now.remaining == 920U);
+    // Past its estimate a sample is expected to go on by a quarter, but not beyond its limit.
+    const auto longer = use.tokenUse({200, 1000, 4000, 20});
+    BOOST_TEST(longer.held == 1800U);
+    BOOST_TEST(longer.remaining == 400U);
+    BOOST_TEST(use.tokenUse({200, 1000, 4000, 60}).remaining == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_ended_run_gives_its_memory_back)
+{
+    EndpointUse use;
+    use.noteStarted("a", 1, {200, 1000, 4000, 0});
+    use.noteStarted("a", 2, {200, 1000, 4000, 0});
+    BOOST_TEST(use.running("a") == 2);
+    use.noteEnded("a", 1);
+    use.noteEnded("a", 1);
+    BOOST_TEST(use.running("a") == 1);
+    BOOST_TEST(use.forecast("a").peakWith({}) == 1200U);
+    use.clear();
+    BOOST_TEST(use.running("a") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/placement.cpp
+++ b/tests/scheduling/placement.cpp
@@ -25,7 +25,7 @@
 {
     std::vector<PlacementItem> items;
     for (std::size_t i = 0; i < n; ++i) {
-        items.push_back({i, 5, tokens, {}, {}});
+        items.push_back({i, 5, {tokens, 0}, {}, {}});
     }
     return items;
 }
