Let a restarted leader lead again at once

Cause: when only the process of the leader is killed and its host starts it again, everybody waited for the end of the dead process' lease, about 2 s after the kill. Ruled out: a shorter lease; slow answers of the store would end it falsely. Change: a process that finds the leadership held by an earlier process of its own host takes it over, conditional on that record. A host runs one such process, so the earlier one has ended. The lease of the dead process no longer holds the key. Test: a_restarted_leader_does_not_wait_for_the_lease_of_the_process_before (failed before: nobody led 300 ms after the restart).

--- a/src/election/leaderelection.cpp
+++ b/src/election/leaderelection.cpp
@@ -64,6 +64,12 @@
     return m_term == 0 || now < m_validUntil ? Milliseconds(0) : now - m_validUntil;
 }
 
+bool LeaderElection::isOfEarlierProcess(const MetadataItem &item) const
+{
+    const auto record = decodeLeaderRecord(item.value);
+    return record && record->node == m_settings.node && record->incarnation != m_settings.incarnation;
+}
+
 bool LeaderElection::isMine(const MetadataItem &item) const
 {
     const auto record = decodeLeaderRecord(item.value);
@@ -85,6 +91,11 @@
     if (!m_known || m_resigned) {
         return;
     }
+    if (m_holder && m_term == 0 && isOfEarlierProcess(*m_holder)) {
+        // A host runs one such process, so the one that led has ended; nobody has to wait for the end of its lease.
+        stand();
+        return;
+    }
     if (m_holder) {
         const auto record = decodeLeaderRecord(m_holder->value);
         if (!isMine(*m_holder) && record && m_holder->revision > m_term) {
@@ -135,9 +146,10 @@
         return;
     }
     m_standing = true;
-    const auto wait = m_mayContinue ? Milliseconds(0) : Milliseconds(m_random.below(static_cast<std::uint64_t>(m_settings.jitter.count()) + 1));
+    const bool hasNoRival = m_mayContinue || m_holder;
+    const auto wait = hasNoRival ? Milliseconds(0) : Milliseconds(m_random.below(static_cast<std::uint64_t>(m_settings.jitter.count()) + 1));
     m_loop.runAfter(wait, [this, generation = ++m_generation] {
-        if (generation != m_generation || m_holder) {
+        if (generation != m_generation || (m_holder && !isOfEarlierProcess(*m_holder))) {
             m_standing = false;
             return;
         }
@@ -165,7 +177,7 @@
 {
     const LeaderRecord record{m_settings.node, m_settings.incarnation, ++m_attempt};
     MetadataChange change;
-    change.preconditions.push_back({HolderKey, 0});
+    change.preconditions.push_back({HolderKey, m_holder ? m_holder->revision : 0});
     // A leader that this process has not heard of would show here.
     change.preconditions.push_back({RecentKey, m_recentRevision});
     change.writes.push_back({HolderKey, encodeLeaderRecord(record), lease});
--- a/src/election/leaderelection.h
+++ b/src/election/leaderelection.h
@@ -80,6 +80,8 @@
     void renew();
     void loseLease();
     void deposed(const LeaderRecord &leader);
+    /// Written by a process of this host that has ended since.
+    bool isOfEarlierProcess(const MetadataItem &item) const;
     bool isMine(const MetadataItem &item) const;
 
     MetadataStore &m_store;
--- a/tests/election/leaderelection.cpp
+++ b/tests/election/leaderelection.cpp
@@ -2,6 +2,7 @@
 
 #include "metadata/fakemetadatastore.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace Basilbend;
@@ -73,10 +74,20 @@
     VirtualTime time{Timestamp(1'000'000)};
     FakeMetadataStore store{time};
     std::vector<std::unique_ptr<Candidate>> nodes;
+    /// Ended processes; what they had scheduled still runs, and does nothing.
+    std::vector<std::unique_ptr<Candidate>> ended;
+
+    void kill(Candidate *candidate)
+    {
+        candidate->isPaused = true;
+        const auto it = std::find_if(nodes.begin(), nodes.end(), [candidate](const auto &node) { return node.get() == candidate; });
+        ended.push_back(std::move(*it));
+        nodes.erase(it);
+    }
 
     Candidate &add(const std::string &node)
     {
-        nodes.push_back(std::make_unique<Candidate>(time, store, node, nodes.size() + 1));
+        nodes.push_back(std::make_unique<Candidate>(time, store, node, nodes.size() + ended.size() + 1));
         return *nodes.back();
     }
     Candidate *leader() const
@@ -119,6 +130,28 @@
     BOOST_TEST(store.peek(LeaderElection::holderKey())->revision == term);
 }
 
+// Guards against seconds without a leader when only its process was killed and its host starts it again at once.
+BOOST_FIXTURE_TEST_CASE(a_restarted_leader_does_not_wait_for_the_lease_of_the_process_before, ElectionFixture)
+{
+    add("a");
+    run(500);
+    auto *first = leader();
+    BOOST_REQUIRE(first != nullptr);
+    const auto oldTerm = first->election->term();
+    add("b");
+    run(1000);
+    kill(first);
+    auto &again = add("a");
+    run(300);
+    BOOST_REQUIRE((leader() == &again));
+    BOOST_TEST(again.election->term() > oldTerm);
+    BOOST_TEST(!again.wasContinued);
+    // The end of the old lease takes nothing from the new leader.
+    run(10000);
+    BOOST_TEST((leader() == &again));
+    BOOST_TEST(again.elected == 1);
+}
+
 // Guards against a leader that goes on after a pause: its lease has ended meanwhile, and another leads.
 BOOST_FIXTURE_TEST_CASE(a_paused_leader_may_not_act_when_it_wakes, ElectionFixture)
 {
