Let a successor read the oldest batches first and no known texts

Ruled out: the number of batches read at once; they are read side by side. Change: the progress record also names the items of the results that were listed when it was written, so a successor reads only later results; batches are read in the order of their creation. An unreadable progress record now leaves a log line. Test: a_successor_does_not_read_results_that_the_progress_names (did not build before: the record had no such list).

--- a/src/scheduling/batchloader.cpp
+++ b/src/scheduling/batchloader.cpp
@@ -16,9 +16,10 @@
 
 }
 
-BatchLoader::BatchLoader(MetadataStore &store, EventLoop loop, BatchIndex index, Callback callback)
+BatchLoader::BatchLoader(MetadataStore &store, EventLoop loop, EventLog &log, BatchIndex index, Callback callback)
     : m_store(store)
     , m_loop(std::move(loop))
+    , m_log(log)
     , m_index(std::move(index))
     , m_callback(std::move(callback))
 {
@@ -26,22 +27,41 @@
 
 void BatchLoader::start()
 {
-    readPage(BatchRecords::submissionPrefix(m_index.id), {}, m_parts, [this] {
-        readPage(BatchRecords::resultPrefix(m_index.id), {}, m_chunks, [this] { readProgress(); });
-    });
+    readPage(BatchRecords::submissionPrefix(m_index.id), {}, m_parts, [this] { readProgress(); });
 }
 
 void BatchLoader::readProgress()
 {
     // A batch that has just been submitted has none.
-    const bool isNew = m_chunks.empty() && m_loop.now() - Timestamp(m_index.submittedAtMs) < NewBatchAge;
-    if (isNew) {
-        finish();
+    if (m_loop.now() - Timestamp(m_index.submittedAtMs) < NewBatchAge) {
+        readResults();
     } else {
-        readPage(BatchRecords::progressKey(m_index.id), {}, m_progress, [this] { finish(); });
+        readPage(BatchRecords::progressKey(m_index.id), {}, m_progressItems, [this] { acceptProgress(); });
     }
 }
 
+void BatchLoader::acceptProgress()
+{
+    for (const auto &item : m_progressItems) {
+        auto record = decodeProgress(item.value);
+        if (record) {
+            m_progress = std::move(record.value());
+        } else {
+            // Without it the items start again from the beginning, so an unreadable one is no failure of the batch.
+            m_log.warning("progress_unreadable", {{"batch", m_index.id}, {"reason", record.error().message}});
+        }
+    }
+    readResults();
+}
+
+void BatchLoader::readResults()
+{
+    // The texts of results are large, and those that the record names need not be read again.
+    const auto known = m_progress.listed.size();
+    const auto afterKey = known == 0 ? std::string() : BatchRecords::resultKey(m_index.id, known - 1);
+    readPage(BatchRecords::resultPrefix(m_index.id), afterKey, m_chunks, [this] { finish(); });
+}
+
 void BatchLoader::cancel()
 {
     m_callback = nullptr;
@@ -76,7 +96,7 @@
     callback(decode());
 }
 
-Result<LoadedBatch> BatchLoader::decode() const
+Result<LoadedBatch> BatchLoader::decode()
 {
     std::string body;
     for (const auto &part : m_parts) {
@@ -86,23 +106,17 @@
     if (!submission) {
         return submission.error();
     }
-    std::vector<ItemResult> listed;
+    auto listed = m_progress.listed;
     for (const auto &chunk : m_chunks) {
         auto decoded = BatchRecords::decodeChunk(chunk.value);
         if (!decoded) {
             return decoded.error();
         }
-        auto &results = decoded.value().results;
-        std::move(results.begin(), results.end(), std::back_inserter(listed));
-    }
-    LoadedBatch loaded{std::make_shared<OpenBatch>(m_index, std::move(submission.value()), listed), {}};
-    for (const auto &item : m_progress) {
-        // Without it the items start again from the beginning, so an unreadable one is no failure of the batch.
-        if (auto texts = decodeKeptTexts(item.value)) {
-            loaded.progress = std::move(texts.value());
+        for (auto &result : decoded.value().results) {
+            listed.push_back(std::move(result.id));
         }
     }
-    return loaded;
+    return LoadedBatch{std::make_shared<OpenBatch>(m_index, std::move(submission.value()), std::move(listed)), std::move(m_progress.texts)};
 }
 
 }
--- a/src/scheduling/batchloader.h
+++ b/src/scheduling/batchloader.h
@@ -2,8 +2,10 @@
 
 #include "base/eventloop.h"
 #include "batches/batchrecords.h"
+#include "log/eventlog.h"
 #include "metadata/metadatastore.h"
 #include "scheduling/openbatch.h"
+#include "scheduling/progressrecord.h"
 
 #include <functional>
 #include <memory>
@@ -16,7 +18,7 @@
 /// A batch as the store holds it.
 struct LoadedBatch {
     std::shared_ptr<OpenBatch> batch;
-    /// What an earlier leader had generated of its long items.
+    /// What an earlier leader had generated of its unfinished items.
     std::vector<KeptText> progress;
 };
 
@@ -26,7 +28,7 @@
 public:
     using Callback = std::function<void(Result<LoadedBatch>)>;
 
-    BatchLoader(MetadataStore &store, EventLoop loop, BatchIndex index, Callback callback);
+    BatchLoader(MetadataStore &store, EventLoop loop, EventLog &log, BatchIndex index, Callback callback);
 
     void start();
 
@@ -36,16 +38,20 @@
 private:
     void readPage(const std::string &prefix, const std::string &afterKey, std::vector<MetadataItem> &items, std::function<void()> then);
     void readProgress();
+    void acceptProgress();
+    void readResults();
     void finish();
-    Result<LoadedBatch> decode() const;
+    Result<LoadedBatch> decode();
 
     MetadataStore &m_store;
     EventLoop m_loop;
+    EventLog &m_log;
     BatchIndex m_index;
     Callback m_callback;
     std::vector<MetadataItem> m_parts;
     std::vector<MetadataItem> m_chunks;
-    std::vector<MetadataItem> m_progress;
+    std::vector<MetadataItem> m_progressItems;
+    ProgressRecord m_progress;
     int m_failures = 0;
 };
 
--- a/src/scheduling/batchwatch.cpp
+++ b/src/scheduling/batchwatch.cpp
@@ -2,6 +2,8 @@
 
 #include "batches/batchrecords.h"
 
+#include <algorithm>
+
 namespace Basilbend
 {
 
@@ -24,11 +26,7 @@
 void BatchWatch::start()
 {
     PrefixFeedHooks hooks;
-    hooks.onSnapshot = [this](const std::vector<MetadataItem> &items) {
-        for (const auto &item : items) {
-            applyIndex(item);
-        }
-    };
+    hooks.onSnapshot = [this](const std::vector<MetadataItem> &items) { applySnapshot(items); };
     hooks.onChange = [this](const MetadataItem &item) { applyIndex(item); };
     hooks.onReachable = [this](bool reachable) { m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "batches"}}); };
     m_feed = std::make_unique<PrefixFeed>(m_store, m_loop, BatchRecords::IndexPrefix, IndexWatchSpan, std::move(hooks));
@@ -56,6 +54,15 @@
     m_cleaner.poll();
 }
 
+void BatchWatch::applySnapshot(std::vector<MetadataItem> items)
+{
+    // Creation order: the oldest batches have the least time left and are loaded first.
+    std::sort(items.begin(), items.end(), [](const MetadataItem &a, const MetadataItem &b) { return a.created < b.created; });
+    for (const auto &item : items) {
+        applyIndex(item);
+    }
+}
+
 void BatchWatch::applyIndex(const MetadataItem &item)
 {
     if (item.isRemoval) {
@@ -86,7 +93,7 @@
 void BatchWatch::load(const BatchIndex &index)
 {
     const auto loader =
-        std::make_shared<BatchLoader>(m_store, m_loop, index, [this, id = index.id](Result<LoadedBatch> loaded) { finishLoad(id, std::move(loaded)); });
+        std::make_shared<BatchLoader>(m_store, m_loop, m_log, index, [this, id = index.id](Result<LoadedBatch> loaded) { finishLoad(id, std::move(loaded)); });
     m_loading[index.id] = loader;
     loader->start();
 }
--- a/src/scheduling/batchwatch.h
+++ b/src/scheduling/batchwatch.h
@@ -41,6 +41,7 @@
     void poll();
 
 private:
+    void applySnapshot(std::vector<MetadataItem> items);
     void applyIndex(const MetadataItem &item);
     void load(const BatchIndex &index);
     void finishLoad(const std::string &id, Result<LoadedBatch> loaded);
--- a/src/scheduling/kepttext.h
+++ b/src/scheduling/kepttext.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include "base/result.h"
 #include "scheduling/itemtext.h"
 
 #include <string>
-#include <string_view>
-#include <vector>
 
 namespace Basilbend
 {
@@ -18,7 +15,4 @@
     bool isComplete = false;
 };
 
-std::string encodeKeptTexts(const std::vector<KeptText> &texts);
-Result<std::vector<KeptText>> decodeKeptTexts(std::string_view text);
-
 }
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -9,7 +9,7 @@
 namespace Basilbend
 {
 
-OpenBatch::OpenBatch(BatchIndex index, BatchSubmission submission, const std::vector<ItemResult> &listed)
+OpenBatch::OpenBatch(BatchIndex index, BatchSubmission submission, std::vector<std::string> listed)
     : m_index(std::move(index))
     , m_submission(std::move(submission))
     , m_progress(m_submission.items.size())
@@ -19,14 +19,14 @@
     for (std::size_t i = 0; i < m_submission.items.size(); ++i) {
         positions.emplace(m_submission.items[i].id, i);
     }
-    for (const auto &result : listed) {
-        const auto it = positions.find(result.id);
+    for (const auto &id : listed) {
+        const auto it = positions.find(id);
         if (it != positions.end() && m_progress[it->second].phase != ItemPhase::Decided) {
             m_progress[it->second].phase = ItemPhase::Decided;
             ++m_decided;
         }
     }
-    m_listed = listed.size();
+    m_listed = std::move(listed);
 }
 
 void OpenBatch::adopt(const std::vector<KeptText> &kept, const BatchRules &rules)
@@ -145,8 +145,10 @@
 
 void OpenBatch::noteListed(std::size_t n)
 {
-    m_pending.erase(m_pending.begin(), m_pending.begin() + static_cast<std::ptrdiff_t>(std::min(n, m_pending.size())));
-    m_listed += n;
+    for (; n > 0 && !m_pending.empty(); --n) {
+        m_listed.push_back(std::move(m_pending.front().id));
+        m_pending.pop_front();
+    }
 }
 
 std::vector<KeptText> OpenBatch::progressTexts(std::size_t maxBytes) const
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -47,8 +47,8 @@
 class OpenBatch
 {
 public:
-    /// Listed: results that the store holds, in order of position.
-    OpenBatch(BatchIndex index, BatchSubmission submission, const std::vector<ItemResult> &listed);
+    /// Listed: the items of the results that the store holds, in order of position.
+    OpenBatch(BatchIndex index, BatchSubmission submission, std::vector<std::string> listed);
 
     const BatchIndex &index() const
     {
@@ -103,9 +103,14 @@
     }
     bool isListed() const
     {
-        return m_listed == m_progress.size();
+        return m_listed.size() == m_progress.size();
     }
     std::size_t listedCount() const
+    {
+        return m_listed.size();
+    }
+    /// The items of the listed results, in order of position.
+    const std::vector<std::string> &listed() const
     {
         return m_listed;
     }
@@ -137,7 +142,7 @@
     std::vector<std::size_t> m_order;
     std::deque<ItemResult> m_pending;
     std::size_t m_decided = 0;
-    std::size_t m_listed = 0;
+    std::vector<std::string> m_listed;
 };
 
 }
--- a/src/scheduling/kepttext.cpp
+++ b/src/scheduling/progressrecord.cpp
@@ -1,4 +1,4 @@
-#include "scheduling/kepttext.h"
+#include "scheduling/progressrecord.h"
 
 #include <nlohmann/json.hpp>
 
@@ -7,24 +7,27 @@
 
 using nlohmann::json;
 
-std::string encodeKeptTexts(const std::vector<KeptText> &texts)
+std::string encodeProgress(const ProgressRecord &record)
 {
     auto list = json::array();
-    for (const auto &kept : texts) {
+    for (const auto &kept : record.texts) {
         auto events = json::array();
         for (const auto &event : kept.text.events()) {
             events.push_back({event.data, event.version});
         }
         list.push_back({{"item", kept.itemId}, {"last", kept.text.lastEventId()}, {"events", std::move(events)}});
     }
-    return list.dump(-1, ' ', false, json::error_handler_t::replace);
+    const json object{{"listed", record.listed}, {"items", std::move(list)}};
+    return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-Result<std::vector<KeptText>> decodeKeptTexts(std::string_view text)
+Result<ProgressRecord> decodeProgress(std::string_view text)
 {
     try {
-        std::vector<KeptText> texts;
-        for (const auto &object : json::parse(text)) {
+        const auto whole = json::parse(text);
+        ProgressRecord record;
+        record.listed = whole.at("listed").get<std::vector<std::string>>();
+        for (const auto &object : whole.at("items")) {
             KeptText kept;
             kept.itemId = object.at("item").get<std::string>();
             const auto &events = object.at("events");
@@ -32,9 +35,9 @@
             for (const auto &event : events) {
                 kept.text.append(++id, event.at(0).get<std::string>(), event.at(1).get<std::uint64_t>());
             }
-            texts.push_back(std::move(kept));
+            record.texts.push_back(std::move(kept));
         }
-        return texts;
+        return record;
     } catch (const json::exception &error) {
         return Error{ResultCode::MalformedRequest, error.what()};
     }
--- a/src/scheduling/progresswriter.cpp
+++ b/src/scheduling/progresswriter.cpp
@@ -2,6 +2,7 @@
 
 #include "batches/batchrecords.h"
 #include "election/leaderelection.h"
+#include "scheduling/progressrecord.h"
 
 namespace Basilbend
 {
@@ -35,7 +36,7 @@
     }
     m_isWriting = true;
     const auto &id = m_batch->index().id;
-    const MetadataChange change{{{LeaderElection::holderKey(), term}}, {{BatchRecords::progressKey(id), encodeKeptTexts(texts), 0}}, {}};
+    const MetadataChange change{{{LeaderElection::holderKey(), term}}, {{BatchRecords::progressKey(id), encodeProgress({m_batch->listed(), texts}), 0}}, {}};
     m_store.commit(change, [self = shared_from_this(), items = texts.size()](const MetadataReply &reply) {
         self->m_isWriting = false;
         self->m_nextWrite = self->m_loop.now() + WriteInterval;
--- a/tests/scheduling/batchlife.cpp
+++ b/tests/scheduling/batchlife.cpp
@@ -50,7 +50,8 @@
     std::optional<LoadedBatch> load(int ms = 200)
     {
         std::optional<LoadedBatch> loaded;
-        const auto loader = std::make_shared<BatchLoader>(store, virtualLoop(time), index, [&loaded](Result<LoadedBatch> batch) { loaded = batch.value(); });
+        const auto loader =
+            std::make_shared<BatchLoader>(store, virtualLoop(time), log, index, [&loaded](Result<LoadedBatch> batch) { loaded = batch.value(); });
         loader->start();
         time.advance(Milliseconds(ms));
         loader->cancel();
@@ -101,6 +102,30 @@
     BOOST_TEST(text.substr(text.size() - 4) == "\ne41");
 }
 
+// Guards against a successor that reads the texts of all results before it runs anything: they are most of what is stored.
+BOOST_FIXTURE_TEST_CASE(a_successor_does_not_read_results_that_the_progress_names, LifeFixture)
+{
+    auto first = load();
+    const auto writer = std::make_shared<ProgressWriter>(store, virtualLoop(time), log, first->batch, [this] { return term; });
+    store.put(BatchRecords::resultKey("b", 0), BatchRecords::encodeChunk({"w", 3, {{"i2", ItemOutcome::Completed, "t", {5}}}}));
+    first->batch->progress(1).phase = ItemPhase::Running;
+    first->batch->complete(1);
+    first->batch->noteListed(1);
+    first->batch->progress(0).phase = ItemPhase::Running;
+    first->batch->addEvent(0, 1, "e1", 5, {});
+    time.advance(Milliseconds(3000));
+    writer->poll();
+    time.advance(Milliseconds(100));
+    // Listed after the record was written.
+    store.put(BatchRecords::resultKey("b", 1), BatchRecords::encodeChunk({"w", 3, {{"i3", ItemOutcome::Completed, "t", {5}}}}));
+    store.put(BatchRecords::resultKey("b", 0), "unreadable");
+    const auto second = load();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST((second->batch->listed() == std::vector<std::string>{"i2", "i3"}));
+    BOOST_TEST((second->batch->progress(1).phase == ItemPhase::Decided));
+    BOOST_TEST((second->batch->progress(0).phase == ItemPhase::Waiting));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_unreadable_progress_costs_nothing_but_time, LifeFixture)
 {
     time.advance(Milliseconds(2000));
--- a/tests/scheduling/openbatch.cpp
+++ b/tests/scheduling/openbatch.cpp
@@ -132,7 +132,7 @@
 // Guards against results that a successor lists again.
 BOOST_AUTO_TEST_CASE(listed_results_are_not_run_again)
 {
-    OpenBatch batch(makeIndex(), makeSubmission(1, 2), {{"g0-1", ItemOutcome::Completed, "t", {5}}});
+    OpenBatch batch(makeIndex(), makeSubmission(1, 2), std::vector<std::string>{"g0-1"});
     BOOST_TEST((batch.progress(1).phase == ItemPhase::Decided));
     BOOST_TEST((batch.progress(0).phase == ItemPhase::Waiting));
     BOOST_TEST(batch.listedCount() == 1U);
--- a/tests/scheduling/resultwriter.cpp
+++ b/tests/scheduling/resultwriter.cpp
@@ -38,7 +38,7 @@
         }
         BatchIndex index;
         index.id = "b";
-        return std::make_shared<OpenBatch>(index, submission, std::vector<ItemResult>());
+        return std::make_shared<OpenBatch>(index, submission, std::vector<std::string>());
     }
 
     void complete(std::size_t i)
