--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = libasio-dev librestinio-dev libcurl4-openssl-dev libcli11-dev liblog4cplus-dev libboost-dev \
 	libboost-test-dev libyaml-cpp-dev nlohmann-json3-dev libssl-dev libxxhash-dev ccache ninja-build cmake g++ clang-format clang-tidy
 
-.PHONY: setup build test demo check-processes check-format format lint
+.PHONY: setup build test demo check-processes soak soak-short check-format format lint
 
 # Installs the declared packages only where one is missing.
 setup:
@@ -24,6 +24,15 @@
 check-processes: build
 	tests/e2e/processes.sh $(BUILD)
 
+# A short run of the soak with a fixed seed, as in CI.
+soak-short: build
+	$(BUILD)/basilbend-soak --program $(BUILD)/basilbend --seed 1 --seconds 6
+
+# All seeds that have ever failed. For fresh ones: basilbend-soak --program build/basilbend --seed N
+soak: build
+	grep -v '^#' tests/soak/seeds.txt | while read seed seconds cause; do \
+		$(BUILD)/basilbend-soak --program $(BUILD)/basilbend --seed $$seed --seconds $$seconds || exit 1; done
+
 check-format:
 	clang-format --dry-run -Werror $$(git ls-files '*.h' '*.cpp')
 
--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -2,10 +2,10 @@
 
 #include "base/systemclock.h"
 #include "base/textfile.h"
+#include "http/ioloop.h"
 #include "http/socketoptions.h"
 
 #include <algorithm>
-#include <asio/steady_timer.hpp>
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
@@ -28,25 +28,6 @@
 constexpr int FlushesPerSettingsCheck = 4;
 constexpr int FlushesPerCountsLine = 40;
 
-EventLoop makeLoop(asio::io_context &io)
-{
-    EventLoop loop;
-    loop.now = systemNow;
-    loop.runAfter = [&io](Milliseconds span, std::function<void()> function) {
-        if (span.count() <= 0) {
-            asio::post(io, std::move(function));
-            return;
-        }
-        auto timer = std::make_shared<asio::steady_timer>(io, span);
-        timer->async_wait([timer, function = std::move(function)](const asio::error_code &ec) {
-            if (!ec) {
-                function();
-            }
-        });
-    };
-    return loop;
-}
-
 std::vector<std::string> peersOf(const DaemonSettings &settings)
 {
     auto peers = settings.peers;
@@ -80,7 +61,7 @@
     , m_settings(std::move(settings))
     , m_incarnation(makeIncarnation())
     , m_io(1)
-    , m_loop(makeLoop(m_io))
+    , m_loop(ioLoop(m_io))
     , m_log(EventLogSettings{m_settings.node, m_incarnation}, systemNow, writeLog)
     , m_random(std::hash<std::string>()(m_incarnation))
     , m_client(m_io, systemNow)
--- a/tests/metadata/fakemetadatastore.cpp
+++ b/tests/metadata/fakemetadatastore.cpp
@@ -77,6 +77,7 @@
     if (isDown() || faults.watchesAreDeaf) {
         return;
     }
+    m_watchers.erase(std::remove_if(m_watchers.begin(), m_watchers.end(), [](const auto &watcher) { return !watcher->isOpen; }), m_watchers.end());
     const auto watchers = m_watchers;
     for (const auto &watcher : watchers) {
         auto reply = eventsAfter(watcher->prefix, watcher->after);
--- a/tests/scheduling/endpointuse.cpp
+++ b/tests/scheduling/endpointuse.cpp
@@ -42,6 +42,7 @@
 {
     EndpointUse use;
     std::vector<PlacementItem> waiting;
+    waiting.reserve(128);
     for (std::size_t i = 0; i < 128; ++i) {
         PlacementItem item;
         item.index = i;
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,170 @@
+#include "http/ioloop.h"
+#include "soak/faultplan.h"
+#include "soak/soakclients.h"
+
+#include <CLI/CLI.hpp>
+#include <asio/io_context.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+using namespace Basilbend;
+
+namespace
+{
+
+constexpr Milliseconds CheckInterval{100};
+/// All steps that were begun have to be done this long after the last fault.
+constexpr Milliseconds RecoveryTime{20000};
+/// Requests in this time after the recovery have to be served: the bound of the platform for a recovery is longer.
+constexpr Milliseconds CalmTime{2000};
+constexpr double CalmShare = 0.95;
+/// Grace period of the settings, and a second.
+constexpr Milliseconds StopTime{6000};
+
+/// One run: faults, recovery, a calm time, a last reading of everything, and the stop.
+class SoakRun
+{
+public:
+    SoakRun(std::uint64_t seed, Milliseconds faultTime, const SoakSystemSettings &settings)
+        : m_faultTime(faultTime)
+        , m_models(settings.models)
+        , m_loop(ioLoop(m_io))
+        , m_faultRandom(seed)
+        , m_loadRandom(seed + 1)
+        , m_checker(m_loop.now)
+        , m_system(m_io, m_loop, m_loadRandom, m_checker, settings)
+        , m_clients(m_io, m_loop, m_loadRandom, m_checker, m_system)
+        , m_faults(m_loop, m_faultRandom, m_system)
+    {
+    }
+
+    /// Whether all promises were kept.
+    bool play()
+    {
+        m_system.start();
+        m_loop.runAfter(Milliseconds(1500), [this] {
+            m_clients.start(m_models);
+            m_faults.start();
+            m_loop.runAfter(m_faultTime, [this] { recover(); });
+        });
+        m_io.run();
+        return m_checker.violations().empty();
+    }
+
+    void report(std::ostream &out, std::uint64_t seed) const
+    {
+        out << "seed " << seed << ": " << m_checker.violations().size() << " violations, " << m_faults.story().size() << " faults, " << m_checker.served()
+            << " of " << m_checker.answered() << " requests served, " << m_clients.doneSteps() << " steps done, " << m_checker.resultCount() << " results\n";
+        if (m_checker.violations().empty()) {
+            return;
+        }
+        for (const auto &violation : m_checker.violations()) {
+            out << "  broken: " << violation << "\n";
+        }
+        for (const auto &line : m_faults.story()) {
+            out << "  " << line << "\n";
+        }
+    }
+
+private:
+    void recover()
+    {
+        m_faults.stop();
+        m_loop.runAfter(RecoveryTime / 4, [this] { beginCalm(); });
+    }
+
+    void beginCalm()
+    {
+        const auto served = m_checker.served();
+        const auto answered = m_checker.answered();
+        m_loop.runAfter(CalmTime, [this, served, answered] {
+            const auto newServed = static_cast<double>(m_checker.served() - served);
+            const auto newAnswered = static_cast<double>(m_checker.answered() - answered);
+            m_checker.expect(newServed >= CalmShare * newAnswered,
+                             "only " + std::to_string(newServed) + " of " + std::to_string(newAnswered) + " requests served in calm");
+            m_clients.stop();
+            waitForSteps(RecoveryTime - RecoveryTime / 4 - CalmTime);
+        });
+    }
+
+    void waitForSteps(Milliseconds left)
+    {
+        if (m_clients.openSteps() > 0 && left.count() > 0) {
+            m_loop.runAfter(CheckInterval, [this, left] { waitForSteps(left - CheckInterval); });
+            return;
+        }
+        m_checker.expect(m_clients.openSteps() == 0, std::to_string(m_clients.openSteps()) + " steps are not done");
+        m_clients.readAllAgain();
+        waitForReads(RecoveryTime);
+    }
+
+    void waitForReads(Milliseconds left)
+    {
+        if (m_clients.openReads() > 0 && left.count() > 0) {
+            m_loop.runAfter(CheckInterval, [this, left] { waitForReads(left - CheckInterval); });
+            return;
+        }
+        m_checker.expect(m_clients.openReads() == 0, std::to_string(m_clients.openReads()) + " batches can't be read at the end");
+        for (auto &node : m_system.nodes()) {
+            node.process->signal(SIGTERM);
+        }
+        m_loop.runAfter(StopTime, [this] { finish(); });
+    }
+
+    void finish()
+    {
+        for (auto &node : m_system.nodes()) {
+            const bool isRunning = node.process->isRunning();
+            m_checker.expect(!isRunning, node.name + " still runs after its grace period");
+            m_checker.expect(isRunning || node.process->exitCode() == 0, node.name + " did not end in order");
+        }
+        m_io.stop();
+    }
+
+    asio::io_context m_io{1};
+    Milliseconds m_faultTime;
+    std::vector<std::string> m_models;
+    EventLoop m_loop;
+    Random m_faultRandom;
+    Random m_loadRandom;
+    PromiseChecker m_checker;
+    SoakSystem m_system;
+    SoakClients m_clients;
+    FaultPlan m_faults;
+};
+
+}
+
+int main(int argc, char **argv)
+{
+    CLI::App app{"Runs the gateways and schedulers as processes, injects random faults and checks what callers and endpoints see"};
+    std::uint64_t seed = 1;
+    double seconds = 12;
+    SoakSystemSettings settings;
+    bool keepsLogs = false;
+    app.add_option("--program", settings.program, "the basilbend program")->required()->check(CLI::ExistingFile);
+    app.add_option("--seed", seed, "seed of the faults and of the load");
+    app.add_option("--seconds", seconds, "time in which faults are injected");
+    app.add_option("--directory", settings.directory, "folder for settings and logs; without it a temporary one");
+    app.add_flag("--keep-logs", keepsLogs, "keep the logs of a run without violations");
+    app.add_option("--gateways", settings.gateways);
+    app.add_option("--schedulers", settings.schedulers);
+    CLI11_PARSE(app, argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+    if (settings.directory.empty()) {
+        auto pattern = (std::filesystem::temp_directory_path() / "basilbend-soak-XXXXXX").string();
+        settings.directory = ::mkdtemp(pattern.data()) == nullptr ? std::string(".") : pattern;
+    }
+    std::filesystem::create_directories(settings.directory);
+    SoakRun run(seed, Milliseconds(static_cast<std::int64_t>(seconds * 1000)), settings);
+    const bool isKept = run.play();
+    run.report(std::cout, seed);
+    if (isKept && !keepsLogs) {
+        std::filesystem::remove_all(settings.directory);
+    } else {
+        std::cout << "logs: " << settings.directory << "\n";
+    }
+    return isKept ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/promisechecker.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "base/timestamp.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// A result of a batch as a client reads it.
+struct ReadResult {
+    std::string item;
+    std::string outcome;
+    std::string text;
+    std::vector<std::uint64_t> versions;
+};
+
+inline bool operator==(const ReadResult &a, const ReadResult &b)
+{
+    return a.item == b.item && a.outcome == b.outcome && a.text == b.text && a.versions == b.versions;
+}
+
+/// Records what clients, endpoints and the platform see of the system, and which promise that breaks.
+class PromiseChecker
+{
+public:
+    /// Withdrawn keys must not be served for longer than this.
+    static constexpr Milliseconds WithdrawalBound{5000};
+    /// Two holders must not act by turns within this time.
+    static constexpr Milliseconds TurnTime{3000};
+    /// Orders that arrive this soon after their link has healed are not judged by their sequence.
+    static constexpr Milliseconds ThawSlack{400};
+
+    explicit PromiseChecker(NowFunction now);
+
+    // Live requests.
+    void noteSent(const std::string &attempt, bool mayRepeat, const std::string &apiKey);
+    void noteAnswer(const std::string &attempt, int status, const std::string &body);
+    void noteRun(const std::string &attempt, const std::string &workspace);
+    void noteKeyWithdrawn(const std::string &apiKey);
+    /// The body that an endpoint answers.
+    static std::string expectedBody(const std::string &attempt);
+
+    // Batches.
+    void noteAccepted(const std::string &batch, const std::vector<std::string> &items, std::uint64_t minimumVersion);
+    void noteRefused(const std::string &batch, const std::vector<std::string> &items);
+    void noteResults(const std::string &batch, std::size_t position, const std::vector<ReadResult> &results);
+    void noteUnknownBatch(const std::string &batch);
+    void noteItemRun(const std::string &item);
+    static std::string eventData(const std::string &item, std::uint64_t event, std::uint64_t version);
+    static std::uint64_t eventsOf(const std::string &item);
+
+    // Duties.
+    void noteOrder(const std::string &endpoint, const std::string &holder, std::uint64_t token, Timestamp linkHealedAt);
+    void noteUsageReport(std::int64_t window, const std::string &counts);
+
+    /// Something that has to hold at the end of the run.
+    void expect(bool holds, const std::string &what);
+
+    const std::vector<std::string> &violations() const
+    {
+        return m_violations;
+    }
+
+    std::size_t served() const
+    {
+        return m_served;
+    }
+    std::size_t answered() const
+    {
+        return m_answered;
+    }
+    std::size_t resultCount() const;
+
+private:
+    struct Attempt {
+        Timestamp sentAt;
+        bool mayRepeat = false;
+        std::string apiKey;
+        int runs = 0;
+        bool wasRefused = false;
+    };
+
+    struct Batch {
+        std::vector<std::string> items;
+        std::uint64_t minimumVersion = 0;
+        std::map<std::size_t, ReadResult> results;
+        std::set<std::string> listed;
+        bool isAccepted = false;
+    };
+
+    struct Turn {
+        std::string holder;
+        Timestamp lastAt;
+    };
+
+    void violate(const std::string &what);
+    void checkResult(const std::string &id, const Batch &batch, const ReadResult &result);
+
+    NowFunction m_now;
+    std::map<std::string, Attempt> m_attempts;
+    std::map<std::string, Timestamp> m_withdrawn;
+    std::map<std::string, Batch> m_batches;
+    std::map<std::string, std::string> m_refusedItems;
+    std::map<std::string, std::uint64_t> m_tokens;
+    std::map<std::string, std::vector<Turn>> m_turns;
+    std::map<std::int64_t, std::string> m_usage;
+    std::vector<std::string> m_violations;
+    std::size_t m_served = 0;
+    std::size_t m_answered = 0;
+};
+
+}
--- /dev/null
+++ b/tests/soak/soakclients.cpp
@@ -0,0 +1,259 @@
+#include "soak/soakclients.h"
+
+#include "http/socketoptions.h"
+#include "platform/wirenames.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr Milliseconds ConnectTimeout{300};
+constexpr Milliseconds LiveInterval{25};
+constexpr Milliseconds LiveTimeout{1500};
+constexpr Milliseconds BatchTimeout{2500};
+constexpr Milliseconds RetryPause{200};
+constexpr Milliseconds ReadPause{250};
+constexpr Milliseconds TrainTime{200};
+constexpr Milliseconds AuditInterval{300};
+constexpr int GroupsPerStep = 3;
+constexpr int ItemsPerGroup = 4;
+
+}
+
+SoakClients::SoakClients(asio::io_context &io, const EventLoop &loop, Random &random, PromiseChecker &checker, SoakSystem &system)
+    : m_loop(loop)
+    , m_random(random)
+    , m_checker(checker)
+    , m_system(system)
+    , m_client(io, loop.now)
+    , m_gateways(system.clientAddresses())
+{
+}
+
+void SoakClients::start(const std::vector<std::string> &models)
+{
+    sendLive();
+    audit();
+    for (const auto &model : models) {
+        beginStep(model);
+    }
+}
+
+void SoakClients::stop()
+{
+    m_isStopped = true;
+}
+
+void SoakClients::call(const RequestMessage &request, Milliseconds timeout, AnswerHook hook)
+{
+    struct Answer {
+        int status = 0;
+        std::string body;
+        bool isDone = false;
+    };
+    auto answer = std::make_shared<Answer>();
+    const auto number = ++m_lastCall;
+    const auto finish = [this, answer, number, hook = std::move(hook)](int status) {
+        if (!answer->isDone) {
+            answer->isDone = true;
+            m_calls.erase(number);
+            hook(status, answer->body);
+        }
+    };
+    CallHooks hooks;
+    hooks.onHead = [answer](const ResponseHead &head) { answer->status = head.status; };
+    hooks.onBody = [answer](std::string_view data) { answer->body.append(data); };
+    hooks.onEnd = [answer, finish](CallEnd end) { finish(end == CallEnd::Complete ? answer->status : 0); };
+    const auto &gateway = m_gateways[m_random.below(m_gateways.size())];
+    m_calls[number] = m_client.send(socketEndpoint(gateway), request, std::move(hooks), ConnectTimeout);
+    m_loop.runAfter(timeout, [finish] { finish(0); });
+}
+
+RequestMessage SoakClients::message(const std::string &method, const std::string &target, const std::string &attempt, const std::string &apiKey) const
+{
+    RequestMessage request{method, target, {{"Host", SoakSystem::Host}, {Wire::ApiKey, apiKey}}, {}};
+    if (!attempt.empty()) {
+        request.fields.set(Wire::AttemptId, attempt);
+    }
+    return request;
+}
+
+std::string SoakClients::randomKey()
+{
+    const auto &keys = m_system.apiKeys();
+    return keys[m_random.below(keys.size())];
+}
+
+std::string SoakClients::newId(const char *kind)
+{
+    return kind + std::to_string(++m_lastId);
+}
+
+void SoakClients::sendLive()
+{
+    if (m_isStopped) {
+        return;
+    }
+    const bool mayRepeat = m_random.below(10) < 7;
+    const auto attempt = newId("live");
+    // Some callers go on with a key that was withdrawn.
+    const auto key = m_random.below(10) == 0 ? std::string("w1-a") : randomKey();
+    auto request = message("POST", mayRepeat ? "/status/a" : "/order/a", attempt, key);
+    request.body = "question";
+    request.fields.set(Wire::DeadlineMs, std::to_string(LiveTimeout.count()));
+    m_checker.noteSent(attempt, mayRepeat, key);
+    call(request, LiveTimeout, [this, attempt](int status, const std::string &body) { m_checker.noteAnswer(attempt, status, body); });
+    m_loop.runAfter(LiveInterval, [this] { sendLive(); });
+}
+
+void SoakClients::beginStep(const std::string &model)
+{
+    if (m_isStopped) {
+        return;
+    }
+    auto step = std::make_shared<Step>();
+    step->id = newId("batch");
+    step->model = model;
+    step->version = m_system.publishedVersion(model);
+    auto items = json::array();
+    for (int i = 0; i < GroupsPerStep * ItemsPerGroup; ++i) {
+        step->items.push_back(newId("item"));
+        items.push_back({{"id", step->items.back()},
+                         {"path", "/steps/generate"},
+                         {"headers", {{"Basilbend-Model", model}, {Wire::TokenCounts, "100,2000"}, {Wire::LengthHint, "500"}}},
+                         {"body", "cHJvbXB0"},
+                         {"tokens", 2100},
+                         {"group", step->id + "-" + std::to_string(i / ItemsPerGroup)}});
+    }
+    const auto minimum = step->version > 1 ? step->version - 1 : 1;
+    step->body = json{{"step", m_doneSteps}, {"model", model}, {"minimum_version", minimum}, {"desired_count", GroupsPerStep}, {"items", items}}.dump();
+    m_steps.insert(step->id);
+    submit(step);
+}
+
+void SoakClients::submit(const StepPtr &step)
+{
+    auto request = message("POST", "/steps/", step->id, randomKey());
+    request.body = step->body;
+    request.fields.set("Content-Type", "application/json");
+    request.fields.set(Wire::DeadlineMs, std::to_string(BatchTimeout.count()));
+    call(request, BatchTimeout, [this, step](int status, const std::string &) {
+        if (status == 202) {
+            const auto minimum = step->version > 1 ? step->version - 1 : 1;
+            m_checker.noteAccepted(step->id, step->items, minimum);
+            m_accepted.push_back(step->id);
+            readResults(step);
+            return;
+        }
+        const bool saysNotRun = status == 429 || status == 503;
+        step->wasUnanswered = step->wasUnanswered || !saysNotRun;
+        if (m_isStopped && !step->wasUnanswered) {
+            // Every attempt was refused, so nothing of it may ever run.
+            m_checker.noteRefused(step->id, step->items);
+            m_steps.erase(step->id);
+            return;
+        }
+        m_loop.runAfter(RetryPause, [this, step] { submit(step); });
+    });
+}
+
+std::size_t SoakClients::notePage(const std::string &batch, std::size_t position, const std::string &body)
+{
+    const auto page = json::parse(body);
+    std::vector<ReadResult> results;
+    for (const auto &result : page.at("results")) {
+        results.push_back({result.at("id").get<std::string>(),
+                           result.at("state").get<std::string>(),
+                           result.value("text", std::string()),
+                           result.value("versions", std::vector<std::uint64_t>())});
+    }
+    m_checker.noteResults(batch, position, results);
+    m_checker.expect(page.at("total").get<int>() == GroupsPerStep * ItemsPerGroup, "batch " + batch + " has a wrong total");
+    return page.at("next").get<std::size_t>();
+}
+
+void SoakClients::readResults(const StepPtr &step)
+{
+    auto request = message("GET", Wire::BatchPath + step->id + "?after=" + std::to_string(step->position), {}, randomKey());
+    request.fields.set(Wire::WaitMs, "1000");
+    call(request, BatchTimeout, [this, step](int status, const std::string &body) { acceptResults(step, status, body); });
+}
+
+void SoakClients::acceptResults(const StepPtr &step, int status, const std::string &body)
+{
+    if (status == 200) {
+        step->position = notePage(step->id, step->position, body);
+    } else if (status == 404 || status == 410) {
+        m_checker.noteUnknownBatch(step->id);
+    }
+    if (step->position >= step->items.size()) {
+        endStep(step);
+        return;
+    }
+    m_loop.runAfter(ReadPause, [this, step] { readResults(step); });
+}
+
+void SoakClients::endStep(const StepPtr &step)
+{
+    call(message("DELETE", Wire::BatchPath + step->id, {}, randomKey()), BatchTimeout, [this, step](int status, const std::string &) {
+        if (status != 200) {
+            m_loop.runAfter(RetryPause, [this, step] { endStep(step); });
+            return;
+        }
+        ++m_doneSteps;
+        m_steps.erase(step->id);
+        m_system.publishVersion(step->model, m_system.publishedVersion(step->model) + 1);
+        m_loop.runAfter(TrainTime, [this, model = step->model] { beginStep(model); });
+    });
+}
+
+void SoakClients::audit()
+{
+    if (m_isStopped) {
+        return;
+    }
+    if (!m_accepted.empty()) {
+        const auto batch = m_accepted[m_random.below(m_accepted.size())];
+        call(message("GET", Wire::BatchPath + batch + "?after=0", {}, randomKey()), BatchTimeout, [this, batch](int status, const std::string &body) {
+            if (status == 200) {
+                notePage(batch, 0, body);
+            } else if (status == 404 || status == 410) {
+                m_checker.noteUnknownBatch(batch);
+            }
+        });
+    }
+    m_loop.runAfter(AuditInterval, [this] { audit(); });
+}
+
+void SoakClients::readAllAgain()
+{
+    for (const auto &batch : m_accepted) {
+        m_unread.insert(batch);
+        readAgain(batch, 0);
+    }
+}
+
+void SoakClients::readAgain(const std::string &batch, std::size_t position)
+{
+    const auto target = Wire::BatchPath + batch + "?after=" + std::to_string(position);
+    call(message("GET", target, {}, randomKey()), BatchTimeout, [this, batch, position](int status, const std::string &body) {
+        if (status == 404 || status == 410) {
+            m_checker.noteUnknownBatch(batch);
+            m_unread.erase(batch);
+        } else if (status != 200) {
+            m_loop.runAfter(RetryPause, [this, batch, position] { readAgain(batch, position); });
+        } else if (const auto next = notePage(batch, position, body); next > position && next < GroupsPerStep * ItemsPerGroup) {
+            readAgain(batch, next);
+        } else {
+            m_unread.erase(batch);
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/tests/soak/soakclients.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "base/random.h"
+#include "http/webclient.h"
+#include "soak/soaksystem.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// The clients of the system: callers of the plain service, one trainer per model, and readers of batches. They report what
+/// they see to the checker.
+class SoakClients
+{
+public:
+    SoakClients(asio::io_context &io, const EventLoop &loop, Random &random, PromiseChecker &checker, SoakSystem &system);
+
+    void start(const std::vector<std::string> &models);
+
+    /// No new requests and steps; steps under way go on.
+    void stop();
+
+    /// Steps that are not done.
+    std::size_t openSteps() const
+    {
+        return m_steps.size();
+    }
+    std::size_t doneSteps() const
+    {
+        return m_doneSteps;
+    }
+
+    /// Reads all batches that were ever accepted once more.
+    void readAllAgain();
+    /// Reads of readAllAgain() that have not been answered.
+    std::size_t openReads() const
+    {
+        return m_unread.size();
+    }
+
+private:
+    /// The answer to a call; status 0: none came.
+    using AnswerHook = std::function<void(int status, const std::string &body)>;
+
+    struct Step {
+        std::string id;
+        std::string model;
+        std::uint64_t version = 1;
+        std::vector<std::string> items;
+        std::string body;
+        bool isAccepted = false;
+        bool wasUnanswered = false;
+        std::size_t position = 0;
+    };
+    using StepPtr = std::shared_ptr<Step>;
+
+    void call(const RequestMessage &request, Milliseconds timeout, AnswerHook hook);
+    RequestMessage message(const std::string &method, const std::string &target, const std::string &attempt, const std::string &apiKey) const;
+    std::string randomKey();
+    std::string newId(const char *kind);
+
+    void sendLive();
+    void beginStep(const std::string &model);
+    void submit(const StepPtr &step);
+    void readResults(const StepPtr &step);
+    void acceptResults(const StepPtr &step, int status, const std::string &body);
+    void endStep(const StepPtr &step);
+    void audit();
+    void readAgain(const std::string &batch, std::size_t position);
+    std::size_t notePage(const std::string &batch, std::size_t position, const std::string &body);
+
+    EventLoop m_loop;
+    Random &m_random;
+    PromiseChecker &m_checker;
+    SoakSystem &m_system;
+    WebClient m_client;
+    std::vector<std::string> m_gateways;
+    std::map<std::uint64_t, ClientCall> m_calls;
+    std::uint64_t m_lastCall = 0;
+    std::uint64_t m_lastId = 0;
+    std::set<std::string> m_steps;
+    std::vector<std::string> m_accepted;
+    std::set<std::string> m_unread;
+    std::size_t m_doneSteps = 0;
+    bool m_isStopped = false;
+};
+
+}
--- /dev/null
+++ b/tests/soak/soakendpoint.cpp
@@ -0,0 +1,235 @@
+#include "soak/soakendpoint.h"
+
+#include "platform/wirenames.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr Milliseconds EventInterval{25};
+constexpr Milliseconds LoadTime{300};
+constexpr Milliseconds RemovalDelay{400};
+constexpr std::uint64_t LeastWorkMs = 5;
+constexpr std::uint64_t WorkSpreadMs = 60;
+
+}
+
+/// A stream of events that is being generated.
+struct SoakEndpoint::Run {
+    std::shared_ptr<ServerExchange> exchange;
+    std::string item;
+    std::string model;
+    std::uint64_t lastEvent = 0;
+    std::uint64_t version = 0;
+    int boot = 0;
+};
+
+SoakEndpoint::SoakEndpoint(
+    asio::io_context &io, const EventLoop &loop, Random &random, PromiseChecker &checker, SoakEndpointSettings settings, WriteKey writeKey)
+    : m_loop(loop)
+    , m_random(random)
+    , m_checker(checker)
+    , m_settings(std::move(settings))
+    , m_writeKey(std::move(writeKey))
+    , m_server(io,
+               "127.0.0.1:0",
+               {[this](const std::shared_ptr<ServerExchange> &exchange) { handle(exchange); },
+                [](int status) {
+                    return ResponseMessage{status, {}, {}};
+                },
+                [] { return ServerLimits(); },
+                [] { return false; },
+                {}})
+    , m_proxy(io, loop)
+{
+    m_proxy.setTarget(m_server.port());
+    for (const auto &model : m_settings.models) {
+        m_newest[model] = 1;
+    }
+    begin();
+}
+
+void SoakEndpoint::begin()
+{
+    m_id = m_settings.name + "-" + std::to_string(++m_boots);
+    m_versions = m_newest;
+    m_loadingModel.clear();
+    m_orders = 0;
+    m_running = 0;
+    m_startedAtMs = m_loop.now().milliseconds();
+    publish();
+}
+
+void SoakEndpoint::publish()
+{
+    auto models = json::array();
+    for (const auto &[name, version] : m_versions) {
+        models.push_back({{"name", name}, {"version", version}, {"adapters", json::array()}});
+    }
+    const json entry{{"service", m_settings.service},
+                     {"address", m_proxy.address()},
+                     {"zone", "z0"},
+                     {"version", "1"},
+                     {"slots", m_settings.slots},
+                     {"state", "ready"},
+                     {"cold_remaining_ms", 0},
+                     {"sequence", 1},
+                     {"stage", "both"},
+                     {"models", models},
+                     {"born", m_startedAtMs}};
+    m_writeKey(Wire::EndpointPrefix + m_id, entry.dump());
+}
+
+void SoakEndpoint::crash(Milliseconds downTime)
+{
+    ++m_boots;
+    m_proxy.setFault(LinkFault::Refuse);
+    m_proxy.resetAll();
+    m_loop.runAfter(RemovalDelay, [this, id = m_id] { m_writeKey(Wire::EndpointPrefix + id, {}); });
+    m_loop.runAfter(downTime + RemovalDelay, [this] {
+        m_proxy.setFault(LinkFault::None);
+        begin();
+    });
+}
+
+void SoakEndpoint::noteNewestVersion(const std::string &model, std::uint64_t version)
+{
+    m_newest[model] = version;
+}
+
+std::uint64_t SoakEndpoint::versionOf(const std::string &model) const
+{
+    const auto it = m_versions.find(model);
+    return it == m_versions.end() ? 0 : it->second;
+}
+
+void SoakEndpoint::handle(const std::shared_ptr<ServerExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    const auto &expected = request.fields.value(Wire::ExpectInstance);
+    if (!expected.empty() && expected != m_id) {
+        refuse(exchange, 421);
+    } else if (targetPath(request.target) == Wire::ReportPath) {
+        answerReport(exchange);
+    } else if (targetPath(request.target) == Wire::OrderPath) {
+        acceptOrder(exchange);
+    } else if (m_running >= m_settings.slots) {
+        refuse(exchange, 503);
+    } else if (m_settings.models.empty()) {
+        startPlain(exchange);
+    } else {
+        startItem(exchange);
+    }
+}
+
+void SoakEndpoint::refuse(const std::shared_ptr<ServerExchange> &exchange, int status) const
+{
+    exchange->respond({status, {{Wire::NotExecuted, "1"}, {Wire::AttemptId, std::string(exchange->request().fields.value(Wire::AttemptId))}}, {}});
+}
+
+void SoakEndpoint::answerReport(const std::shared_ptr<ServerExchange> &exchange) const
+{
+    auto models = json::array();
+    for (const auto &[name, version] : m_versions) {
+        models.push_back({{"name", name}, {"version", version}, {"adapters", json::array()}});
+    }
+    const json report{
+        {"stage", "both"}, {"models", models}, {"busy", !m_loadingModel.empty()}, {"sequence", m_orders}, {"running", m_running}, {"born", m_startedAtMs}};
+    exchange->respond({200, {{"Content-Type", "application/json"}}, report.dump()});
+}
+
+void SoakEndpoint::acceptOrder(const std::shared_ptr<ServerExchange> &exchange)
+{
+    const auto order = json::parse(exchange->request().body);
+    const auto model = order.at("model").get<std::string>();
+    const auto version = order.at("version").get<std::uint64_t>();
+    m_checker.noteOrder(m_id, order.at("holder").get<std::string>(), order.at("fencing_token").get<std::uint64_t>(), m_proxy.healedAt());
+    if (version > m_newest[model]) {
+        exchange->respond({400, {}, {}});
+    } else if (versionOf(model) >= version) {
+        exchange->respond({200, {}, {}});
+    } else if (!m_loadingModel.empty() || order.at("precondition").get<std::uint64_t>() != m_orders) {
+        exchange->respond({409, {}, {}});
+    } else {
+        ++m_orders;
+        m_loadingModel = model;
+        exchange->respond({202, {}, {}});
+        m_loop.runAfter(LoadTime, [this, model, version, boot = m_boots] {
+            if (boot == m_boots) {
+                m_loadingModel.clear();
+                m_versions[model] = version;
+                publish();
+            }
+        });
+    }
+}
+
+void SoakEndpoint::startPlain(const std::shared_ptr<ServerExchange> &exchange)
+{
+    const auto &fields = exchange->request().fields;
+    const std::string attempt(fields.value(Wire::AttemptId));
+    m_checker.noteRun(attempt, std::string(fields.value(Wire::Tenant)));
+    ++m_running;
+    const Milliseconds work(LeastWorkMs + m_random.below(WorkSpreadMs));
+    m_loop.runAfter(work, [this, exchange, attempt, boot = m_boots] {
+        if (boot == m_boots) {
+            --m_running;
+            exchange->respond({200, {{Wire::AttemptId, attempt}, {Wire::Signature, "s"}}, PromiseChecker::expectedBody(attempt)});
+        }
+    });
+}
+
+void SoakEndpoint::startItem(const std::shared_ptr<ServerExchange> &exchange)
+{
+    const auto &fields = exchange->request().fields;
+    const std::string model(fields.value("Basilbend-Model"));
+    if (m_loadingModel == model) {
+        refuse(exchange, 503);
+        return;
+    }
+    const std::string resumed(fields.value(Wire::LastEventId));
+    auto run = std::make_shared<Run>();
+    run->exchange = exchange;
+    run->item = std::string(fields.value(Wire::AttemptId));
+    run->model = model;
+    run->lastEvent = resumed.empty() ? 0 : std::stoull(resumed);
+    run->version = versionOf(model);
+    run->boot = m_boots;
+    m_checker.noteItemRun(run->item);
+    ++m_running;
+    exchange->beginStream(
+        {200,
+         {{"Content-Type", "text/event-stream"}, {Wire::AttemptId, run->item}, {Wire::Signature, "s"}, {Wire::WeightVersions, std::to_string(run->version)}}});
+    sendEvent(run);
+}
+
+void SoakEndpoint::sendEvent(const std::shared_ptr<Run> &run)
+{
+    if (run->boot != m_boots) {
+        return;
+    }
+    const bool isDone = run->lastEvent >= PromiseChecker::eventsOf(run->item);
+    if (isDone || !run->exchange->isOpen()) {
+        --m_running;
+        run->exchange->endStream();
+        return;
+    }
+    const auto version = versionOf(run->model);
+    std::string event;
+    if (version != run->version) {
+        event += "basilbend-weight-versions: " + std::to_string(version) + "\n";
+        run->version = version;
+    }
+    const auto number = ++run->lastEvent;
+    event += "id: " + std::to_string(number) + "\ndata: " + PromiseChecker::eventData(run->item, number, version) + "\n\n";
+    run->exchange->sendPart(event);
+    m_loop.runAfter(EventInterval, [this, run] { sendEvent(run); });
+}
+
+}
--- /dev/null
+++ b/tests/soak/soakendpoint.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "base/random.h"
+#include "http/webserver.h"
+#include "soak/faultproxy.h"
+#include "soak/promisechecker.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Basilbend
+{
+
+struct SoakEndpointSettings {
+    std::string service;
+    std::string name;
+    /// Models that it generates with; none: a plain service.
+    std::vector<std::string> models;
+    int slots = 8;
+};
+
+/// An endpoint behind a proxy: a plain service that answers a request after some time, or a model engine that streams events
+/// and changes its weights when it is told to. Registers itself in the metadata store.
+class SoakEndpoint
+{
+public:
+    /// Write: puts a key of the store, or removes it when the value is empty.
+    using WriteKey = std::function<void(const std::string &key, const std::string &value)>;
+
+    SoakEndpoint(asio::io_context &io, const EventLoop &loop, Random &random, PromiseChecker &checker, SoakEndpointSettings settings, WriteKey writeKey);
+
+    FaultProxy &proxy()
+    {
+        return m_proxy;
+    }
+
+    const std::string &id() const
+    {
+        return m_id;
+    }
+
+    /// Cuts everything at once, and is there again under another id after the span, with the newest versions.
+    void crash(Milliseconds downTime);
+
+    /// A version has been named; replicas that start load the newest.
+    void noteNewestVersion(const std::string &model, std::uint64_t version);
+
+private:
+    struct Run;
+
+    void begin();
+    void publish();
+    void handle(const std::shared_ptr<ServerExchange> &exchange);
+    void answerReport(const std::shared_ptr<ServerExchange> &exchange) const;
+    void acceptOrder(const std::shared_ptr<ServerExchange> &exchange);
+    void refuse(const std::shared_ptr<ServerExchange> &exchange, int status) const;
+    void startPlain(const std::shared_ptr<ServerExchange> &exchange);
+    void startItem(const std::shared_ptr<ServerExchange> &exchange);
+    void sendEvent(const std::shared_ptr<Run> &run);
+    std::uint64_t versionOf(const std::string &model) const;
+
+    EventLoop m_loop;
+    Random &m_random;
+    PromiseChecker &m_checker;
+    SoakEndpointSettings m_settings;
+    WriteKey m_writeKey;
+    WebServer m_server;
+    FaultProxy m_proxy;
+    std::string m_id;
+    int m_boots = 0;
+    std::map<std::string, std::uint64_t> m_versions;
+    std::map<std::string, std::uint64_t> m_newest;
+    std::string m_loadingModel;
+    std::uint64_t m_orders = 0;
+    std::int64_t m_startedAtMs = 0;
+    int m_running = 0;
+};
+
+}
--- /dev/null
+++ b/tests/soak/soakprocess.cpp
@@ -0,0 +1,78 @@
+#include "soak/soakprocess.h"
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace Basilbend
+{
+
+SoakProcess::SoakProcess(std::string program, std::string role, std::string settingsFile, std::string logFile)
+    : m_program(std::move(program))
+    , m_role(std::move(role))
+    , m_settingsFile(std::move(settingsFile))
+    , m_logFile(std::move(logFile))
+{
+}
+
+SoakProcess::~SoakProcess()
+{
+    kill();
+}
+
+void SoakProcess::start()
+{
+    m_exitCode.reset();
+    const int log = ::open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    std::array<char *, 5> arguments = {m_program.data(), m_role.data(), const_cast<char *>("--settings"), m_settingsFile.data(), nullptr};
+    m_pid = ::fork();
+    if (m_pid < 0) {
+        throw std::system_error(errno, std::generic_category(), "fork");
+    }
+    if (m_pid == 0) {
+        ::dup2(log, STDOUT_FILENO);
+        ::dup2(log, STDERR_FILENO);
+        ::execv(m_program.c_str(), arguments.data());
+        ::_exit(127);
+    }
+    ::close(log);
+}
+
+void SoakProcess::signal(int number) const
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, number);
+    }
+}
+
+bool SoakProcess::isRunning()
+{
+    int status = 0;
+    if (m_pid > 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+        noteEnd(status);
+    }
+    return m_pid > 0;
+}
+
+void SoakProcess::kill()
+{
+    if (m_pid <= 0) {
+        return;
+    }
+    ::kill(m_pid, SIGKILL);
+    int status = 0;
+    ::waitpid(m_pid, &status, 0);
+    noteEnd(status);
+}
+
+void SoakProcess::noteEnd(int status)
+{
+    m_pid = 0;
+    m_exitCode = WIFEXITED(status) ? std::optional(WEXITSTATUS(status)) : std::nullopt;
+}
+
+}
--- /dev/null
+++ b/tests/soak/soakprocess.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <sys/types.h>
+
+namespace Basilbend
+{
+
+/// One process of the system under test.
+class SoakProcess
+{
+public:
+    /// Program and role: what is run as "PROGRAM ROLE --settings FILE". Its output is appended to the log file.
+    SoakProcess(std::string program, std::string role, std::string settingsFile, std::string logFile);
+    ~SoakProcess();
+    SoakProcess(const SoakProcess &) = delete;
+    SoakProcess &operator=(const SoakProcess &) = delete;
+
+    /// Throws std::system_error when no process can be made.
+    void start();
+
+    /// Does nothing when the process has ended.
+    void signal(int number) const;
+
+    /// Also takes note of its end.
+    bool isRunning();
+
+    /// Kills and waits for the end.
+    void kill();
+
+    /// Exit code of the last end; nothing after a signal, or while it runs.
+    std::optional<int> exitCode() const
+    {
+        return m_exitCode;
+    }
+
+private:
+    void noteEnd(int status);
+
+    std::string m_program;
+    std::string m_role;
+    std::string m_settingsFile;
+    std::string m_logFile;
+    pid_t m_pid = 0;
+    std::optional<int> m_exitCode;
+};
+
+}
--- /dev/null
+++ b/tests/soak/soaksystem.cpp
@@ -0,0 +1,198 @@
+#include "soak/soaksystem.h"
+
+#include "platform/wirenames.h"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/// Ports of the processes lie below those that the system gives to outgoing connections, and apart from those of other runs:
+/// a process that is started again must find its port free.
+constexpr int FirstPort = 10000;
+constexpr int PortRanges = 1000;
+constexpr int PortsPerRun = 22;
+
+json route(const char *name, const char *prefix, const char *kind, const char *service, Milliseconds timeout)
+{
+    return {{"name", name},
+            {"host", SoakSystem::Host},
+            {"path_prefix", prefix},
+            {"kind", kind},
+            {"service", service},
+            {"timeout_ms", timeout.count()},
+            {"target_latency_ms", 300},
+            {"attempts", 3},
+            {"retention_s", 120},
+            {"result_deadline_ms", 8000}};
+}
+
+ServerHooks reportHooks(PromiseChecker &checker)
+{
+    ServerHooks hooks;
+    hooks.onRequest = [&checker](const std::shared_ptr<ServerExchange> &exchange) {
+        const auto report = json::parse(exchange->request().body);
+        checker.noteUsageReport(report.at("window_index").get<std::int64_t>(), report.at("counts").dump());
+        exchange->respond({200, {}, {}});
+    };
+    hooks.refusal = [](int status) { return ResponseMessage{status, {}, {}}; };
+    hooks.limits = [] { return ServerLimits(); };
+    hooks.isDraining = [] { return false; };
+    return hooks;
+}
+
+}
+
+SoakSystem::SoakSystem(asio::io_context &io, const EventLoop &loop, Random &random, PromiseChecker &checker, SoakSystemSettings settings)
+    : m_io(io)
+    , m_loop(loop)
+    , m_checker(checker)
+    , m_settings(std::move(settings))
+    , m_store(io, loop)
+    , m_reports(io, "127.0.0.1:0", reportHooks(checker))
+    , m_lastPort(static_cast<std::uint16_t>(FirstPort + ::getpid() % PortRanges * PortsPerRun))
+{
+    const auto writeKey = [this](const std::string &key, const std::string &value) {
+        if (value.empty()) {
+            store().erase(key);
+        } else {
+            store().put(key, value);
+        }
+    };
+    for (int i = 0; i < m_settings.engines; ++i) {
+        const SoakEndpointSettings engine{"engine", "e" + std::to_string(i), m_settings.models, 8};
+        m_endpoints.push_back(std::make_unique<SoakEndpoint>(io, loop, random, checker, engine, writeKey));
+    }
+    for (int i = 0; i < m_settings.services; ++i) {
+        const SoakEndpointSettings service{"desk", "d" + std::to_string(i), {}, 8};
+        m_endpoints.push_back(std::make_unique<SoakEndpoint>(io, loop, random, checker, service, writeKey));
+    }
+    publishConfiguration();
+    for (int i = 0; i < m_settings.gateways; ++i) {
+        addNode("gateway", i);
+    }
+    for (int i = 0; i < m_settings.schedulers; ++i) {
+        addNode("scheduler", i);
+    }
+}
+
+std::uint16_t SoakSystem::freePort()
+{
+    while (true) {
+        asio::ip::tcp::acceptor acceptor(m_io);
+        acceptor.open(asio::ip::tcp::v4());
+        asio::error_code ec;
+        acceptor.bind({asio::ip::address_v4::loopback(), ++m_lastPort}, ec);
+        if (!ec) {
+            return m_lastPort;
+        }
+    }
+}
+
+void SoakSystem::addNode(const std::string &role, int number)
+{
+    SoakNode node;
+    node.name = role + std::to_string(number);
+    node.settingsFile = m_settings.directory + "/" + node.name + ".yaml";
+    node.store = std::make_unique<FaultProxy>(m_io, m_loop);
+    node.store->setTarget(m_store.port());
+    if (role == "gateway") {
+        node.clients = std::make_unique<FaultProxy>(m_io, m_loop);
+        node.clients->setTarget(freePort());
+    }
+    std::ofstream(node.settingsFile) << settingsText(role, node);
+    node.process = std::make_unique<SoakProcess>(m_settings.program, role, node.settingsFile, m_settings.directory + "/" + node.name + ".log");
+    m_nodes.push_back(std::move(node));
+}
+
+std::string SoakSystem::settingsText(const std::string &role, const SoakNode &node)
+{
+    const auto own = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
+    std::string text = "role: " + role + "\nnode: " + node.name + "\nzone: z0\nmetrics: " + own(freePort());
+    text += "store: \"" + node.store->address() + "\"\nreports: " + own(m_reports.port());
+    if (node.clients) {
+        const auto processes = freePort();
+        text += "clients: " + own(node.clients->target()) + "readiness: " + own(freePort()) + "processes: " + own(processes);
+        m_peers.push_back("127.0.0.1:" + std::to_string(processes));
+    }
+    text += "peers: [";
+    for (std::size_t i = 0; i < m_peers.size(); ++i) {
+        text += (i == 0 ? "\"" : ", \"") + m_peers[i] + "\"";
+    }
+    return text + "]\nusage_window_seconds: 2\nusage_due_seconds: 4\ngrace_seconds: 5\n";
+}
+
+void SoakSystem::start()
+{
+    for (auto &node : m_nodes) {
+        node.process->start();
+    }
+}
+
+std::vector<std::string> SoakSystem::clientAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &node : m_nodes) {
+        if (node.clients) {
+            addresses.push_back(node.clients->address());
+        }
+    }
+    return addresses;
+}
+
+void SoakSystem::publishVersion(const std::string &model, std::uint64_t version)
+{
+    m_versions[model] = version;
+    for (const auto &endpoint : m_endpoints) {
+        endpoint->noteNewestVersion(model, version);
+    }
+    store().put(Wire::VersionPrefix + model, json{{"model", model}, {"version", version}}.dump());
+}
+
+std::uint64_t SoakSystem::publishedVersion(const std::string &model) const
+{
+    const auto it = m_versions.find(model);
+    return it == m_versions.end() ? 1 : it->second;
+}
+
+void SoakSystem::publishConfiguration()
+{
+    auto models = json::array();
+    for (const auto &model : m_settings.models) {
+        models.push_back({{"name", model}});
+    }
+    const json engine{{"name", "engine"}, {"engine", {{"slots", 8}, {"kv_cache_tokens", 60000}, {"models", models}}}};
+    const json configuration{{"version", ++m_configuration},
+                             {"routes",
+                              {route("status", "/status/", "idempotent", "desk", m_routeTimeout),
+                               route("order", "/order/", "non_idempotent", "desk", m_routeTimeout),
+                               route("steps", "/steps/", "rollout", "engine", Milliseconds(10000))}},
+                             {"services", {engine, {{"name", "desk"}}}},
+                             {"tenants", {{{"name", "w1"}, {"api_keys", m_apiKeys}}}}};
+    store().put(Wire::ConfigurationKey, configuration.dump());
+}
+
+void SoakSystem::withdrawKey()
+{
+    if (m_apiKeys.size() < 2) {
+        return;
+    }
+    const auto key = m_apiKeys.front();
+    m_apiKeys.erase(m_apiKeys.begin());
+    publishConfiguration();
+    m_checker.noteKeyWithdrawn(key);
+}
+
+void SoakSystem::touchSettings(const SoakNode &node)
+{
+    std::ofstream(node.settingsFile, std::ios::app) << "# changed at " << m_loop.now().milliseconds() << "\n";
+}
+
+}
--- /dev/null
+++ b/tests/soak/soaksystem.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "base/random.h"
+#include "http/webserver.h"
+#include "soak/faultproxy.h"
+#include "soak/promisechecker.h"
+#include "soak/soakendpoint.h"
+#include "soak/soakprocess.h"
+#include "soak/storeserver.h"
+
+#include <asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+struct SoakSystemSettings {
+    std::string program;
+    /// Settings and logs of the processes lie here.
+    std::string directory;
+    int gateways = 3;
+    int schedulers = 3;
+    int engines = 5;
+    int services = 2;
+    std::vector<std::string> models = {"alpha", "beta"};
+};
+
+/// A process with the proxies on its links.
+struct SoakNode {
+    std::string name;
+    std::string settingsFile;
+    std::unique_ptr<SoakProcess> process;
+    std::unique_ptr<FaultProxy> store;
+    /// Where clients reach a gateway; null for schedulers.
+    std::unique_ptr<FaultProxy> clients;
+};
+
+/// The system under test with everything around it: the store, the receiver of reports and the endpoints run in this
+/// process, the gateways and schedulers are processes of their own.
+class SoakSystem
+{
+public:
+    SoakSystem(asio::io_context &io, const EventLoop &loop, Random &random, PromiseChecker &checker, SoakSystemSettings settings);
+
+    void start();
+
+    std::vector<SoakNode> &nodes()
+    {
+        return m_nodes;
+    }
+
+    std::vector<std::unique_ptr<SoakEndpoint>> &endpoints()
+    {
+        return m_endpoints;
+    }
+
+    FakeMetadataStore &store()
+    {
+        return m_store.store();
+    }
+
+    /// "127.0.0.1:PORT" of the client side of each gateway.
+    std::vector<std::string> clientAddresses() const;
+
+    /// Publishes a weight version of a model.
+    void publishVersion(const std::string &model, std::uint64_t version);
+    std::uint64_t publishedVersion(const std::string &model) const;
+
+    /// Puts a new version of the configuration in force.
+    void publishConfiguration();
+    /// Changes what the next configuration says.
+    void setRouteTimeout(Milliseconds timeout)
+    {
+        m_routeTimeout = timeout;
+    }
+    /// Takes the oldest key away, unless only one is left.
+    void withdrawKey();
+    /// Keys in force now.
+    const std::vector<std::string> &apiKeys() const
+    {
+        return m_apiKeys;
+    }
+
+    /// Appends a comment to the settings file of a process, as a change that means nothing.
+    void touchSettings(const SoakNode &node);
+
+    static constexpr const char *Host = "soak.example";
+
+private:
+    void addNode(const std::string &role, int number);
+    std::string settingsText(const std::string &role, const SoakNode &node);
+    std::uint16_t freePort();
+
+    asio::io_context &m_io;
+    EventLoop m_loop;
+    PromiseChecker &m_checker;
+    SoakSystemSettings m_settings;
+    StoreServer m_store;
+    WebServer m_reports;
+    std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
+    std::vector<SoakNode> m_nodes;
+    std::vector<std::string> m_peers;
+    std::map<std::string, std::uint64_t> m_versions;
+    std::vector<std::string> m_apiKeys = {"w1-a", "w1-b", "w1-c", "w1-d"};
+    std::uint64_t m_configuration = 0;
+    std::uint16_t m_lastPort;
+    Milliseconds m_routeTimeout{2000};
+};
+
+}
