--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -17,9 +17,6 @@
 constexpr Milliseconds RetryPause{20};
 /// Runs moved away from slow endpoints at one tick.
 constexpr int MovesPerTick = 12;
-/// Texts of ended batches that are kept for items that may come again.
-constexpr std::size_t MaxKeptTexts = 1500;
-constexpr std::size_t MaxKeptBytes = 8 * 1024 * 1024;
 /// Waiting items looked at in one round of a batch.
 constexpr std::size_t MaxWaitingInRound = 512;
 /// Each batch tells at most once in this time that items wait.
@@ -67,7 +64,6 @@
     }
     m_batches.clear();
     m_kept.clear();
-    m_keptBytes = 0;
     m_use.clear();
 }
 
@@ -78,7 +74,7 @@
     batch->openedAt = m_loop.now();
     const auto *route = routeOf(*batch->state);
     if (route != nullptr) {
-        std::vector<KeptText> texts(m_kept.begin(), m_kept.end());
+        auto texts = m_kept.all();
         std::move(loaded.progress.begin(), loaded.progress.end(), std::back_inserter(texts));
         batch->state->adopt(texts, rulesOf(*route));
     }
@@ -105,18 +101,6 @@
     }
 }
 
-void BatchRunner::keepTexts(const OpenBatch &batch)
-{
-    for (auto &text : batch.textsToKeep()) {
-        m_keptBytes += text.text.bytes();
-        m_kept.push_back(std::move(text));
-    }
-    while (m_keptBytes > MaxKeptBytes || m_kept.size() > MaxKeptTexts) {
-        m_keptBytes -= m_kept.front().text.bytes();
-        m_kept.pop_front();
-    }
-}
-
 void BatchRunner::close(const std::string &id)
 {
     const auto it = m_batches.find(id);
@@ -126,7 +110,7 @@
     const auto batch = std::move(it->second);
     m_batches.erase(it);
     batch->writer->stop();
-    keepTexts(*batch->state);
+    m_kept.add(batch->state->textsToKeep());
     noteDuration(*batch->state);
     for (const auto &[item, running] : batch->running) {
         m_use.noteEnded(running.endpoint, running.number);
@@ -284,14 +268,7 @@
     }
     batch.waitLoggedAt = now;
     const auto minimum = batch.state->submission().minimumVersion;
-    int outdated = 0;
-    int full = 0;
-    int slow = 0;
-    for (const auto &endpoint : endpoints) {
-        outdated += endpoint.version < minimum ? 1 : 0;
-        full += endpoint.version >= minimum && endpoint.running >= endpoint.slots ? 1 : 0;
-        slow += endpoint.isSlow ? 1 : 0;
-    }
+    const auto obstacles = countObstacles(endpoints, minimum);
     m_log.info("items_waiting",
                {{"batch", batch.state->index().id},
                 {"model", batch.state->submission().model},
@@ -300,9 +277,9 @@
                 {"running", batch.running.size()},
                 {"since_ms", now - batch.openedAt},
                 {"endpoints", endpoints.size()},
-                {"outdated", outdated},
-                {"full", full},
-                {"slow", slow}});
+                {"outdated", obstacles.outdated},
+                {"full", obstacles.full},
+                {"slow", obstacles.slow}});
 }
 
 void BatchRunner::start(Batch &batch, std::size_t item, const EndpointRecord &endpoint)
@@ -491,6 +468,15 @@
             cancelRun(batch, item, "retention_over");
         }
     }
+    cancelSilentRuns(batch);
+    moveFromSlowEndpoints(batch);
+    batch.writer->poll();
+    batch.progress->poll();
+}
+
+void BatchRunner::cancelSilentRuns(Batch &batch)
+{
+    const auto now = m_loop.now();
     std::vector<std::size_t> silent;
     for (const auto &[item, running] : batch.running) {
         if (now - running.run->lastActivity() >= SilenceLimit) {
@@ -501,9 +487,6 @@
         m_pace.noteFailure(batch.running.at(item).endpoint, now);
         cancelRun(batch, item, "silent");
     }
-    moveFromSlowEndpoints(batch);
-    batch.writer->poll();
-    batch.progress->poll();
 }
 
 void BatchRunner::moveFromSlowEndpoints(Batch &batch)
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -11,12 +11,12 @@
 #include "scheduling/endpointpace.h"
 #include "scheduling/endpointuse.h"
 #include "scheduling/itemrun.h"
+#include "scheduling/kepttexts.h"
 #include "scheduling/openbatch.h"
 #include "scheduling/placement.h"
 #include "scheduling/progresswriter.h"
 #include "scheduling/resultwriter.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -92,7 +92,6 @@
     void close(const std::string &id);
     void reload(const std::string &id);
     void noteDuration(const OpenBatch &batch);
-    void keepTexts(const OpenBatch &batch);
 
     void scheduleSoon();
     void schedule();
@@ -111,6 +110,7 @@
     void tick();
     void tickBatch(Batch &batch);
     void cancelRun(Batch &batch, std::size_t item, const char *why);
+    void cancelSilentRuns(Batch &batch);
     void moveFromSlowEndpoints(Batch &batch);
     const RouteRule *routeOf(const OpenBatch &batch) const;
     static BatchRules rulesOf(const RouteRule &route);
@@ -125,9 +125,7 @@
     BatchRunnerHooks m_hooks;
     BatchWatch m_watch;
     std::map<std::string, std::unique_ptr<Batch>> m_batches;
-    /// Texts of ended batches, oldest first.
-    std::deque<KeptText> m_kept;
-    std::size_t m_keptBytes = 0;
+    KeptTexts m_kept;
     EndpointUse m_use;
     BatchDemand m_demand;
     EndpointPace m_pace;
--- /dev/null
+++ b/src/scheduling/kepttexts.cpp
@@ -0,0 +1,24 @@
+#include "scheduling/kepttexts.h"
+
+namespace Basilbend
+{
+
+void KeptTexts::add(std::vector<KeptText> texts)
+{
+    for (auto &text : texts) {
+        m_bytes += text.text.bytes();
+        m_texts.push_back(std::move(text));
+    }
+    while (m_bytes > MaxBytes || m_texts.size() > MaxTexts) {
+        m_bytes -= m_texts.front().text.bytes();
+        m_texts.pop_front();
+    }
+}
+
+void KeptTexts::clear()
+{
+    m_texts.clear();
+    m_bytes = 0;
+}
+
+}
--- /dev/null
+++ b/src/scheduling/kepttexts.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "scheduling/kepttext.h"
+
+#include <cstddef>
+#include <deque>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// Texts of ended batches whose items may come again, bounded in number and bytes; the oldest go first.
+class KeptTexts
+{
+public:
+    static constexpr std::size_t MaxTexts = 1500;
+    static constexpr std::size_t MaxBytes = 8 * 1024 * 1024;
+
+    void add(std::vector<KeptText> texts);
+    void clear();
+
+    /// All kept texts, oldest first.
+    std::vector<KeptText> all() const
+    {
+        return {m_texts.begin(), m_texts.end()};
+    }
+
+private:
+    std::deque<KeptText> m_texts;
+    std::size_t m_bytes = 0;
+};
+
+}
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -51,6 +51,18 @@
 
 }
 
+PlacementObstacles countObstacles(const std::vector<PlacementEndpoint> &endpoints, std::uint64_t minimumVersion)
+{
+    PlacementObstacles obstacles;
+    for (const auto &endpoint : endpoints) {
+        const bool isOutdated = endpoint.version < minimumVersion;
+        obstacles.outdated += isOutdated ? 1 : 0;
+        obstacles.full += !isOutdated && endpoint.running >= endpoint.slots ? 1 : 0;
+        obstacles.slow += endpoint.isSlow ? 1 : 0;
+    }
+    return obstacles;
+}
+
 std::vector<Assignment> assignItems(const std::vector<PlacementItem> &waiting, std::vector<PlacementEndpoint> endpoints)
 {
     std::vector<Assignment> assignments;
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -41,6 +41,18 @@
     std::string endpoint;
 };
 
+/// Endpoints that can't take an item now, by the reason.
+struct PlacementObstacles {
+    /// Their weights are too old.
+    int outdated = 0;
+    /// All slots are taken.
+    int full = 0;
+    /// They generate at less than half of the usual speed; some of these may be full or outdated, too.
+    int slow = 0;
+};
+
+PlacementObstacles countObstacles(const std::vector<PlacementEndpoint> &endpoints, std::uint64_t minimumVersion);
+
 /// Gives waiting items, most urgent first, to endpoints with a free slot and enough memory. An item goes to the endpoint
 /// that is expected to be done first, or to the one that holds its group's prompt when that is about as fast. Slow endpoints
 /// get work only when no other has a free slot and more items wait than the others can take soon.
