Carry streams through refusals and silence

A stream whose endpoint went silent waited for the route's time limit. A resumable stream that was cut before its first event got 502 although it may run again. Ruled out: the splitting of events; cut events were dropped as they should be. Change: only the try that carries the stream can end it; a resumable stream without a byte for 1 s goes on elsewhere while the route allows another try; a resumable stream may run again before its first event (TryHistory::mayRunAgain in place of the kind).

--- a/src/forwarding/attemptrule.cpp
+++ b/src/forwarding/attemptrule.cpp
@@ -31,7 +31,7 @@
         return TryDecision::WaitForOther;
     }
     const bool nothingRan = outcome == TryOutcome::NotRun && history.ran == 0;
-    const bool mayRepeat = history.kind == RouteKind::Idempotent && history.ran < history.attemptsAllowed;
+    const bool mayRepeat = history.mayRunAgain && history.ran < history.attemptsAllowed;
     if (history.timeLeft && (nothingRan || mayRepeat)) {
         return TryDecision::TryAgain;
     }
--- a/src/forwarding/attemptrule.h
+++ b/src/forwarding/attemptrule.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "catalog/serviceconfiguration.h"
 #include "http/clientcall.h"
 
 namespace Basilbend
@@ -20,7 +19,8 @@
 
 /// What is known of a live request when a try has ended.
 struct TryHistory {
-    RouteKind kind = RouteKind::NonIdempotent;
+    /// Another endpoint may run the request although one may have begun it.
+    bool mayRunAgain = false;
     int attemptsAllowed = 1;
     /// Tries that ran or may have run, this one included.
     int ran = 0;
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -18,6 +18,9 @@
 constexpr int EndpointTimeoutStatus = 504;
 /// Pause before full endpoints are asked again.
 constexpr Milliseconds RoomPause{20};
+/// A resumable stream without a byte for this long goes on elsewhere. Clients leave a stream after a gap of two seconds.
+constexpr Milliseconds StreamSilenceLimit{1000};
+constexpr Milliseconds SilenceCheckInterval{100};
 /// A stream whose client takes nothing is ended above this.
 constexpr std::size_t MaxPendingBytes = 1024 * 1024;
 
@@ -201,20 +204,41 @@
         m_context.picker.noteWaiting(attempt.endpoint.id, attempt.evidence.load->waiting, m_context.loop.now());
     }
     if (streams() && head.status == 200 && attempt.evidence.isSigned && !m_done) {
-        acceptStreamHead(attempt);
+        acceptStreamHead(index);
     }
 }
 
-void LiveCall::acceptStreamHead(Try &attempt)
+void LiveCall::acceptStreamHead(std::size_t index)
 {
     noteBegan(m_context.loop.now());
     m_events = std::make_unique<EventStream>([this](const StreamEvent &event) { acceptEvent(event); });
     if (!m_streaming) {
         m_streaming = true;
-        auto head = attempt.head;
+        auto head = m_tries[index]->head;
         head.fields.removeHopByHop();
         m_exchange->beginStream(head);
     }
+    if (m_route.canResume) {
+        m_lastStreamBytes = m_context.loop.now();
+        watchSilence(index);
+    }
+}
+
+void LiveCall::watchSilence(std::size_t index)
+{
+    m_context.loop.runAfter(SilenceCheckInterval, [weak = weak_from_this(), index] {
+        const auto self = weak.lock();
+        if (!self || self->m_done || self->m_tries[index]->ended) {
+            return;
+        }
+        const bool isLastTry = self->m_ranTries + 1 >= self->m_route.attempts;
+        if (isLastTry || self->m_context.loop.now() - self->m_lastStreamBytes < StreamSilenceLimit) {
+            self->watchSilence(index);
+            return;
+        }
+        self->m_tries[index]->call.cancel();
+        self->acceptEnd(index, CallEnd::Broken);
+    });
 }
 
 void LiveCall::acceptEvent(const StreamEvent &event)
@@ -233,6 +257,7 @@
 void LiveCall::acceptBody(std::size_t index, std::string_view data)
 {
     if (m_streaming && m_events) {
+        m_lastStreamBytes = m_context.loop.now();
         m_events->feed(data);
         return;
     }
@@ -286,7 +311,7 @@
 
 void LiveCall::decide(std::size_t index, TryOutcome outcome)
 {
-    const TryHistory history{m_route.kind, m_route.attempts, m_ranTries, openTries(), timeLeft().count() > 0};
+    const TryHistory history{mayRunAgain(), m_route.attempts, m_ranTries, openTries(), timeLeft().count() > 0};
     switch (decideAfterTry(outcome, history)) {
     case TryDecision::PassAnswer:
         passAnswer(*m_tries[index]);
@@ -307,13 +332,18 @@
 
 void LiveCall::endStreamTry(std::size_t index, CallEnd end)
 {
-    if (end == CallEnd::Complete) {
+    // A refusal by the endpoint where the stream should go on is complete as well, and ends nothing.
+    const bool carriedStream = m_events != nullptr;
+    if (end == CallEnd::Complete && carriedStream) {
         m_exchange->endStream();
         finish("streamed", 200);
         return;
     }
-    noteEndpoint(*m_tries[index], end, TryOutcome::MayHaveRun);
-    ++m_ranTries;
+    const auto &attempt = *m_tries[index];
+    const auto outcome =
+        carriedStream ? TryOutcome::MayHaveRun : outcomeOfTry(end, attempt.evidence.status, attempt.evidence.notExecuted, attempt.evidence.isSigned);
+    noteEndpoint(attempt, end, outcome);
+    m_ranTries += outcome == TryOutcome::NotRun ? 0 : 1;
     m_events.reset();
     if (m_route.canResume && m_ranTries < m_route.attempts && timeLeft().count() > 0) {
         m_context.log.info("stream_resumed", {{"request", m_request.attemptId}, {"after_event", m_lastEventId}});
@@ -324,6 +354,11 @@
     finish("stream_broken", 0);
 }
 
+bool LiveCall::mayRunAgain() const
+{
+    return m_route.kind == RouteKind::Idempotent || (streams() && m_route.canResume);
+}
+
 void LiveCall::noteBegan(Timestamp at)
 {
     if (!m_counted) {
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -59,9 +59,13 @@
     void finish(const char *outcome, int status);
 
     bool streams() const;
-    void acceptStreamHead(Try &attempt);
+    void acceptStreamHead(std::size_t index);
     void acceptEvent(const StreamEvent &event);
     void endStreamTry(std::size_t index, CallEnd end);
+    /// Gives up the try that carries the stream when nothing has come for too long.
+    void watchSilence(std::size_t index);
+    /// Whether another endpoint may run the request after one may have begun it.
+    bool mayRunAgain() const;
 
     Milliseconds timeLeft() const;
     int openTries() const;
@@ -84,6 +88,7 @@
     /// Streams: the response to the client has begun.
     bool m_streaming = false;
     std::uint64_t m_lastEventId = 0;
+    Timestamp m_lastStreamBytes;
     std::unique_ptr<EventStream> m_events;
 };
 
--- a/tests/forwarding/decisions.cpp
+++ b/tests/forwarding/decisions.cpp
@@ -135,7 +135,7 @@
 BOOST_AUTO_TEST_CASE(a_request_that_may_not_repeat_is_tried_again_only_when_it_has_not_run)
 {
     TryHistory history;
-    history.kind = RouteKind::NonIdempotent;
+    history.mayRunAgain = false;
     history.attemptsAllowed = 3;
     history.ran = 0;
     BOOST_TEST((decideAfterTry(TryOutcome::NotRun, history) == TryDecision::TryAgain));
@@ -150,7 +150,7 @@
 BOOST_AUTO_TEST_CASE(a_request_that_may_repeat_runs_on_no_more_endpoints_than_its_route_allows)
 {
     TryHistory history;
-    history.kind = RouteKind::Idempotent;
+    history.mayRunAgain = true;
     history.attemptsAllowed = 2;
     history.ran = 1;
     BOOST_TEST((decideAfterTry(TryOutcome::MayHaveRun, history) == TryDecision::TryAgain));
--- a/tests/gateway/batchcalls.cpp
+++ b/tests/gateway/batchcalls.cpp
@@ -1,7 +1,4 @@
-#include "gateway/gatewayservice.h"
-
-#include "base/systemclock.h"
-#include "metadata/fakemetadatastore.h"
+#include "gateway/gatewayprocess.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -17,42 +14,6 @@
   "retention_s":40,"result_deadline_ms":7500}],"services":[{"name":"s"}],
  "tenants":[{"name":"w","api_keys":["k"]},{"name":"v","api_keys":["l"]}]})";
 
-/// Gateways on one store in virtual time; clients speak to them over the loopback address.
-struct GatewayProcess {
-    GatewayProcess(asio::io_context &io, VirtualTime &time, FakeMetadataStore &store)
-        : log(
-            EventLogSettings(), [&time] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); })
-        , client(io, systemNow)
-        , view(store, virtualLoop(time), log, ViewScope::Serving, Milliseconds(2500), Milliseconds(5000))
-        , context{virtualLoop(time), log, metrics, client, store, view, picker, usage, random}
-        , service(context, FreshnessRule())
-        , server(io, "127.0.0.1:0", hooks())
-    {
-        view.start();
-    }
-
-    ServerHooks hooks()
-    {
-        ServerHooks result;
-        result.onRequest = [this](const std::shared_ptr<ServerExchange> &exchange) { service.handle(exchange); };
-        result.refusal = [](int status) { return ResponseMessage{status, {}, {}}; };
-        result.limits = [] { return ServerLimits(); };
-        result.isDraining = [] { return false; };
-        return result;
-    }
-
-    EventLog log;
-    Metrics metrics;
-    Random random{1};
-    WebClient client;
-    SystemView view;
-    EndpointPicker picker{"z"};
-    UsageCounter usage{Milliseconds(5000)};
-    GatewayContext context;
-    GatewayService service;
-    WebServer server;
-};
-
 struct Answer {
     int status = 0;
     HttpFields fields;
--- /dev/null
+++ b/tests/gateway/gatewayprocess.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/systemclock.h"
+#include "gateway/gatewayservice.h"
+#include "http/webserver.h"
+#include "metadata/fakemetadatastore.h"
+
+#include <asio/io_context.hpp>
+
+namespace Basilbend
+{
+
+/// Gateways on one store in virtual time; clients speak to them over the loopback address.
+struct GatewayProcess {
+    GatewayProcess(asio::io_context &io, VirtualTime &time, FakeMetadataStore &store)
+        : log(
+            EventLogSettings(), [&time] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); })
+        , client(io, systemNow)
+        , view(store, virtualLoop(time), log, ViewScope::Serving, Milliseconds(2500), Milliseconds(5000))
+        , context{virtualLoop(time), log, metrics, client, store, view, picker, usage, random}
+        , service(context, FreshnessRule())
+        , server(io, "127.0.0.1:0", hooks())
+    {
+        view.start();
+    }
+
+    ServerHooks hooks()
+    {
+        ServerHooks result;
+        result.onRequest = [this](const std::shared_ptr<ServerExchange> &exchange) { service.handle(exchange); };
+        result.refusal = [](int status) { return ResponseMessage{status, {}, {}}; };
+        result.limits = [] { return ServerLimits(); };
+        result.isDraining = [] { return false; };
+        return result;
+    }
+
+    EventLog log;
+    Metrics metrics;
+    Random random{1};
+    WebClient client;
+    SystemView view;
+    EndpointPicker picker{"z"};
+    UsageCounter usage{Milliseconds(5000)};
+    GatewayContext context;
+    GatewayService service;
+    WebServer server;
+};
+
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -56,7 +56,8 @@
     void report(std::ostream &out, std::uint64_t seed) const
     {
         out << "seed " << seed << ": " << m_checker.violations().size() << " violations, " << m_faults.story().size() << " faults, " << m_checker.served()
-            << " of " << m_checker.answered() << " requests served, " << m_clients.doneSteps() << " steps done, " << m_checker.resultCount() << " results\n";
+            << " of " << m_checker.answered() << " requests served, " << m_clients.doneSteps() << " steps done, " << m_checker.resultCount() << " results, "
+            << m_checker.streamCount() << " whole streams\n";
         if (m_checker.violations().empty()) {
             return;
         }
--- a/tests/soak/promisechecker.cpp
+++ b/tests/soak/promisechecker.cpp
@@ -1,5 +1,7 @@
 #include "soak/promisechecker.h"
 
+#include "http/eventstream.h"
+
 #include <algorithm>
 #include <functional>
 #include <sstream>
@@ -80,6 +82,20 @@
     return "answer to " + attempt;
 }
 
+void PromiseChecker::noteStream(const std::string &attempt, const std::string &body)
+{
+    ++m_streams;
+    std::uint64_t events = 0;
+    EventStream stream([this, &attempt, &events](const StreamEvent &event) {
+        ++events;
+        const auto version = std::stoull("0" + event.data.substr(event.data.rfind('@') + 1));
+        const bool isRight = event.id == events && event.data == eventData(attempt, events, version);
+        expect(isRight, "stream " + attempt + " has event " + std::to_string(event.id) + " at place " + std::to_string(events) + ": " + event.data);
+    });
+    stream.feed(body);
+    expect(events == eventsOf(attempt), "stream " + attempt + " ended as complete after " + std::to_string(events) + " events");
+}
+
 void PromiseChecker::noteAccepted(const std::string &batch, const std::vector<std::string> &items, std::uint64_t minimumVersion)
 {
     auto &known = m_batches[batch];
--- a/tests/soak/promisechecker.h
+++ b/tests/soak/promisechecker.h
@@ -45,6 +45,9 @@
     /// The body that an endpoint answers.
     static std::string expectedBody(const std::string &attempt);
 
+    /// A stream that ended as complete, with all its bytes.
+    void noteStream(const std::string &attempt, const std::string &body);
+
     // Batches.
     void noteAccepted(const std::string &batch, const std::vector<std::string> &items, std::uint64_t minimumVersion);
     void noteRefused(const std::string &batch, const std::vector<std::string> &items);
@@ -75,6 +78,10 @@
         return m_answered;
     }
     std::size_t resultCount() const;
+    std::size_t streamCount() const
+    {
+        return m_streams;
+    }
 
 private:
     struct Attempt {
@@ -112,6 +119,7 @@
     std::vector<std::string> m_violations;
     std::size_t m_served = 0;
     std::size_t m_answered = 0;
+    std::size_t m_streams = 0;
 };
 
 }
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds ConnectTimeout{300};
 constexpr Milliseconds LiveInterval{25};
 constexpr Milliseconds LiveTimeout{1500};
+constexpr Milliseconds StreamInterval{150};
+constexpr Milliseconds StreamTimeout{8000};
 constexpr Milliseconds BatchTimeout{2500};
 constexpr Milliseconds RetryPause{200};
 constexpr Milliseconds ReadPause{250};
@@ -39,6 +41,7 @@
 void SoakClients::start(const std::vector<std::string> &models)
 {
     sendLive();
+    sendStream();
     audit();
     for (const auto &model : models) {
         beginStep(model);
@@ -112,6 +115,23 @@
     m_loop.runAfter(LiveInterval, [this] { sendLive(); });
 }
 
+void SoakClients::sendStream()
+{
+    if (m_isStopped) {
+        return;
+    }
+    const auto attempt = newId("stream");
+    auto request = message("POST", "/chat/a", attempt, randomKey());
+    request.fields.set("Basilbend-Model", "alpha");
+    request.fields.set(Wire::DeadlineMs, std::to_string(StreamTimeout.count()));
+    call(request, StreamTimeout, [this, attempt](int status, const std::string &body) {
+        if (status == 200) {
+            m_checker.noteStream(attempt, body);
+        }
+    });
+    m_loop.runAfter(StreamInterval, [this] { sendStream(); });
+}
+
 void SoakClients::beginStep(const std::string &model)
 {
     if (m_isStopped) {
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -67,6 +67,7 @@
     std::string newId(const char *kind);
 
     void sendLive();
+    void sendStream();
     void beginStep(const std::string &model);
     void submit(const StepPtr &step);
     void readResults(const StepPtr &step);
--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -30,6 +30,7 @@
             {"timeout_ms", timeout.count()},
             {"target_latency_ms", 300},
             {"attempts", 3},
+            {"resumable", true},
             {"retention_s", 120},
             {"result_deadline_ms", 8000}};
 }
@@ -173,6 +174,7 @@
                              {"routes",
                               {route("status", "/status/", "idempotent", "desk", m_routeTimeout),
                                route("order", "/order/", "non_idempotent", "desk", m_routeTimeout),
+                               route("chat", "/chat/", "streaming", "engine", Milliseconds(9000)),
                                route("steps", "/steps/", "rollout", "engine", Milliseconds(10000))}},
                              {"services", {engine, {{"name", "desk"}}}},
                              {"tenants", {{{"name", "w1"}, {"api_keys", m_apiKeys}}}}};
