--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -20,6 +20,8 @@
 /// Requests in this time after the recovery have to be served: the bound of the platform for a recovery is longer.
 constexpr Milliseconds CalmTime{2000};
 constexpr double CalmShare = 0.95;
+/// In each third run nobody reads the logs of one gateway.
+constexpr std::uint64_t SeedsPerStoppedReader = 3;
 /// Grace period of the settings, and a second.
 constexpr Milliseconds StopTime{6000};
 
@@ -159,6 +161,7 @@
         settings.directory = ::mkdtemp(pattern.data()) == nullptr ? std::string(".") : pattern;
     }
     std::filesystem::create_directories(settings.directory);
+    settings.stopsReader = seed % SeedsPerStoppedReader == 0;
     SoakRun run(seed, Milliseconds(static_cast<std::int64_t>(seconds * 1000)), settings);
     const bool isKept = run.play();
     run.report(std::cout, seed);
--- a/tests/soak/soakprocess.cpp
+++ b/tests/soak/soakprocess.cpp
@@ -22,12 +22,27 @@
 SoakProcess::~SoakProcess()
 {
     kill();
+    ::close(m_unreadPipe);
+}
+
+int SoakProcess::openOutput()
+{
+    if (m_hasReader) {
+        return ::open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    }
+    std::array<int, 2> ends{};
+    if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
+        throw std::system_error(errno, std::generic_category(), "pipe2");
+    }
+    ::close(m_unreadPipe);
+    m_unreadPipe = ends[0];
+    return ends[1];
 }
 
 void SoakProcess::start()
 {
     m_exitCode.reset();
-    const int log = ::open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    const int log = openOutput();
     std::array<char *, 5> arguments = {m_program.data(), m_role.data(), const_cast<char *>("--settings"), m_settingsFile.data(), nullptr};
     m_pid = ::fork();
     if (m_pid < 0) {
--- a/tests/soak/soakprocess.h
+++ b/tests/soak/soakprocess.h
@@ -17,6 +17,12 @@
     SoakProcess(const SoakProcess &) = delete;
     SoakProcess &operator=(const SoakProcess &) = delete;
 
+    /// From the next start on, the output goes to a pipe that nobody reads.
+    void stopReader()
+    {
+        m_hasReader = false;
+    }
+
     /// Throws std::system_error when no process can be made.
     void start();
 
@@ -37,11 +43,15 @@
 
 private:
     void noteEnd(int status);
+    int openOutput();
 
     std::string m_program;
     std::string m_role;
     std::string m_settingsFile;
     std::string m_logFile;
+    bool m_hasReader = true;
+    /// The unread end of the pipe; -1: none.
+    int m_unreadPipe = -1;
     pid_t m_pid = 0;
     std::optional<int> m_exitCode;
 };
--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -82,6 +82,9 @@
     for (int i = 0; i < m_settings.schedulers; ++i) {
         addNode("scheduler", i);
     }
+    if (m_settings.stopsReader) {
+        m_nodes.front().process->stopReader();
+    }
 }
 
 std::uint16_t SoakSystem::freePort()
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -26,6 +26,8 @@
     int engines = 5;
     int services = 2;
     std::vector<std::string> models = {"alpha", "beta"};
+    /// Nobody reads the output of the first gateway; it must serve all the same.
+    bool stopsReader = false;
 };
 
 /// A process with the proxies on its links.
