--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -25,12 +25,19 @@
 /// Grace period of the settings, and a second.
 constexpr Milliseconds StopTime{6000};
 
+struct SoakLoad {
+    /// Time between two requests of callers.
+    Milliseconds liveInterval{25};
+    bool hasFaults = true;
+};
+
 /// One run: faults, recovery, a calm time, a last reading of everything, and the stop.
 class SoakRun
 {
 public:
-    SoakRun(std::uint64_t seed, Milliseconds faultTime, const SoakSystemSettings &settings)
+    SoakRun(std::uint64_t seed, Milliseconds faultTime, SoakLoad load, const SoakSystemSettings &settings)
         : m_faultTime(faultTime)
+        , m_load(load)
         , m_models(settings.models)
         , m_loop(ioLoop(m_io))
         , m_faultRandom(seed)
@@ -47,8 +54,10 @@
     {
         m_system.start();
         m_loop.runAfter(Milliseconds(1500), [this] {
-            m_clients.start(m_models);
-            m_faults.start();
+            m_clients.start(m_models, m_load.liveInterval);
+            if (m_load.hasFaults) {
+                m_faults.start();
+            }
             m_loop.runAfter(m_faultTime, [this] { recover(); });
         });
         m_io.run();
@@ -60,6 +69,7 @@
         out << "seed " << seed << ": " << m_checker.violations().size() << " violations, " << m_faults.story().size() << " faults, " << m_checker.served()
             << " of " << m_checker.answered() << " requests served, " << m_clients.doneSteps() << " steps done, " << m_checker.resultCount() << " results, "
             << m_checker.streamCount() << " whole streams\n";
+        reportCosts(out);
         if (m_checker.violations().empty()) {
             return;
         }
@@ -72,6 +82,16 @@
     }
 
 private:
+    void reportCosts(std::ostream &out) const
+    {
+        out << "  latency p50 " << m_checker.latencyQuantile(0.5).count() << " ms, p99 " << m_checker.latencyQuantile(0.99).count()
+            << " ms; processor time in ms:";
+        for (const auto &node : m_system.nodes()) {
+            out << " " << node.name << " " << node.process->processorTime().count();
+        }
+        out << "\n";
+    }
+
     void recover()
     {
         m_faults.stop();
@@ -128,6 +148,7 @@
 
     asio::io_context m_io{1};
     Milliseconds m_faultTime;
+    SoakLoad m_load;
     std::vector<std::string> m_models;
     EventLoop m_loop;
     Random m_faultRandom;
@@ -147,6 +168,9 @@
     double seconds = 12;
     SoakSystemSettings settings;
     bool keepsLogs = false;
+    SoakLoad load;
+    int liveIntervalMs = 25;
+    bool hasNoFaults = false;
     app.add_option("--program", settings.program, "the basilbend program")->required()->check(CLI::ExistingFile);
     app.add_option("--seed", seed, "seed of the faults and of the load");
     app.add_option("--seconds", seconds, "time in which faults are injected");
@@ -154,7 +178,10 @@
     app.add_flag("--keep-logs", keepsLogs, "keep the logs of a run without violations");
     app.add_option("--gateways", settings.gateways);
     app.add_option("--schedulers", settings.schedulers);
+    app.add_option("--live-interval", liveIntervalMs, "milliseconds between two requests of callers")->check(CLI::Range(1, 1000));
+    app.add_flag("--no-faults", hasNoFaults, "only load, to measure what the processes spend");
     CLI11_PARSE(app, argc, argv);
+    load = {Milliseconds(liveIntervalMs), !hasNoFaults};
     std::signal(SIGPIPE, SIG_IGN);
     if (settings.directory.empty()) {
         auto pattern = (std::filesystem::temp_directory_path() / "basilbend-soak-XXXXXX").string();
@@ -162,7 +189,7 @@
     }
     std::filesystem::create_directories(settings.directory);
     settings.stopsReader = seed % SeedsPerStoppedReader == 0;
-    SoakRun run(seed, Milliseconds(static_cast<std::int64_t>(seconds * 1000)), settings);
+    SoakRun run(seed, Milliseconds(static_cast<std::int64_t>(seconds * 1000)), load, settings);
     const bool isKept = run.play();
     run.report(std::cout, seed);
     if (isKept && !keepsLogs) {
--- a/tests/soak/promisechecker.cpp
+++ b/tests/soak/promisechecker.cpp
@@ -47,6 +47,7 @@
     m_answered += isKeyRejected ? 0 : 1;
     if (status == 200) {
         ++m_served;
+        m_latencies.push_back(m_now() - known.sentAt);
         expect(body == expectedBody(attempt), "request " + attempt + " got another body: " + body);
         expect(known.runs > 0, "request " + attempt + " was answered without a run");
     }
@@ -193,6 +194,16 @@
     expect(it->second == counts, "window " + std::to_string(window) + " was reported with two sets of figures");
 }
 
+Milliseconds PromiseChecker::latencyQuantile(double share) const
+{
+    if (m_latencies.empty()) {
+        return Milliseconds(0);
+    }
+    auto sorted = m_latencies;
+    std::sort(sorted.begin(), sorted.end());
+    return sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+}
+
 std::size_t PromiseChecker::resultCount() const
 {
     std::size_t n = 0;
--- a/tests/soak/promisechecker.h
+++ b/tests/soak/promisechecker.h
@@ -69,6 +69,9 @@
         return m_violations;
     }
 
+    /// Time in which this share of the requests that were served had their answer.
+    Milliseconds latencyQuantile(double share) const;
+
     std::size_t served() const
     {
         return m_served;
@@ -117,6 +120,7 @@
     std::map<std::string, std::vector<Turn>> m_turns;
     std::map<std::int64_t, std::string> m_usage;
     std::vector<std::string> m_violations;
+    std::vector<Milliseconds> m_latencies;
     std::size_t m_served = 0;
     std::size_t m_answered = 0;
     std::size_t m_streams = 0;
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -14,7 +14,6 @@
 using nlohmann::json;
 
 constexpr Milliseconds ConnectTimeout{300};
-constexpr Milliseconds LiveInterval{25};
 constexpr Milliseconds LiveTimeout{1500};
 constexpr Milliseconds StreamInterval{150};
 constexpr Milliseconds StreamTimeout{8000};
@@ -38,8 +37,9 @@
 {
 }
 
-void SoakClients::start(const std::vector<std::string> &models)
+void SoakClients::start(const std::vector<std::string> &models, Milliseconds liveInterval)
 {
+    m_liveInterval = liveInterval;
     sendLive();
     sendStream();
     audit();
@@ -112,7 +112,7 @@
     request.fields.set(Wire::DeadlineMs, std::to_string(LiveTimeout.count()));
     m_checker.noteSent(attempt, mayRepeat, key);
     call(request, LiveTimeout, [this, attempt](int status, const std::string &body) { m_checker.noteAnswer(attempt, status, body); });
-    m_loop.runAfter(LiveInterval, [this] { sendLive(); });
+    m_loop.runAfter(m_liveInterval, [this] { sendLive(); });
 }
 
 void SoakClients::sendStream()
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -22,7 +22,8 @@
 public:
     SoakClients(asio::io_context &io, const EventLoop &loop, Random &random, PromiseChecker &checker, SoakSystem &system);
 
-    void start(const std::vector<std::string> &models);
+    /// LiveInterval: time between two requests of callers.
+    void start(const std::vector<std::string> &models, Milliseconds liveInterval);
 
     /// No new requests and steps; steps under way go on.
     void stop();
@@ -84,6 +85,7 @@
     WebClient m_client;
     std::vector<std::string> m_gateways;
     std::map<std::uint64_t, ClientCall> m_calls;
+    Milliseconds m_liveInterval{0};
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_lastId = 0;
     std::set<std::string> m_steps;
--- a/tests/soak/soakendpoint.cpp
+++ b/tests/soak/soakendpoint.cpp
@@ -16,7 +16,6 @@
 constexpr Milliseconds LoadTime{300};
 constexpr Milliseconds RemovalDelay{400};
 constexpr std::uint64_t LeastWorkMs = 5;
-constexpr std::uint64_t WorkSpreadMs = 60;
 
 }
 
@@ -176,7 +175,7 @@
     const std::string attempt(fields.value(Wire::AttemptId));
     m_checker.noteRun(attempt, std::string(fields.value(Wire::Tenant)));
     ++m_running;
-    const Milliseconds work(LeastWorkMs + m_random.below(WorkSpreadMs));
+    const Milliseconds work(LeastWorkMs + m_random.below(m_settings.workSpreadMs));
     m_loop.runAfter(work, [this, exchange, attempt, boot = m_boots] {
         if (boot == m_boots) {
             --m_running;
--- a/tests/soak/soakendpoint.h
+++ b/tests/soak/soakendpoint.h
@@ -20,6 +20,8 @@
     /// Models that it generates with; none: a plain service.
     std::vector<std::string> models;
     int slots = 8;
+    /// A plain request takes between 5 ms and this much longer.
+    std::uint64_t workSpreadMs = 60;
 };
 
 /// An endpoint behind a proxy: a plain service that answers a request after some time, or a model engine that streams events
--- a/tests/soak/soakprocess.cpp
+++ b/tests/soak/soakprocess.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <system_error>
 #include <unistd.h>
@@ -66,28 +67,29 @@
 
 bool SoakProcess::isRunning()
 {
-    int status = 0;
-    if (m_pid > 0 && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
-        noteEnd(status);
-    }
-    return m_pid > 0;
+    return m_pid > 0 && !wait(WNOHANG);
 }
 
 void SoakProcess::kill()
 {
-    if (m_pid <= 0) {
-        return;
+    if (m_pid > 0) {
+        ::kill(m_pid, SIGKILL);
+        wait(0);
     }
-    ::kill(m_pid, SIGKILL);
-    int status = 0;
-    ::waitpid(m_pid, &status, 0);
-    noteEnd(status);
 }
 
-void SoakProcess::noteEnd(int status)
+bool SoakProcess::wait(int options)
 {
+    int status = 0;
+    rusage usage{};
+    if (::wait4(m_pid, &status, options, &usage) != m_pid) {
+        return false;
+    }
     m_pid = 0;
     m_exitCode = WIFEXITED(status) ? std::optional(WEXITSTATUS(status)) : std::nullopt;
+    const auto span = [](const timeval &time) { return Milliseconds(time.tv_sec * 1000 + time.tv_usec / 1000); };
+    m_processorTime += span(usage.ru_utime) + span(usage.ru_stime);
+    return true;
 }
 
 }
--- a/tests/soak/soakprocess.h
+++ b/tests/soak/soakprocess.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/timestamp.h"
+
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -35,6 +37,12 @@
     /// Kills and waits for the end.
     void kill();
 
+    /// Processor time of the ended processes.
+    Milliseconds processorTime() const
+    {
+        return m_processorTime;
+    }
+
     /// Exit code of the last end; nothing after a signal, or while it runs.
     std::optional<int> exitCode() const
     {
@@ -42,7 +50,8 @@
     }
 
 private:
-    void noteEnd(int status);
+    /// Takes note of an end; options as of wait4().
+    bool wait(int options);
     int openOutput();
 
     std::string m_program;
@@ -54,6 +63,7 @@
     int m_unreadPipe = -1;
     pid_t m_pid = 0;
     std::optional<int> m_exitCode;
+    Milliseconds m_processorTime{0};
 };
 
 }
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -53,6 +53,10 @@
     {
         return m_nodes;
     }
+    const std::vector<SoakNode> &nodes() const
+    {
+        return m_nodes;
+    }
 
     std::vector<std::unique_ptr<SoakEndpoint>> &endpoints()
     {
