Move long samples to faster engines

Change: planMoves chooses runs that save 300 ms or more on an engine that is faster by more than 12% and has a free slot; a move costs the reading of the prompt and of what was generated, some 30 ms. It replaces the rule for engines at half the usual speed.

--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/batchrunner.h"
 
 #include "scheduling/grouporder.h"
+#include "scheduling/runmoves.h"
 
 #include <algorithm>
 
@@ -15,8 +16,10 @@
 constexpr Milliseconds SilenceLimit{1800};
 /// Pause before an item is offered again after a failure.
 constexpr Milliseconds RetryPause{20};
-/// Runs moved away from slow endpoints at one tick.
-constexpr int MovesPerTick = 12;
+/// Runs moved to faster endpoints at one tick.
+constexpr std::size_t MovesPerTick = 12;
+/// A run that has just begun is not moved; its first events come after its prompt was read.
+constexpr Milliseconds LeastRunTime{500};
 /// Waiting items looked at in one round of a batch.
 constexpr std::size_t MaxWaitingInRound = 512;
 /// Each batch tells at most once in this time that items wait.
@@ -469,7 +472,7 @@
         }
     }
     cancelSilentRuns(batch);
-    moveFromSlowEndpoints(batch);
+    moveToFasterEndpoints(batch);
     batch.writer->poll();
     batch.progress->poll();
 }
@@ -489,27 +492,28 @@
     }
 }
 
-void BatchRunner::moveFromSlowEndpoints(Batch &batch)
+void BatchRunner::moveToFasterEndpoints(Batch &batch)
 {
     const auto *route = routeOf(*batch.state);
-    if (route == nullptr || batch.running.empty()) {
+    // Waiting items take free slots first.
+    if (route == nullptr || batch.running.empty() || batch.waiting > 0) {
         return;
     }
-    int places = 0;
     const auto now = m_loop.now();
-    for (const auto &endpoint : m_board.endpointsFor(*route, batch.state->submission().model, now)) {
-        const bool isUsable = !endpoint.isSlow && endpoint.version >= batch.state->submission().minimumVersion;
-        places += isUsable ? std::max(0, endpoint.slots - endpoint.running) : 0;
-    }
-    std::vector<std::size_t> slow;
+    const double usualGap = m_pace.medianGapMs(now);
+    std::vector<MovableRun> runs;
     for (const auto &[item, running] : batch.running) {
-        if (running.hasEvent && m_pace.isSlow(running.endpoint, now)) {
-            slow.push_back(item);
+        const double gap = m_pace.gapMs(running.endpoint, now);
+        if (running.hasEvent && gap > 0 && now - running.run->startedAt() >= LeastRunTime) {
+            const auto tokens = runTokens(*batch.state, item);
+            runs.push_back({item, running.endpoint, gap / usualGap, m_use.remainingEvents(tokens), m_use.tokenUse(tokens)});
         }
     }
-    const auto moves = std::min({static_cast<std::size_t>(MovesPerTick), slow.size(), static_cast<std::size_t>(places)});
-    for (std::size_t i = 0; i < moves; ++i) {
-        cancelRun(batch, slow[i], "slow_endpoint");
+    const auto &submission = batch.state->submission();
+    auto moves = planMoves(std::move(runs), m_board.endpointsFor(*route, submission.model, now), usualGap, submission.minimumVersion);
+    moves.resize(std::min(moves.size(), MovesPerTick));
+    for (const auto item : moves) {
+        cancelRun(batch, item, "slow_endpoint");
     }
 }
 
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -111,7 +111,7 @@
     void tickBatch(Batch &batch);
     void cancelRun(Batch &batch, std::size_t item, const char *why);
     void cancelSilentRuns(Batch &batch);
-    void moveFromSlowEndpoints(Batch &batch);
+    void moveToFasterEndpoints(Batch &batch);
     const RouteRule *routeOf(const OpenBatch &batch) const;
     static BatchRules rulesOf(const RouteRule &route);
     Batch *find(const std::string &id);
--- a/src/scheduling/endpointuse.cpp
+++ b/src/scheduling/endpointuse.cpp
@@ -60,10 +60,20 @@
     return it == m_runs.end() ? 0 : static_cast<int>(it->second.size());
 }
 
+double EndpointUse::tokensPerEvent() const
+{
+    return m_completedEvents > 0 ? m_completedTokens / m_completedEvents : 0;
+}
+
+double EndpointUse::remainingEvents(const RunTokens &tokens) const
+{
+    const double size = tokensPerEvent();
+    return size > 0 ? static_cast<double>(tokenUse(tokens).remaining) / size : 0;
+}
+
 TokenUse EndpointUse::tokenUse(const RunTokens &tokens) const
 {
-    const double tokensPerEvent = m_completedEvents > 0 ? m_completedTokens / m_completedEvents : 0;
-    const auto generated = std::min(tokens.maximumOutput, static_cast<std::uint64_t>(tokensPerEvent * static_cast<double>(tokens.events)));
+    const auto generated = std::min(tokens.maximumOutput, static_cast<std::uint64_t>(tokensPerEvent() * static_cast<double>(tokens.events)));
     const auto expected = std::max(tokens.expectedOutput, generated + generated / OverrunDivisor);
     return {tokens.prompt + generated, std::min(expected, tokens.maximumOutput) - generated};
 }
--- a/src/scheduling/endpointuse.h
+++ b/src/scheduling/endpointuse.h
@@ -38,10 +38,15 @@
     /// Tokens of all runs at the endpoint.
     TokenForecast forecast(const std::string &endpoint) const;
 
+    /// Events that a run is still expected to generate; zero while nothing is known of the size of events.
+    double remainingEvents(const RunTokens &tokens) const;
+
     /// Tokens that a run holds and is still to generate.
     TokenUse tokenUse(const RunTokens &tokens) const;
 
 private:
+    double tokensPerEvent() const;
+
     std::map<std::string, std::map<std::uint64_t, RunTokens>> m_runs;
     double m_completedTokens = 0;
     double m_completedEvents = 0;
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -15,20 +15,6 @@
 /// An engine that runs all its slots generates each of them slower by about this part.
 constexpr double LoadWeight = 0.15;
 
-bool hasRoom(const PlacementEndpoint &endpoint, const PlacementItem &item)
-{
-    if (endpoint.running >= endpoint.slots || endpoint.version < item.minimumVersion) {
-        return false;
-    }
-    // An endpoint without runs takes an item of any size.
-    return endpoint.tokenCapacity == 0 || endpoint.running == 0 || endpoint.forecast.peakWith(item.tokens) <= endpoint.tokenCapacity;
-}
-
-double expectedTime(const PlacementEndpoint &endpoint)
-{
-    return endpoint.pace * (1 + LoadWeight * static_cast<double>(endpoint.running) / std::max(endpoint.slots, 1));
-}
-
 PlacementEndpoint *findBest(std::vector<PlacementEndpoint> &endpoints, const PlacementItem &item, bool allowSlow, bool allowAvoided)
 {
     PlacementEndpoint *best = nullptr;
@@ -51,6 +37,20 @@
 
 }
 
+bool hasRoom(const PlacementEndpoint &endpoint, const PlacementItem &item)
+{
+    if (endpoint.running >= endpoint.slots || endpoint.version < item.minimumVersion) {
+        return false;
+    }
+    // An endpoint without runs takes an item of any size.
+    return endpoint.tokenCapacity == 0 || endpoint.running == 0 || endpoint.forecast.peakWith(item.tokens) <= endpoint.tokenCapacity;
+}
+
+double expectedTime(const PlacementEndpoint &endpoint)
+{
+    return endpoint.pace * (1 + LoadWeight * static_cast<double>(endpoint.running) / std::max(endpoint.slots, 1));
+}
+
 PlacementObstacles countObstacles(const std::vector<PlacementEndpoint> &endpoints, std::uint64_t minimumVersion)
 {
     PlacementObstacles obstacles;
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -41,6 +41,12 @@
     std::string endpoint;
 };
 
+/// Whether the endpoint has a free slot, enough memory and new enough weights for the item.
+bool hasRoom(const PlacementEndpoint &endpoint, const PlacementItem &item);
+
+/// Relative time that the endpoint is expected to take for an event of a run that is added.
+double expectedTime(const PlacementEndpoint &endpoint);
+
 /// Endpoints that can't take an item now, by the reason.
 struct PlacementObstacles {
     /// Their weights are too old.
--- a/tests/scheduling/endpointuse.cpp
+++ b/tests/scheduling/endpointuse.cpp
@@ -51,6 +51,7 @@
         waiting.push_back(item);
     }
     std::vector<PlacementEndpoint> endpoints;
+    endpoints.reserve(10);
     for (int i = 0; i < 10; ++i) {
         endpoints.push_back(engine(std::to_string(i)));
     }
