Name the reason of a move, and say what two fields hold

Comments for the precondition of a candidacy and the number of a run; a constant for the settling time of the soak.

--- a/src/election/leaderelection.cpp
+++ b/src/election/leaderelection.cpp
@@ -177,6 +177,7 @@
 {
     const LeaderRecord record{m_settings.node, m_settings.incarnation, ++m_attempt};
     MetadataChange change;
+    // Nobody leads, or the record is the one that an earlier process of this host has left.
     change.preconditions.push_back({HolderKey, m_holder ? m_holder->revision : 0});
     // A leader that this process has not heard of would show here.
     change.preconditions.push_back({RecentKey, m_recentRevision});
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -513,7 +513,7 @@
     auto moves = planMoves(std::move(runs), m_board.endpointsFor(*route, submission.model, now), usualGap, submission.minimumVersion);
     moves.resize(std::min(moves.size(), MovesPerTick));
     for (const auto item : moves) {
-        cancelRun(batch, item, "slow_endpoint");
+        cancelRun(batch, item, "faster_elsewhere");
     }
 }
 
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -75,6 +75,7 @@
         std::string endpoint;
         Timestamp lastEventAt;
         bool hasEvent = false;
+        /// Number of the run, as in ItemProgress::run.
         std::uint64_t number = 0;
     };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -17,6 +17,8 @@
 constexpr Milliseconds CheckInterval{100};
 /// All steps that were begun have to be done this long after the last fault.
 constexpr Milliseconds RecoveryTime{20000};
+/// The first part of it, before requests are counted.
+constexpr Milliseconds SettleTime{5000};
 /// Requests in this time after the recovery have to be served: the bound of the platform for a recovery is longer.
 constexpr Milliseconds CalmTime{2000};
 constexpr double CalmShare = 0.95;
@@ -95,7 +97,7 @@
     void recover()
     {
         m_faults.stop();
-        m_loop.runAfter(RecoveryTime / 4, [this] { beginCalm(); });
+        m_loop.runAfter(SettleTime, [this] { beginCalm(); });
     }
 
     void beginCalm()
@@ -108,7 +110,7 @@
             m_checker.expect(newServed >= CalmShare * newAnswered,
                              "only " + std::to_string(newServed) + " of " + std::to_string(newAnswered) + " requests served in calm");
             m_clients.stop();
-            waitForSteps(RecoveryTime - RecoveryTime / 4 - CalmTime);
+            waitForSteps(RecoveryTime - SettleTime - CalmTime);
         });
     }
 
