Answer a read with nothing only from a listing sent after it began

Ruled out: a result that was removed or overwritten; the store held it.

Change: a read is told "nothing there" only by a listing that was sent after the read began and is younger than 700 ms; an empty watch proves nothing; a read that joins an older question for the batch's index is asked again.

Three tests replay it without the bench: a listing that is seconds under way, an older question for a missing batch, and a deaf watch.

--- a/src/gateway/resultcache.cpp
+++ b/src/gateway/resultcache.cpp
@@ -30,12 +30,18 @@
     }
     const auto now = m_context.loop.now();
     entry->lastRead = now;
-    entry->waiters.push_back({position, now + wait, std::move(callback), false});
+    entry->waiters.push_back({position, now + wait, std::move(callback), now});
     // Ends the wait when nothing came, even if the store is silent.
     m_context.loop.runAfter(std::max(wait, StorePatience), [this, kept = entry] { serve(kept); });
     serve(EntryPtr(entry));
 }
 
+bool ResultCache::isProven(const Entry &entry, const Waiter &waiter) const
+{
+    // A listing that was sent before the read began may miss what others have read since, however late its answer comes.
+    return entry.listedAt && *entry.listedAt >= waiter.joinedAt && m_context.loop.now() - *entry.listedAt < ListingLife;
+}
+
 void ResultCache::serve(const EntryPtr &entry)
 {
     const auto now = m_context.loop.now();
@@ -44,7 +50,7 @@
     for (auto &waiter : waiters) {
         const bool isReady = entry->isKnown && (waiter.position < entry->results.size() || waiter.position >= entry->itemCount);
         const bool isOver = now >= waiter.until;
-        if (isReady || (isOver && waiter.isFresh && entry->isKnown)) {
+        if (isReady || (isOver && entry->isKnown && isProven(*entry, waiter))) {
             answer(*entry, waiter, ResultPage::Kind::Found);
         } else if (now >= waiter.until + StorePatience) {
             answer(*entry, waiter, ResultPage::Kind::Unsure);
@@ -61,8 +67,9 @@
         readIndex(entry);
         return;
     }
-    const bool needsList = entry->revision == 0
-        || std::any_of(entry->waiters.begin(), entry->waiters.end(), [now](const Waiter &waiter) { return now >= waiter.until && !waiter.isFresh; });
+    const bool needsList = entry->revision == 0 || std::any_of(entry->waiters.begin(), entry->waiters.end(), [this, &entry, now](const Waiter &waiter) {
+                               return now >= waiter.until && !isProven(*entry, waiter);
+                           });
     if (needsList) {
         listResults(entry);
     } else {
@@ -73,11 +80,10 @@
 void ResultCache::readIndex(const EntryPtr &entry)
 {
     entry->isBusy = true;
-    m_context.store.get(BatchRecords::indexKey(entry->batch), [this, entry](const MetadataReply &reply) {
+    m_context.store.get(BatchRecords::indexKey(entry->batch), [this, entry, sentAt = m_context.loop.now()](const MetadataReply &reply) {
         entry->isBusy = false;
         if (reply.status == MetadataStatus::NotFound) {
-            answerAll(entry, ResultPage::Kind::NoSuchBatch);
-            m_entries.erase(entry->batch);
+            answerMissing(entry, sentAt);
             return;
         }
         auto index = reply.status == MetadataStatus::Done && !reply.items.empty() ? BatchRecords::decodeIndex(reply.items.front().value)
@@ -97,10 +103,12 @@
 {
     entry->isBusy = true;
     const auto afterKey = entry->results.empty() ? std::string() : BatchRecords::resultKey(entry->batch, entry->results.size() - 1);
-    m_context.store.list(BatchRecords::resultPrefix(entry->batch), afterKey, [this, entry](const MetadataReply &reply) { acceptList(entry, reply); });
+    m_context.store.list(BatchRecords::resultPrefix(entry->batch), afterKey, [this, entry, sentAt = m_context.loop.now()](const MetadataReply &reply) {
+        acceptList(entry, reply, sentAt);
+    });
 }
 
-void ResultCache::acceptList(const EntryPtr &entry, const MetadataReply &reply)
+void ResultCache::acceptList(const EntryPtr &entry, const MetadataReply &reply, Timestamp sentAt)
 {
     entry->isBusy = false;
     if (reply.status != MetadataStatus::Done) {
@@ -113,9 +121,7 @@
         return;
     }
     entry->revision = std::max(entry->revision, reply.revision);
-    for (auto &waiter : entry->waiters) {
-        waiter.isFresh = true;
-    }
+    entry->listedAt = sentAt;
     serve(entry);
 }
 
@@ -145,13 +151,10 @@
         return;
     }
     const bool contiguous = append(*entry, reply.items);
-    // An empty watch moves nothing: a watch may miss a change for a moment, and the next one from here finds it.
+    // An empty watch moves and proves nothing: a watch may miss a change for a moment, and the next call from here finds it.
     if (!reply.items.empty()) {
         entry->revision = contiguous ? std::max(entry->revision, reply.revision) : 0;
     }
-    for (auto &waiter : entry->waiters) {
-        waiter.isFresh = true;
-    }
     serve(entry);
 }
 
@@ -203,12 +206,22 @@
     waiter.callback(page);
 }
 
-void ResultCache::answerAll(const EntryPtr &entry, ResultPage::Kind kind)
+void ResultCache::answerMissing(const EntryPtr &entry, Timestamp askedAt)
 {
     const auto waiters = std::move(entry->waiters);
     entry->waiters.clear();
     for (const auto &waiter : waiters) {
-        answer(*entry, waiter, kind);
+        // The batch may have been accepted between the question and a read that began after it.
+        if (waiter.joinedAt > askedAt) {
+            entry->waiters.push_back(waiter);
+        } else {
+            answer(*entry, waiter, ResultPage::Kind::NoSuchBatch);
+        }
+    }
+    if (entry->waiters.empty()) {
+        m_entries.erase(entry->batch);
+    } else {
+        serve(entry);
     }
 }
 
--- a/src/gateway/resultcache.h
+++ b/src/gateway/resultcache.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,13 +46,16 @@
     static constexpr std::size_t MaxBytes = 12 * 1024 * 1024;
     static constexpr std::size_t MaxEntries = 1000;
 
+    /// A listing proves for this long that nothing stands behind it. Readers may compare answers of several gateways that are
+    /// a second apart.
+    static constexpr Milliseconds ListingLife{700};
+
 private:
     struct Waiter {
         std::size_t position = 0;
         Timestamp until;
         Callback callback;
-        /// The store has been asked since the read began.
-        bool isFresh = false;
+        Timestamp joinedAt;
     };
 
     struct Entry {
@@ -64,6 +68,8 @@
         std::size_t bytes = 0;
         /// The store's revision up to which results are known; zero: never listed.
         std::uint64_t revision = 0;
+        /// No result stood behind the known ones when the last listing was sent.
+        std::optional<Timestamp> listedAt;
         Timestamp lastRead;
         std::vector<Waiter> waiters;
         /// A call to the store is under way.
@@ -72,16 +78,19 @@
 
     using EntryPtr = std::shared_ptr<Entry>;
 
+    /// Whether a read may be told that nothing stands at its position.
+    bool isProven(const Entry &entry, const Waiter &waiter) const;
     void serve(const EntryPtr &entry);
     void readIndex(const EntryPtr &entry);
     void listResults(const EntryPtr &entry);
-    void acceptList(const EntryPtr &entry, const MetadataReply &reply);
+    void acceptList(const EntryPtr &entry, const MetadataReply &reply, Timestamp sentAt);
     void watchResults(const EntryPtr &entry);
     void acceptWatch(const EntryPtr &entry, const MetadataReply &reply);
     bool append(Entry &entry, const std::vector<MetadataItem> &items);
     void failStep(const EntryPtr &entry, MetadataStatus status);
     void answer(Entry &entry, const Waiter &waiter, ResultPage::Kind kind);
-    void answerAll(const EntryPtr &entry, ResultPage::Kind kind);
+    /// The batch did not exist when the store was asked.
+    void answerMissing(const EntryPtr &entry, Timestamp askedAt);
     void evict();
 
     GatewayContext &m_context;
--- a/tests/gateway/batchcalls.cpp
+++ b/tests/gateway/batchcalls.cpp
@@ -293,4 +293,55 @@
     BOOST_TEST(still->status == 401);
 }
 
+// Replays a listing that is seconds under way, as at a gateway short of processor time. Guards against a read that joins it and
+// is told that nothing stands at a position which others have read since the listing was made.
+BOOST_FIXTURE_TEST_CASE(a_read_is_not_answered_from_a_listing_that_is_older_than_itself, BatchFixture)
+{
+    submit(0);
+    run(50);
+    read(0, 0);
+    run(50);
+    store.latency = Milliseconds(600);
+    const auto early = read(0, 0);
+    run(100);
+    list(0, "i1");
+    run(50);
+    const auto late = read(0, 0);
+    run(2500);
+    BOOST_REQUIRE(late->ended);
+    const bool isTrue = late->status == 503 || (late->status == 200 && !late->json().at("results").empty());
+    BOOST_TEST(isTrue, "answered " << late->status << " " << late->body);
+}
+
+// Guards against an accepted batch that is said not to exist, because an older question of the same gateway is under way.
+BOOST_FIXTURE_TEST_CASE(a_read_is_not_told_that_its_batch_is_missing_by_an_older_question, BatchFixture)
+{
+    store.latency = Milliseconds(300);
+    read(0, 0);
+    run(400);
+    store.latency = Milliseconds(4);
+    submit(1);
+    run(50);
+    const auto late = read(0, 0);
+    run(2500);
+    BOOST_REQUIRE(late->ended);
+    BOOST_TEST(late->status != 404);
+}
+
+// Guards against the answer "nothing there" because a watch of the store has missed the result.
+BOOST_FIXTURE_TEST_CASE(a_read_does_not_trust_a_watch_that_heard_nothing, BatchFixture)
+{
+    submit(0);
+    run(50);
+    const auto first = read(0, 0);
+    run(50);
+    BOOST_REQUIRE(first->ended);
+    store.faults.watchesAreDeaf = true;
+    list(0, "i1");
+    const auto waiting = read(0, 0, "500");
+    run(800);
+    BOOST_REQUIRE(waiting->ended);
+    BOOST_TEST(waiting->json().at("results").size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/metadata/fakemetadatastore.cpp
+++ b/tests/metadata/fakemetadatastore.cpp
@@ -13,7 +13,7 @@
 
 void FakeMetadataStore::answer(Callback callback, MetadataReply reply)
 {
-    m_time.schedule(Latency, [callback = std::move(callback), reply = std::move(reply)] { callback(reply); });
+    m_time.schedule(latency, [callback = std::move(callback), reply = std::move(reply)] { callback(reply); });
 }
 
 bool FakeMetadataStore::fails(const Callback &callback)
--- a/tests/metadata/fakemetadatastore.h
+++ b/tests/metadata/fakemetadatastore.h
@@ -57,7 +57,8 @@
     Faults faults;
     int calls = 0;
 
-    static constexpr Milliseconds Latency{4};
+    /// From the execution of a call to its answer.
+    Milliseconds latency{4};
     static constexpr Milliseconds SilenceTime{1200};
 
 private:
