Score finished texts before they are listed

Ruled out: scoring by gateways when a result is read; it would be repeated at each gateway, and a reader could see a result before it has its score.

Change: a text with a reward request goes from Running to Scoring. RewardCalls sends one call through the route of its host and path, with its own id and a time limit, and repeats it elsewhere after a lost, cut, garbled or refused answer. orderRewards, rewardSlots and rewardTimeLimit decide the order, how many run at an endpoint (half of its slots) and for how long. A successor finds whole texts in the progress record and only has them scored. Results of a text that always fails are given up after the attempts of its route. The choice of a route's service is shared with live requests (chooseService).

--- a/bench/batchpath.cpp
+++ b/bench/batchpath.cpp
@@ -49,7 +49,7 @@
     std::vector<ItemResult> results;
     results.reserve(Items);
     for (int i = 0; i < Items; ++i) {
-        results.push_back({"e5b2907c14da" + std::to_string(i), ItemOutcome::Completed, std::string(2400, 'x'), {6, 7}});
+        results.push_back({"e5b2907c14da" + std::to_string(i), ItemOutcome::Completed, std::string(2400, 'x'), {6, 7}, {}});
     }
     std::vector<const ItemResult *> pointers;
     pointers.reserve(Items);
--- a/src/batches/batch.h
+++ b/src/batches/batch.h
@@ -4,6 +4,7 @@
 #include "http/httpfields.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -11,6 +12,21 @@
 namespace Basilbend
 {
 
+/// The request that has the finished text of an item scored by a service. It may be repeated.
+struct RewardRequest {
+    /// Names the request at the endpoint, as an attempt id does.
+    std::string id;
+    /// Host and path select the route.
+    std::string host;
+    std::string path;
+    std::string body;
+};
+
+inline bool operator==(const RewardRequest &a, const RewardRequest &b)
+{
+    return std::tie(a.id, a.host, a.path, a.body) == std::tie(b.id, b.host, b.path, b.body);
+}
+
 /// One generation of a batch: a request that runs later.
 struct BatchItem {
     std::string id;
@@ -26,6 +42,8 @@
     std::string group;
     /// The client's estimate of the output tokens; zero: none.
     std::uint64_t lengthHint = 0;
+    /// Nothing: the item is done with its text.
+    std::optional<RewardRequest> reward;
 };
 
 /// What a trainer has submitted for one step.
@@ -71,11 +89,13 @@
     std::string text;
     /// All weight versions that generated an event of the text, ascending.
     std::vector<std::uint64_t> versions;
+    /// The signature of the endpoint that scored the text; empty when the item has no reward request or was given up.
+    std::string score;
 };
 
 inline bool operator==(const ItemResult &a, const ItemResult &b)
 {
-    return std::tie(a.id, a.outcome, a.text, a.versions) == std::tie(b.id, b.outcome, b.text, b.versions);
+    return std::tie(a.id, a.outcome, a.text, a.versions, a.score) == std::tie(b.id, b.outcome, b.text, b.versions, b.score);
 }
 
 }
--- a/src/batches/batchrecords.cpp
+++ b/src/batches/batchrecords.cpp
@@ -33,6 +33,15 @@
     }
 }
 
+json resultObject(const ItemResult &result)
+{
+    json object{{"id", result.id}, {"terminated", result.outcome == ItemOutcome::Terminated}, {"text", result.text}, {"versions", result.versions}};
+    if (!result.score.empty()) {
+        object["score"] = result.score;
+    }
+    return object;
+}
+
 ItemResult decodeResult(const json &object)
 {
     ItemResult result;
@@ -40,6 +49,7 @@
     result.outcome = object.at("terminated").get<bool>() ? ItemOutcome::Terminated : ItemOutcome::Completed;
     result.text = object.at("text").get<std::string>();
     result.versions = object.at("versions").get<std::vector<std::uint64_t>>();
+    result.score = object.value("score", std::string());
     return result;
 }
 
@@ -121,7 +131,7 @@
 {
     auto list = json::array();
     for (const auto &result : chunk.results) {
-        list.push_back({{"id", result.id}, {"terminated", result.outcome == ItemOutcome::Terminated}, {"text", result.text}, {"versions", result.versions}});
+        list.push_back(resultObject(result));
     }
     return json{{"workspace", chunk.workspace}, {"items", chunk.itemCount}, {"results", std::move(list)}}.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -45,7 +45,15 @@
                      runtime.random(),
                      electionSettings(runtime),
                      {[this](bool continued) { lead(continued); }, [this] { follow(); }})
-        , m_runner(runtime.loop(), runtime.log(), runtime.metrics(), runtime.client(), runtime.store(), m_view, runnerHooks())
+        , m_runner(runtime.loop(),
+                   runtime.log(),
+                   runtime.metrics(),
+                   runtime.client(),
+                   runtime.store(),
+                   m_view,
+                   runtime.random(),
+                   runtime.settings().zone,
+                   runnerHooks())
         , m_weights(runtime.loop(), runtime.log(), runtime.metrics(), runtime.client(), m_view, runtime.settings().node, weightHooks())
         , m_usage(runtime.store(),
                   runtime.loop(),
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -1,5 +1,6 @@
 #include "gateway/livecall.h"
 
+#include "forwarding/servicechoice.h"
 #include "gateway/rejection.h"
 #include "http/socketoptions.h"
 
@@ -52,29 +53,9 @@
     return static_cast<int>(std::count_if(m_tries.begin(), m_tries.end(), [](const auto &attempt) { return !attempt->ended; }));
 }
 
-std::string LiveCall::chooseService()
-{
-    std::uint64_t total = 0;
-    for (const auto &share : m_route.shares) {
-        total += static_cast<std::uint64_t>(std::max(share.weight, 0));
-    }
-    if (total == 0) {
-        return m_route.shares.front().service;
-    }
-    auto drawn = m_context.random.below(total);
-    for (const auto &share : m_route.shares) {
-        const auto weight = static_cast<std::uint64_t>(std::max(share.weight, 0));
-        if (drawn < weight) {
-            return share.service;
-        }
-        drawn -= weight;
-    }
-    return m_route.shares.back().service;
-}
-
 void LiveCall::start()
 {
-    m_service = chooseService();
+    m_service = chooseService(m_route, m_context.random);
     m_exchange->onClientGone = [self = weak_from_this()] {
         if (const auto call = self.lock()) {
             call->finish("client_left", 0);
@@ -203,7 +184,7 @@
     if (attempt.evidence.load) {
         m_context.picker.noteWaiting(attempt.endpoint.id, attempt.evidence.load->waiting, m_context.loop.now());
     }
-    if (streams() && head.status == 200 && attempt.evidence.isSigned && !m_done) {
+    if (streams() && head.status == 200 && attempt.evidence.isSigned() && !m_done) {
         acceptStreamHead(index);
     }
 }
@@ -276,7 +257,7 @@
         endStreamTry(index, end);
         return;
     }
-    const auto outcome = outcomeOfTry(end, attempt.evidence.status, attempt.evidence.notExecuted, attempt.evidence.isSigned);
+    const auto outcome = outcomeOfTry(end, attempt.evidence.status, attempt.evidence.notExecuted, attempt.evidence.isSigned());
     noteEndpoint(attempt, end, outcome);
     if (outcome != TryOutcome::NotRun) {
         ++m_ranTries;
@@ -341,7 +322,7 @@
     }
     const auto &attempt = *m_tries[index];
     const auto outcome =
-        carriedStream ? TryOutcome::MayHaveRun : outcomeOfTry(end, attempt.evidence.status, attempt.evidence.notExecuted, attempt.evidence.isSigned);
+        carriedStream ? TryOutcome::MayHaveRun : outcomeOfTry(end, attempt.evidence.status, attempt.evidence.notExecuted, attempt.evidence.isSigned());
     noteEndpoint(attempt, end, outcome);
     m_ranTries += outcome == TryOutcome::NotRun ? 0 : 1;
     m_events.reset();
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -69,7 +69,6 @@
 
     Milliseconds timeLeft() const;
     int openTries() const;
-    std::string chooseService();
 
     GatewayContext &m_context;
     std::shared_ptr<ServerExchange> m_exchange;
--- a/src/platform/batchcodec.cpp
+++ b/src/platform/batchcodec.cpp
@@ -43,21 +43,40 @@
     return n;
 }
 
+std::string decodeBody(const json &object, const std::string &owner)
+{
+    const auto body = fromBase64(Wire::textOr(object, "body", {}));
+    if (!body) {
+        throw Wire::FieldError{"body of " + owner + " is not base64"};
+    }
+    return *body;
+}
+
+std::optional<RewardRequest> decodeReward(const json &item, const std::string &itemId)
+{
+    const auto it = item.find("scorer");
+    if (it == item.end() || it->is_null()) {
+        return std::nullopt;
+    }
+    if (!it->is_object()) {
+        throw Wire::FieldError{"scorer of item " + itemId + " must be an object"};
+    }
+    return RewardRequest{
+        Wire::requiredText(*it, "id"), Wire::requiredText(*it, "host"), Wire::requiredText(*it, "path"), decodeBody(*it, "the scorer of item " + itemId)};
+}
+
 BatchItem decodeItem(const json &object)
 {
     BatchItem item;
     item.id = Wire::requiredText(object, "id");
     item.path = Wire::requiredText(object, "path");
     item.fields = decodeFields(object);
-    const auto body = fromBase64(Wire::textOr(object, "body", {}));
-    if (!body) {
-        throw Wire::FieldError{"body of item " + item.id + " is not base64"};
-    }
-    item.body = *body;
+    item.body = decodeBody(object, "item " + item.id);
     item.tokens = Wire::wholeOr(object, "tokens", 0);
     item.group = Wire::textOr(object, "group", item.id);
     item.promptTokens = std::min(item.tokens, leadingNumber(item.fields.value(Wire::TokenCounts)));
     item.lengthHint = leadingNumber(item.fields.value(Wire::LengthHint));
+    item.reward = decodeReward(object, item.id);
     return item;
 }
 
@@ -83,7 +102,12 @@
     appendJsonString(text, result.id);
     text += result.outcome == ItemOutcome::Completed ? ",\"state\":\"completed\",\"text\":" : ",\"state\":\"terminated\",\"text\":";
     appendJsonString(text, result.text);
-    text += ",\"versions\":" + json(result.versions).dump() + "}";
+    text += ",\"versions\":" + json(result.versions).dump();
+    if (!result.score.empty()) {
+        text += ",\"score\":";
+        appendJsonString(text, result.score);
+    }
+    text += "}";
     return text;
 }
 
--- a/src/platform/endpointcalls.cpp
+++ b/src/platform/endpointcalls.cpp
@@ -58,7 +58,7 @@
     EndpointEvidence evidence;
     evidence.status = head.status;
     evidence.notExecuted = head.fields.find(Wire::NotExecuted) != nullptr || head.status == 421;
-    evidence.isSigned = head.fields.find(Wire::Signature) != nullptr;
+    evidence.signature = std::string(head.fields.value(Wire::Signature));
     evidence.attemptId = std::string(head.fields.value(Wire::AttemptId));
     evidence.weightVersion = wholeOrZero(head.fields.value(Wire::WeightVersions));
     evidence.load = decodeLoad(head.fields.value(Wire::ServerLoad));
@@ -107,6 +107,17 @@
     return message;
 }
 
+RequestMessage makeRewardRequest(const RewardRequest &reward, const std::string &endpointId, Milliseconds limit)
+{
+    return {"POST",
+            reward.path,
+            {{"Host", reward.host},
+             {Wire::AttemptId, reward.id},
+             {Wire::ExpectInstance, endpointId},
+             {Wire::DeadlineMs, std::to_string(std::max<std::int64_t>(1, limit.count()))}},
+            reward.body};
+}
+
 std::uint64_t versionOfEventLine(std::string_view line)
 {
     const std::string_view name = Wire::WeightVersions;
--- a/src/platform/endpointcalls.h
+++ b/src/platform/endpointcalls.h
@@ -26,13 +26,18 @@
     int status = 0;
     /// The endpoint says that it did not run the request.
     bool notExecuted = false;
-    /// The response carries the endpoint's signature.
-    bool isSigned = false;
+    /// The endpoint's signature of its answer; empty: the response is not the endpoint's own.
+    std::string signature;
     /// The attempt that the response belongs to; empty when it does not say.
     std::string attemptId;
     /// Version of the weights when the response began; zero when it does not say.
     std::uint64_t weightVersion = 0;
     std::optional<EndpointLoad> load;
+
+    bool isSigned() const
+    {
+        return !signature.empty();
+    }
 };
 
 EndpointEvidence decodeEvidence(const ResponseHead &head);
@@ -47,6 +52,9 @@
 /// An item of a batch as the endpoint gets it.
 RequestMessage makeItemRequest(const BatchItem &item, const BatchIndex &batch, const std::string &endpointId, std::uint64_t lastEventId);
 
+/// The request that has a finished text scored. Limit: the time after which the endpoint need not answer any more.
+RequestMessage makeRewardRequest(const RewardRequest &reward, const std::string &endpointId, Milliseconds limit);
+
 /// Splits the name of the version line from the data of an event; zero when the line is no version line.
 std::uint64_t versionOfEventLine(std::string_view line);
 
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -25,7 +25,15 @@
 
 }
 
-BatchRunner::BatchRunner(EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, MetadataStore &store, SystemView &view, BatchRunnerHooks hooks)
+BatchRunner::BatchRunner(EventLoop loop,
+                         EventLog &log,
+                         Metrics &metrics,
+                         WebClient &client,
+                         MetadataStore &store,
+                         SystemView &view,
+                         Random &random,
+                         std::string zone,
+                         BatchRunnerHooks hooks)
     : m_loop(std::move(loop))
     , m_log(log)
     , m_metrics(metrics)
@@ -38,9 +46,37 @@
               log,
               {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
     , m_board(m_view, m_pace, m_use, m_hooks.endpoints)
+    , m_rewards({m_loop, log, metrics, client, view, random, std::move(zone)}, rewardHooks())
 {
 }
 
+RewardHooks BatchRunner::rewardHooks()
+{
+    RewardHooks hooks;
+    hooks.onScore = [this](const std::string &id, std::size_t item, std::string score) {
+        if (auto *batch = find(id)) {
+            batch->state->acceptScore(item, std::move(score));
+            pollResults(id);
+        }
+    };
+    hooks.onServerError = [this](const std::string &id, std::size_t item, int attempts) {
+        if (auto *batch = find(id)) {
+            batch->state->noteRewardError(item, attempts);
+            pollResults(id);
+        }
+    };
+    hooks.onRetryDue = [this] { scheduleSoon(); };
+    return hooks;
+}
+
+void BatchRunner::pollResults(const std::string &id)
+{
+    if (auto *batch = find(id)) {
+        batch->writer->poll();
+    }
+    scheduleSoon();
+}
+
 void BatchRunner::activate()
 {
     if (m_active) {
@@ -64,6 +100,7 @@
         batch->writer->stop();
     }
     m_batches.clear();
+    m_rewards.clear();
     m_kept.clear();
     m_use.clear();
 }
@@ -88,6 +125,11 @@
                 {"minimum_version", batch->state->submission().minimumVersion},
                 {"desired_groups", batch->state->submission().desiredGroups},
                 {"age_ms", m_loop.now().milliseconds() - batch->state->index().submittedAtMs}});
+    for (std::size_t i = 0; i < batch->state->submission().items.size(); ++i) {
+        if (batch->state->progress(i).phase == ItemPhase::Scoring) {
+            m_rewards.add(batch->state, i);
+        }
+    }
     m_demand.noteBatch(batch->state->submission());
     m_batches[id] = std::move(batch);
     m_hooks.onDemandChanged();
@@ -110,6 +152,7 @@
     }
     const auto batch = std::move(it->second);
     m_batches.erase(it);
+    m_rewards.drop(id);
     batch->writer->stop();
     m_kept.add(batch->state->textsToKeep());
     noteDuration(*batch->state);
@@ -170,6 +213,7 @@
 
 void BatchRunner::noteEndpointGone(const std::string &id)
 {
+    m_rewards.noteEndpointGone(id);
     m_pace.forget(id);
 }
 
@@ -198,6 +242,7 @@
     for (auto *batch : batches) {
         scheduleBatch(*batch);
     }
+    m_rewards.poll();
 }
 
 std::string BatchRunner::endpointOfGroup(const Batch &batch, std::size_t item) const
@@ -342,6 +387,9 @@
     if (isWhole) {
         m_use.noteCompleted(runTokens(state.item(item), state.progress(item).text.eventCount()));
         state.complete(item);
+        if (state.progress(item).phase == ItemPhase::Scoring) {
+            m_rewards.add(batch->state, item);
+        }
     } else if (end == RunEnd::Unprocessable) {
         state.terminate(item);
     } else if (end == RunEnd::ServerError) {
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -16,6 +16,7 @@
 #include "scheduling/placement.h"
 #include "scheduling/progresswriter.h"
 #include "scheduling/resultwriter.h"
+#include "scheduling/rewardcalls.h"
 #include "scheduling/waitlog.h"
 
 #include <functional>
@@ -43,7 +44,16 @@
 class BatchRunner
 {
 public:
-    BatchRunner(EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, MetadataStore &store, SystemView &view, BatchRunnerHooks hooks);
+    /// Zone: the availability zone of this process.
+    BatchRunner(EventLoop loop,
+                EventLog &log,
+                Metrics &metrics,
+                WebClient &client,
+                MetadataStore &store,
+                SystemView &view,
+                Random &random,
+                std::string zone,
+                BatchRunnerHooks hooks);
 
     /// Starts to run batches, from what the store holds.
     void activate();
@@ -111,6 +121,10 @@
     bool acceptEvent(const std::string &batch, std::size_t item, std::uint64_t run, std::uint64_t id, std::string data, std::uint64_t version);
     void acceptEnd(const std::string &batch, std::size_t item, std::uint64_t run, RunEnd end, int status);
 
+    RewardHooks rewardHooks();
+    /// Writes results of the batch if it is time.
+    void pollResults(const std::string &batch);
+
     void tick();
     void tickBatch(Batch &batch);
     void cancelRun(Batch &batch, std::size_t item, const char *why);
@@ -134,6 +148,7 @@
     BatchDemand m_demand;
     EndpointPace m_pace;
     EndpointBoard m_board;
+    RewardCalls m_rewards;
     bool m_active = false;
     bool m_scheduled = false;
     std::uint64_t m_generation = 0;
--- a/src/scheduling/itemrun.cpp
+++ b/src/scheduling/itemrun.cpp
@@ -49,7 +49,7 @@
     if (m_evidence.weightVersion > 0) {
         m_version = m_evidence.weightVersion;
     }
-    if (head.status == 200 && m_evidence.isSigned) {
+    if (head.status == 200 && m_evidence.isSigned()) {
         m_events = std::make_unique<EventStream>([this](const StreamEvent &event) { acceptEvent(event); });
     }
 }
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -16,12 +16,17 @@
     , m_order(startOrder(m_submission, {}))
 {
     std::unordered_map<std::string, std::size_t> positions;
+    std::unordered_map<std::string, std::size_t> groups;
     for (std::size_t i = 0; i < m_submission.items.size(); ++i) {
         positions.emplace(m_submission.items[i].id, i);
+        m_groupOf.push_back(groups.emplace(m_submission.items[i].group, groups.size()).first->second);
+        m_unfinishedInGroup.resize(groups.size());
+        ++m_unfinishedInGroup[m_groupOf.back()];
     }
     for (const auto &id : listed) {
         const auto it = positions.find(id);
         if (it != positions.end() && m_progress[it->second].phase != ItemPhase::Decided) {
+            noteFinished(it->second);
             m_progress[it->second].phase = ItemPhase::Decided;
             ++m_decided;
         }
@@ -70,8 +75,39 @@
 
 void OpenBatch::complete(std::size_t i)
 {
-    m_progress[i].isComplete = true;
-    decide(i, ItemOutcome::Completed);
+    auto &progress = m_progress[i];
+    if (progress.phase == ItemPhase::Decided || progress.phase == ItemPhase::Scoring) {
+        return;
+    }
+    progress.isComplete = true;
+    if (m_submission.items[i].reward) {
+        noteFinished(i);
+        progress.phase = ItemPhase::Scoring;
+    } else {
+        decide(i, ItemOutcome::Completed);
+    }
+}
+
+void OpenBatch::acceptScore(std::size_t i, std::string score)
+{
+    if (m_progress[i].phase == ItemPhase::Scoring) {
+        decide(i, ItemOutcome::Completed, std::move(score));
+    }
+}
+
+void OpenBatch::noteRewardError(std::size_t i, int attempts)
+{
+    if (m_progress[i].phase == ItemPhase::Scoring && ++m_progress[i].rewardErrors >= attempts) {
+        terminate(i);
+    }
+}
+
+void OpenBatch::noteFinished(std::size_t i)
+{
+    const auto phase = m_progress[i].phase;
+    if (phase != ItemPhase::Scoring && phase != ItemPhase::Decided) {
+        --m_unfinishedInGroup[m_groupOf[i]];
+    }
 }
 
 void OpenBatch::terminate(std::size_t i)
@@ -86,12 +122,13 @@
     }
 }
 
-void OpenBatch::decide(std::size_t i, ItemOutcome outcome)
+void OpenBatch::decide(std::size_t i, ItemOutcome outcome, std::string score)
 {
     auto &progress = m_progress[i];
     if (progress.phase == ItemPhase::Decided) {
         return;
     }
+    noteFinished(i);
     progress.phase = ItemPhase::Decided;
     ++m_decided;
     ItemResult result;
@@ -100,6 +137,7 @@
     if (outcome == ItemOutcome::Completed) {
         result.text = progress.text.joined();
         result.versions = progress.text.versions();
+        result.score = std::move(score);
     }
     m_pending.push_back(std::move(result));
 }
@@ -167,7 +205,7 @@
         if (bytes > maxBytes) {
             break;
         }
-        texts.push_back({m_submission.items[i].id, m_progress[i].text, false});
+        texts.push_back({m_submission.items[i].id, m_progress[i].text, m_progress[i].isComplete});
     }
     return texts;
 }
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -16,6 +16,8 @@
 enum class ItemPhase {
     Waiting,
     Running,
+    /// Its text is whole; the reward call that gives its score is outstanding.
+    Scoring,
     /// Its result is decided; it may not be listed yet.
     Decided,
 };
@@ -28,6 +30,8 @@
     bool isComplete = false;
     /// Answers of 500 so far.
     int serverErrors = 0;
+    /// Answers of 500 to its reward call.
+    int rewardErrors = 0;
     /// Number of the current run; tells late calls of an earlier one.
     std::uint64_t run = 0;
     std::string endpoint;
@@ -83,9 +87,21 @@
     /// Adds an event of the current run. Returns false when it can't be joined and the run is of no use.
     bool addEvent(std::size_t i, std::uint64_t id, std::string data, std::uint64_t version, const BatchRules &rules);
 
-    /// The run has delivered its last event.
+    /// The run has delivered its last event. An item with a reward request then waits for its score.
     void complete(std::size_t i);
 
+    /// The text of an item that waits for it has been scored.
+    void acceptScore(std::size_t i, std::string score);
+
+    /// The reward call was answered with 500. Terminates the item after so many attempts, because some can never be scored.
+    void noteRewardError(std::size_t i, int attempts);
+
+    /// Items of this one's group whose text is not whole yet.
+    std::size_t unfinishedInGroup(std::size_t i) const
+    {
+        return m_unfinishedInGroup[m_groupOf[i]];
+    }
+
     /// The endpoint answered 500. Terminates the item after as many as the route allows.
     void noteServerError(std::size_t i, const BatchRules &rules);
 
@@ -134,12 +150,16 @@
     std::vector<KeptText> textsToKeep() const;
 
 private:
-    void decide(std::size_t i, ItemOutcome outcome);
+    void decide(std::size_t i, ItemOutcome outcome, std::string score = {});
+    void noteFinished(std::size_t i);
 
     BatchIndex m_index;
     BatchSubmission m_submission;
     std::vector<ItemProgress> m_progress;
     std::vector<std::size_t> m_order;
+    /// The group of each item, as an index into the counts below.
+    std::vector<std::size_t> m_groupOf;
+    std::vector<std::size_t> m_unfinishedInGroup;
     std::deque<ItemResult> m_pending;
     std::size_t m_decided = 0;
     std::vector<std::string> m_listed;
--- a/src/scheduling/progressrecord.cpp
+++ b/src/scheduling/progressrecord.cpp
@@ -15,7 +15,7 @@
         for (const auto &event : kept.text.events()) {
             events.push_back({event.data, event.version});
         }
-        list.push_back({{"item", kept.itemId}, {"last", kept.text.lastEventId()}, {"events", std::move(events)}});
+        list.push_back({{"item", kept.itemId}, {"last", kept.text.lastEventId()}, {"complete", kept.isComplete}, {"events", std::move(events)}});
     }
     const json object{{"listed", record.listed}, {"items", std::move(list)}};
     return object.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -30,6 +30,7 @@
         for (const auto &object : whole.at("items")) {
             KeptText kept;
             kept.itemId = object.at("item").get<std::string>();
+            kept.isComplete = object.value("complete", false);
             const auto &events = object.at("events");
             auto id = object.at("last").get<std::uint64_t>() - events.size();
             for (const auto &event : events) {
--- /dev/null
+++ b/src/scheduling/rewardcalls.cpp
@@ -0,0 +1,287 @@
+#include "scheduling/rewardcalls.h"
+
+#include "forwarding/servicechoice.h"
+#include "http/socketoptions.h"
+#include "scheduling/rewardorder.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds ConnectTimeout{250};
+/// Pause before a refused text is offered again.
+constexpr Milliseconds RefusedPause{20};
+/// Pause after the first failure of a text; grows with each further one.
+constexpr Milliseconds FailurePause{20};
+constexpr int LongestPauseFactor = 25;
+/// The endpoint's own answer at its time limit may still be on the way when that time is over here.
+constexpr Milliseconds AnswerMargin{20};
+constexpr int ServerErrorStatus = 500;
+
+}
+
+RewardCalls::RewardCalls(RewardContext context, RewardHooks hooks)
+    : m_context(std::move(context))
+    , m_hooks(std::move(hooks))
+    , m_picker(m_context.zone)
+{
+}
+
+void RewardCalls::add(std::shared_ptr<const OpenBatch> batch, std::size_t item)
+{
+    Entry entry;
+    entry.batch = std::move(batch);
+    entry.item = item;
+    m_entries.emplace(++m_lastNumber, std::move(entry));
+}
+
+void RewardCalls::drop(const std::string &batch)
+{
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        if (it->second.batch->index().id != batch) {
+            ++it;
+            continue;
+        }
+        if (it->second.isOpen) {
+            m_picker.noteEnded(it->second.endpoint);
+        }
+        it = m_entries.erase(it);
+    }
+}
+
+void RewardCalls::clear()
+{
+    for (const auto &[number, entry] : m_entries) {
+        if (entry.isOpen) {
+            m_picker.noteEnded(entry.endpoint);
+        }
+    }
+    m_entries.clear();
+}
+
+const RouteRule *RewardCalls::routeOf(const Entry &entry) const
+{
+    const auto *routes = m_context.view.routes();
+    const auto &request = requestOf(entry);
+    const auto *route = routes == nullptr ? nullptr : routes->find(request.host, request.path);
+    return route == nullptr || route->shares.empty() ? nullptr : route;
+}
+
+Timestamp RewardCalls::dueAt(const Entry &entry) const
+{
+    const auto *routes = m_context.view.routes();
+    const auto *route = routes == nullptr ? nullptr : routes->routeNamed(entry.batch->index().route);
+    return Timestamp(entry.batch->index().submittedAtMs) + (route == nullptr ? Milliseconds(0) : route->resultDeadline);
+}
+
+std::vector<std::uint64_t> RewardCalls::waitingInOrder() const
+{
+    const auto now = m_context.loop.now();
+    std::vector<std::uint64_t> numbers;
+    std::vector<WaitingReward> waiting;
+    for (const auto &[number, entry] : m_entries) {
+        if (!entry.isOpen && now >= entry.notBefore) {
+            waiting.push_back({numbers.size(), entry.failures, entry.batch->unfinishedInGroup(entry.item), dueAt(entry)});
+            numbers.push_back(number);
+        }
+    }
+    std::vector<std::uint64_t> ordered;
+    for (const auto index : orderRewards(std::move(waiting))) {
+        ordered.push_back(numbers[index]);
+    }
+    return ordered;
+}
+
+void RewardCalls::poll()
+{
+    std::set<std::string> busyServices;
+    for (const auto number : waitingInOrder()) {
+        auto &entry = m_entries.at(number);
+        if (entry.batch->progress(entry.item).phase != ItemPhase::Scoring) {
+            m_entries.erase(number);
+            continue;
+        }
+        const auto *route = routeOf(entry);
+        if (route == nullptr) {
+            continue;
+        }
+        const auto &service = chooseService(*route, m_context.random);
+        if (busyServices.count(service) > 0) {
+            continue;
+        }
+        const auto free = freeEndpoints(service);
+        if (free.empty()) {
+            busyServices.insert(service);
+        } else if (const auto *endpoint = chooseEndpoint(entry, service, free)) {
+            send(number, entry, *route, *endpoint);
+        }
+    }
+}
+
+std::vector<const EndpointRecord *> RewardCalls::freeEndpoints(const std::string &service) const
+{
+    auto free = m_context.view.endpoints().readyOf(service);
+    const auto isBusy = [this](const EndpointRecord *endpoint) { return m_picker.inFlight(endpoint->id) >= rewardSlots(endpoint->slots); };
+    free.erase(std::remove_if(free.begin(), free.end(), isBusy), free.end());
+    return free;
+}
+
+const EndpointRecord *RewardCalls::chooseEndpoint(Entry &entry, const std::string &service, const std::vector<const EndpointRecord *> &free)
+{
+    const auto ready = m_context.view.endpoints().readyOf(service);
+    const bool allFailed = std::all_of(ready.begin(), ready.end(), [&entry](const EndpointRecord *endpoint) { return entry.failedAt.count(endpoint->id) > 0; });
+    if (allFailed) {
+        entry.failedAt.clear();
+    }
+    return m_picker.pick(free, entry.failedAt, m_context.loop.now());
+}
+
+void RewardCalls::send(std::uint64_t number, Entry &entry, const RouteRule &route, const EndpointRecord &endpoint)
+{
+    const auto now = m_context.loop.now();
+    const auto limit = rewardTimeLimit({route.latencyTarget, route.timeout, entry.unanswered, dueAt(entry) - now});
+    entry.isOpen = true;
+    entry.endpoint = endpoint.id;
+    entry.sentAt = now;
+    entry.evidence = {};
+    const int call = ++entry.calls;
+    m_picker.noteSent(endpoint.id);
+    m_context.metrics.count("basilbend_reward_calls_total");
+    m_context.log.info("reward_sent",
+                       {{"batch", entry.batch->index().id},
+                        {"item", entry.batch->item(entry.item).id},
+                        {"reward", requestOf(entry).id},
+                        {"endpoint", endpoint.id},
+                        {"call", call},
+                        {"unfinished_in_group", entry.batch->unfinishedInGroup(entry.item)},
+                        {"limit_ms", limit}});
+    entry.call =
+        m_context.client.send(socketEndpoint(endpoint.address), makeRewardRequest(requestOf(entry), endpoint.id, limit), callHooks(number), ConnectTimeout);
+    m_context.loop.runAfter(limit + AnswerMargin, [this, number, call] { acceptTimeout(number, call); });
+}
+
+CallHooks RewardCalls::callHooks(std::uint64_t number)
+{
+    CallHooks hooks;
+    hooks.isMine = [this, number](const ResponseHead &head) {
+        const auto it = m_entries.find(number);
+        const auto attemptId = decodeEvidence(head).attemptId;
+        return it != m_entries.end() && (attemptId.empty() || attemptId == requestOf(it->second).id);
+    };
+    hooks.onHead = [this, number](const ResponseHead &head) {
+        const auto it = m_entries.find(number);
+        if (it != m_entries.end()) {
+            it->second.evidence = decodeEvidence(head);
+        }
+    };
+    // Only the signature of the answer is of use.
+    hooks.onBody = [](std::string_view) {};
+    hooks.onEnd = [this, number](CallEnd end) { acceptEnd(number, end); };
+    return hooks;
+}
+
+void RewardCalls::acceptEnd(std::uint64_t number, CallEnd end)
+{
+    const auto it = m_entries.find(number);
+    if (it == m_entries.end() || !it->second.isOpen) {
+        return;
+    }
+    auto &entry = it->second;
+    const auto &evidence = entry.evidence;
+    const auto outcome = outcomeOfTry(end, evidence.status, evidence.notExecuted, evidence.isSigned());
+    entry.isOpen = false;
+    m_picker.noteEnded(entry.endpoint);
+    notePace(entry, end, outcome);
+    // An answer that does not name the request may be a late one to another call.
+    const bool isSuccess = evidence.status >= 200 && evidence.status < 300 && evidence.attemptId == requestOf(entry).id;
+    const bool isScored = outcome == TryOutcome::Answered && isSuccess;
+    if (!isScored) {
+        logFailure(entry, callEndName(end));
+        retry(number, entry, outcome);
+        return;
+    }
+    const auto batch = entry.batch->index().id;
+    const auto item = entry.item;
+    auto score = evidence.signature;
+    m_context.metrics.observe("basilbend_reward_seconds", static_cast<double>((m_context.loop.now() - entry.sentAt).count()) / 1000);
+    m_entries.erase(it);
+    m_hooks.onScore(batch, item, std::move(score));
+}
+
+void RewardCalls::acceptTimeout(std::uint64_t number, int call)
+{
+    const auto it = m_entries.find(number);
+    if (it == m_entries.end() || !it->second.isOpen || it->second.calls != call) {
+        return;
+    }
+    auto &entry = it->second;
+    entry.call.cancel();
+    entry.isOpen = false;
+    ++entry.unanswered;
+    m_picker.noteEnded(entry.endpoint);
+    m_picker.noteSilence(entry.endpoint, m_context.loop.now());
+    logFailure(entry, "timeout");
+    retry(number, entry, TryOutcome::MayHaveRun);
+}
+
+void RewardCalls::notePace(const Entry &entry, CallEnd end, TryOutcome outcome)
+{
+    const auto now = m_context.loop.now();
+    const auto &load = entry.evidence.load;
+    if (load) {
+        m_picker.noteWaiting(entry.endpoint, load->waiting, now);
+    }
+    if (outcome == TryOutcome::Answered) {
+        m_picker.noteLatency(entry.endpoint, now - entry.sentAt, now);
+    } else if (end == CallEnd::Complete && outcome == TryOutcome::NotRun) {
+        m_picker.noteFull(entry.endpoint, now);
+    } else if (outcome != TryOutcome::AnsweredFailure) {
+        // An answer of 500 tells more of the text than of the endpoint: some can never be scored.
+        m_picker.noteFailure(entry.endpoint, now);
+    }
+}
+
+void RewardCalls::retry(std::uint64_t number, Entry &entry, TryOutcome outcome)
+{
+    const auto now = m_context.loop.now();
+    if (outcome == TryOutcome::NotRun) {
+        entry.notBefore = now + RefusedPause;
+    } else {
+        ++entry.failures;
+        entry.failedAt.insert(entry.endpoint);
+        entry.notBefore = now + FailurePause * std::min(entry.failures, LongestPauseFactor);
+    }
+    m_context.loop.runAfter(entry.notBefore - now, m_hooks.onRetryDue);
+    if (outcome != TryOutcome::AnsweredFailure || entry.evidence.status != ServerErrorStatus) {
+        return;
+    }
+    const auto *route = routeOf(entry);
+    const auto *routes = m_context.view.routes();
+    const auto *batchRoute = routes == nullptr ? nullptr : routes->routeNamed(entry.batch->index().route);
+    const int attempts = std::max(route == nullptr ? 1 : route->attempts, batchRoute == nullptr ? 1 : batchRoute->attempts);
+    const auto batch = entry.batch;
+    const auto item = entry.item;
+    m_hooks.onServerError(batch->index().id, item, attempts);
+    if (batch->progress(item).phase != ItemPhase::Scoring) {
+        m_entries.erase(number);
+    }
+}
+
+void RewardCalls::logFailure(const Entry &entry, std::string_view end) const
+{
+    m_context.log.warning("reward_failed",
+                          {{"batch", entry.batch->index().id},
+                           {"item", entry.batch->item(entry.item).id},
+                           {"reward", requestOf(entry).id},
+                           {"endpoint", entry.endpoint},
+                           {"end", end},
+                           {"status", entry.evidence.status},
+                           {"failures", entry.failures},
+                           {"after_ms", m_context.loop.now() - entry.sentAt}});
+}
+
+}
--- a/tests/gateway/batchcalls.cpp
+++ b/tests/gateway/batchcalls.cpp
@@ -86,7 +86,7 @@
     }
     void list(std::size_t position, const std::string &id)
     {
-        store.put(BatchRecords::resultKey("b1", position), BatchRecords::encodeChunk({"w", 2, {{id, ItemOutcome::Completed, "t " + id, {1}}}}));
+        store.put(BatchRecords::resultKey("b1", position), BatchRecords::encodeChunk({"w", 2, {{id, ItemOutcome::Completed, "t " + id, {1}, {}}}}));
     }
 };
 
--- a/tests/gateway/livecall.cpp
+++ b/tests/gateway/livecall.cpp
@@ -1,4 +1,5 @@
 #include "gateway/gatewayprocess.h"
+#include "http/scriptedendpoint.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -16,28 +17,6 @@
   "attempts":3},
  {"name":"stream","host":"a.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":9000,"target_latency_ms":400,"service":"s","attempts":3}]})";
 
-using ExchangePtr = std::shared_ptr<ServerExchange>;
-
-/// An endpoint whose behaviour a test sets.
-struct ScriptedEndpoint {
-    ScriptedEndpoint(asio::io_context &io, FakeMetadataStore &store, const std::string &id)
-        : server(io, "127.0.0.1:0", plainServerHooks([this](const ExchangePtr &exchange) {
-                     requests.push_back(exchange->request());
-                     exchanges.push_back(exchange);
-                     onRequest(exchange);
-                 }))
-    {
-        const nlohmann::json entry{
-            {"service", "s"}, {"address", "127.0.0.1:" + std::to_string(server.port())}, {"zone", "z"}, {"slots", 8}, {"state", "ready"}};
-        store.put("servers/" + id, entry.dump());
-    }
-
-    std::function<void(const ExchangePtr &)> onRequest = [](const ExchangePtr &) {};
-    std::vector<RequestMessage> requests;
-    std::vector<ExchangePtr> exchanges;
-    WebServer server;
-};
-
 std::string event(int id)
 {
     return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -117,7 +117,7 @@
     BOOST_TEST(decodeEvidence({421, {}}).notExecuted);
     BOOST_TEST(!decodeEvidence({503, {}}).notExecuted);
     const auto answered = decodeEvidence({200, {{"Basilbend-Server-Signature", "s"}, {"Basilbend-Server-Load", "3,1,8"}, {"Basilbend-Weight-Versions", "6"}}});
-    BOOST_TEST(answered.isSigned);
+    BOOST_TEST(answered.isSigned());
     BOOST_TEST(answered.load->waiting == 1);
     BOOST_TEST(answered.weightVersion == 6U);
     BOOST_TEST(!decodeEvidence({200, {{"Basilbend-Server-Load", "3,x"}}}).load.has_value());
@@ -166,8 +166,8 @@
 
 BOOST_AUTO_TEST_CASE(a_page_of_results_holds_at_least_one_and_stays_small)
 {
-    const ItemResult a{"a", ItemOutcome::Completed, std::string(100, 'x') + "\n\"", {6, 7}};
-    const ItemResult b{"b", ItemOutcome::Terminated, {}, {}};
+    const ItemResult a{"a", ItemOutcome::Completed, std::string(100, 'x') + "\n\"", {6, 7}, {}};
+    const ItemResult b{"b", ItemOutcome::Terminated, {}, {}, {}};
     const auto page = nlohmann::json::parse(encodeResultPage(9, 3, {&a, &b}, 50));
     BOOST_TEST(page.at("total") == 9);
     BOOST_TEST(page.at("next") == 4);
@@ -204,4 +204,41 @@
     BOOST_TEST(hostOfRetireKey("op/retire/n") == "n");
 }
 
+// Guards against samples that are listed without the score that their trainer asked for.
+BOOST_AUTO_TEST_CASE(a_scorer_is_read_with_its_item_and_its_score_is_told_with_the_result)
+{
+    const std::string good =
+        R"({"items":[{"id":"i1","path":"/p","scorer":{"id":"r1","host":"a.example","path":"/s/1","body":"YWJj"}},{"id":"i2","path":"/p"}]})";
+    const auto submission = decodeSubmission(good);
+    BOOST_REQUIRE(submission.has_value());
+    const RewardRequest expected{"r1", "a.example", "/s/1", "abc"};
+    BOOST_TEST((submission.value().items[0].reward == expected));
+    BOOST_TEST(!submission.value().items[1].reward.has_value());
+    for (const auto &[from, to] : {std::pair{R"("id":"r1",)", ""}, std::pair{R"("YWJj")", R"("?")"}, std::pair{R"("/s/1")", "1"}}) {
+        auto text = good;
+        text.replace(text.find(from), std::string(from).size(), to);
+        BOOST_TEST(decodeSubmission(text).has_error(), text);
+    }
+    const ItemResult scored{"i1", ItemOutcome::Completed, "t", {3}, "3e1b.07"};
+    const ItemResult plain{"i2", ItemOutcome::Completed, "t", {3}, {}};
+    const auto page = nlohmann::json::parse(encodeResultPage(2, 0, {&scored, &plain}, 5000));
+    BOOST_TEST(page.at("results").at(0).at("score") == "3e1b.07");
+    BOOST_TEST(!page.at("results").at(1).contains("score"));
+}
+
+// Guards against a reward call that names a workspace or a key; it needs neither.
+BOOST_AUTO_TEST_CASE(a_reward_call_carries_its_own_id_and_time_limit_and_no_workspace)
+{
+    const auto message = makeRewardRequest({"r1", "a.example", "/s/1", "abc"}, "i-1", Milliseconds(300));
+    BOOST_TEST(message.method == "POST");
+    BOOST_TEST(message.target == "/s/1");
+    BOOST_TEST(message.body == "abc");
+    BOOST_TEST(message.fields.value("Host") == "a.example");
+    BOOST_TEST(message.fields.value("Basilbend-Attempt-Id") == "r1");
+    BOOST_TEST(message.fields.value("Basilbend-Expect-Instance") == "i-1");
+    BOOST_TEST(message.fields.value("Basilbend-Deadline-Ms") == "300");
+    BOOST_TEST(message.fields.count("Basilbend-Tenant") == 0U);
+    BOOST_TEST(message.fields.count("X-Api-Key") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/batchlife.cpp
+++ b/tests/scheduling/batchlife.cpp
@@ -65,7 +65,7 @@
 
 BOOST_FIXTURE_TEST_CASE(a_batch_is_loaded_with_what_is_listed_through_an_outage, LifeFixture)
 {
-    store.put(BatchRecords::resultKey("b", 0), BatchRecords::encodeChunk({"w", 3, {{"i2", ItemOutcome::Completed, "t", {5}}}}));
+    store.put(BatchRecords::resultKey("b", 0), BatchRecords::encodeChunk({"w", 3, {{"i2", ItemOutcome::Completed, "t", {5}, {}}}}));
     store.faults.refuses = true;
     time.schedule(Milliseconds(1500), [this] { store.faults.refuses = false; });
     const auto loaded = load(3000);
@@ -107,7 +107,7 @@
 {
     auto first = load();
     const auto writer = std::make_shared<ProgressWriter>(store, virtualLoop(time), log, first->batch, [this] { return term; });
-    store.put(BatchRecords::resultKey("b", 0), BatchRecords::encodeChunk({"w", 3, {{"i2", ItemOutcome::Completed, "t", {5}}}}));
+    store.put(BatchRecords::resultKey("b", 0), BatchRecords::encodeChunk({"w", 3, {{"i2", ItemOutcome::Completed, "t", {5}, {}}}}));
     first->batch->progress(1).phase = ItemPhase::Running;
     first->batch->complete(1);
     first->batch->noteListed(1);
@@ -117,7 +117,7 @@
     writer->poll();
     time.advance(Milliseconds(100));
     // Listed after the record was written.
-    store.put(BatchRecords::resultKey("b", 1), BatchRecords::encodeChunk({"w", 3, {{"i3", ItemOutcome::Completed, "t", {5}}}}));
+    store.put(BatchRecords::resultKey("b", 1), BatchRecords::encodeChunk({"w", 3, {{"i3", ItemOutcome::Completed, "t", {5}, {}}}}));
     store.put(BatchRecords::resultKey("b", 0), "unreadable");
     const auto second = load();
     BOOST_REQUIRE(second.has_value());
@@ -126,6 +126,28 @@
     BOOST_TEST((second->batch->progress(0).phase == ItemPhase::Waiting));
 }
 
+// Guards against a successor that generates a text again which only lacks its score.
+BOOST_FIXTURE_TEST_CASE(a_successor_has_a_whole_text_scored_without_generating_it_again, LifeFixture)
+{
+    const std::string text =
+        R"({"model":"m","minimum_version":5,"items":[{"id":"i1","path":"/p","scorer":{"id":"r","host":"h","path":"/s/"}},{"id":"i2","path":"/p"}]})";
+    store.put(BatchRecords::submissionKey("b", 0), text.substr(0, 40));
+    store.put(BatchRecords::submissionKey("b", 1), text.substr(40));
+    auto first = load();
+    const auto writer = std::make_shared<ProgressWriter>(store, virtualLoop(time), log, first->batch, [this] { return term; });
+    first->batch->progress(0).phase = ItemPhase::Running;
+    first->batch->addEvent(0, 1, "e1", 5, {});
+    first->batch->complete(0);
+    time.advance(Milliseconds(3000));
+    writer->poll();
+    time.advance(Milliseconds(100));
+    auto second = load();
+    second->batch->adopt(second->progress, {});
+    BOOST_TEST((second->batch->progress(0).phase == ItemPhase::Scoring));
+    second->batch->acceptScore(0, "signature");
+    BOOST_TEST(second->batch->nextResults(1000).at(0).text == "e1");
+}
+
 BOOST_FIXTURE_TEST_CASE(an_unreadable_progress_costs_nothing_but_time, LifeFixture)
 {
     time.advance(Milliseconds(2000));
--- a/tests/scheduling/openbatch.cpp
+++ b/tests/scheduling/openbatch.cpp
@@ -187,7 +187,7 @@
     BatchIndex index{"b1", "r", "h", "w", 1234567890123, 40, 2, false};
     BOOST_TEST((BatchRecords::decodeIndex(BatchRecords::encodeIndex(index)).value() == index));
     BOOST_TEST(BatchRecords::decodeIndex("{}").has_error());
-    const std::vector<ItemResult> results{{"a", ItemOutcome::Completed, "text\n\"q\"", {1, 2}}, {"b", ItemOutcome::Terminated, {}, {}}};
+    const std::vector<ItemResult> results{{"a", ItemOutcome::Completed, "text\n\"q\"", {1, 2}, "score"}, {"b", ItemOutcome::Terminated, {}, {}, {}}};
     const auto chunk = BatchRecords::decodeChunk(BatchRecords::encodeChunk({"w", 40, results}));
     BOOST_TEST((chunk.value().results == results));
     BOOST_TEST(chunk.value().workspace == "w");
@@ -201,4 +201,66 @@
     BOOST_TEST(BatchRecords::splitSubmission("", 3).size() == 1U);
 }
 
+// Guards against a result that is listed as completed before its text was scored.
+BOOST_AUTO_TEST_CASE(an_item_with_a_reward_request_is_decided_by_its_score)
+{
+    auto submission = makeSubmission(1, 2);
+    submission.items[0].reward = RewardRequest{"r", "a.example", "/s/", "b"};
+    const BatchRules rules{3, Milliseconds(40000), false};
+    OpenBatch batch(makeIndex(), submission, {});
+    BOOST_TEST(batch.unfinishedInGroup(0) == 2U);
+    batch.acceptScore(0, "early");
+    batch.progress(0).phase = ItemPhase::Running;
+    batch.addEvent(0, 1, "e1", 5, rules);
+    batch.complete(0);
+    BOOST_TEST((batch.progress(0).phase == ItemPhase::Scoring));
+    BOOST_TEST(!batch.hasPending());
+    BOOST_TEST(batch.unfinishedInGroup(1) == 1U);
+    batch.acceptScore(0, "signature");
+    batch.acceptScore(0, "second copy");
+    BOOST_TEST(batch.nextResults(1000).size() == 1U);
+    BOOST_TEST(batch.nextResults(1000).at(0).score == "signature");
+    BOOST_TEST(batch.nextResults(1000).at(0).text == "e1");
+    batch.progress(1).phase = ItemPhase::Running;
+    batch.addEvent(1, 1, "e1", 5, rules);
+    batch.complete(1);
+    BOOST_TEST(batch.isDecided());
+    BOOST_TEST(batch.unfinishedInGroup(1) == 0U);
+}
+
+// Guards against a text that can never be scored and holds up its group until the batch is over.
+BOOST_AUTO_TEST_CASE(an_item_whose_reward_calls_always_fail_is_given_up_after_the_attempts_of_its_route)
+{
+    auto submission = makeSubmission(1, 1);
+    submission.items[0].reward = RewardRequest{"r", "a.example", "/s/", "b"};
+    OpenBatch batch(makeIndex(), submission, {});
+    batch.progress(0).phase = ItemPhase::Running;
+    batch.addEvent(0, 1, "e1", 5, {});
+    batch.complete(0);
+    batch.noteRewardError(0, 3);
+    batch.noteRewardError(0, 3);
+    BOOST_TEST((batch.progress(0).phase == ItemPhase::Scoring));
+    batch.noteRewardError(0, 3);
+    BOOST_TEST(batch.isDecided());
+    const auto result = batch.nextResults(1000).at(0);
+    BOOST_TEST((result.outcome == ItemOutcome::Terminated));
+    BOOST_TEST(result.score.empty());
+}
+
+// Guards against a text that a later batch takes over as scored, though it names a reward call of its own.
+BOOST_AUTO_TEST_CASE(a_text_that_is_carried_over_is_scored_for_its_new_batch)
+{
+    auto submission = makeSubmission(1, 2);
+    submission.items[0].reward = RewardRequest{"r", "a.example", "/s/", "b"};
+    OpenBatch first(makeIndex(), submission, {});
+    first.progress(0).phase = ItemPhase::Running;
+    first.addEvent(0, 1, "e1", 5, {});
+    first.complete(0);
+    first.acceptScore(0, "signature");
+    OpenBatch second(makeIndex(), submission, {});
+    second.adopt(first.textsToKeep(), {});
+    BOOST_TEST((second.progress(0).phase == ItemPhase::Scoring));
+    BOOST_TEST(second.progress(0).text.eventCount() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/resultwriter.cpp
+++ b/tests/scheduling/resultwriter.cpp
@@ -122,7 +122,7 @@
 
 BOOST_FIXTURE_TEST_CASE(results_of_another_leader_at_the_position_are_noticed, WriterFixture)
 {
-    store.put(BatchRecords::resultKey("b", 0), BatchRecords::encodeChunk({"w", 6, {{"i5", ItemOutcome::Completed, "x", {1}}}}));
+    store.put(BatchRecords::resultKey("b", 0), BatchRecords::encodeChunk({"w", 6, {{"i5", ItemOutcome::Completed, "x", {1}, {}}}}));
     complete(0);
     run(1000);
     BOOST_TEST(overwritten == 1);
