Gather the endpoints once a round, move a sample at most once

Each batch gathered all endpoints for itself, at each end of a run and each tick, and asked for each endpoint whether it was slow, which looked at all endpoints again.

Ruled out: the size alone; the small twin falls behind as well, with 15 moves.

Change: one table of endpoints for a round over all batches (EndpointBoard), the median pace once a table, a round at most each 10 ms, no look at waiting items while no slot is free. A move names its target and starts there at once; an item moves a second time only from an engine that has turned slow; none moves while an item of any batch waits.

Tests that fail without it: circles at 115 engines, targets that are filled, the second batch of a round, closed endpoints.

--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -1,9 +1,7 @@
 #include "scheduling/batchrunner.h"
 
-#include "scheduling/grouporder.h"
-#include "scheduling/runmoves.h"
-
 #include <algorithm>
+#include <unordered_map>
 
 namespace Basilbend
 {
@@ -20,6 +18,8 @@
 constexpr std::size_t MovesPerTick = 12;
 /// A run that has just begun is not moved; its first events come after its prompt was read.
 constexpr Milliseconds LeastRunTime{500};
+/// Shortest time between two rounds of placement. Under load many runs end in this time, and one round serves them all.
+constexpr Milliseconds RoundInterval{10};
 /// Waiting items looked at in one round of a batch.
 constexpr std::size_t MaxWaitingInRound = 512;
 
@@ -223,71 +223,90 @@
         return;
     }
     m_scheduled = true;
-    m_loop.runAfter(Milliseconds(0), [this] {
+    const auto sinceLast = m_loop.now() - m_lastRound;
+    m_loop.runAfter(std::max(Milliseconds(0), RoundInterval - sinceLast), [this] {
         m_scheduled = false;
         schedule();
     });
 }
 
-void BatchRunner::schedule()
+std::vector<BatchRunner::Batch *> BatchRunner::batchesByAge() const
 {
-    if (!m_active || !m_hooks.mayStart() || m_view.routes() == nullptr) {
-        return;
-    }
     std::vector<Batch *> batches;
     for (const auto &[id, batch] : m_batches) {
         batches.push_back(batch.get());
     }
     std::sort(batches.begin(), batches.end(), [](const Batch *a, const Batch *b) { return a->state->index().submittedAtMs < b->state->index().submittedAtMs; });
-    for (auto *batch : batches) {
-        scheduleBatch(*batch);
-    }
-    m_rewards.poll();
+    return batches;
 }
 
-std::string BatchRunner::endpointOfGroup(const Batch &batch, std::size_t item) const
+void BatchRunner::schedule()
 {
-    const auto &group = batch.state->item(item).group;
-    for (const auto &[other, running] : batch.running) {
-        if (batch.state->item(other).group == group) {
-            return running.endpoint;
-        }
+    if (!m_active || !m_hooks.mayStart() || m_view.routes() == nullptr) {
+        return;
+    }
+    m_lastRound = m_loop.now();
+    std::optional<EndpointTable> table;
+    for (auto *batch : batchesByAge()) {
+        scheduleBatch(*batch, table);
     }
-    return {};
+    m_rewards.poll();
 }
 
-void BatchRunner::scheduleBatch(Batch &batch)
+std::vector<PlacementItem> BatchRunner::waitingItems(const Batch &batch) const
 {
-    auto &state = *batch.state;
-    const auto *route = routeOf(state);
-    if (route == nullptr || state.isDecided()) {
-        return;
-    }
+    const auto &state = *batch.state;
     const auto now = m_loop.now();
+    std::unordered_map<std::string, std::string> endpointOfGroup;
+    for (const auto &[item, running] : batch.running) {
+        endpointOfGroup.emplace(state.item(item).group, running.endpoint);
+    }
     std::vector<PlacementItem> waiting;
     for (const auto i : state.order()) {
         const auto &progress = state.progress(i);
         if (progress.phase != ItemPhase::Waiting || now < progress.notBefore) {
             continue;
         }
+        const auto group = endpointOfGroup.find(state.item(i).group);
         waiting.push_back({i,
                            state.submission().minimumVersion,
                            m_use.tokenUse(runTokens(state.item(i), progress.text.eventCount())),
-                           endpointOfGroup(batch, i),
+                           group == endpointOfGroup.end() ? std::string() : group->second,
                            progress.avoidedEndpoint});
         if (waiting.size() >= MaxWaitingInRound) {
             break;
         }
     }
+    return waiting;
+}
+
+void BatchRunner::scheduleBatch(Batch &batch, std::optional<EndpointTable> &table)
+{
+    auto &state = *batch.state;
+    const auto *route = routeOf(state);
+    if (route == nullptr || state.isDecided()) {
+        return;
+    }
+    const auto now = m_loop.now();
+    const auto waiting = state.waitingCount(now);
+    if (waiting == 0) {
+        noteWaiting(batch, 0, {});
+        return;
+    }
+    if (!table) {
+        table = m_board.tableAt(now);
+    }
+    m_board.select(*table, *route, state.submission().model);
     std::size_t started = 0;
-    const auto endpoints = waiting.empty() ? std::vector<PlacementEndpoint>() : m_board.endpointsFor(*route, state.submission().model, now);
-    for (const auto &assignment : assignItems(waiting, endpoints)) {
-        if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
-            start(batch, assignment.item, *endpoint);
-            ++started;
+    if (hasFreeSlot(table->endpoints, state.submission().minimumVersion)) {
+        for (const auto &assignment : assignItems(waitingItems(batch), table->endpoints)) {
+            if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
+                start(batch, assignment.item, *endpoint);
+                ++started;
+            }
         }
     }
-    noteWaiting(batch, waiting.size() - started, endpoints);
+    noteWaiting(batch, waiting - started, table->endpoints);
 }
 
 void BatchRunner::noteWaiting(Batch &batch, std::size_t waiting, const std::vector<PlacementEndpoint> &endpoints)
@@ -451,6 +470,7 @@
     for (const auto &[id, batch] : m_batches) {
         tickBatch(*batch);
     }
+    moveToFasterEndpoints();
     m_watch.poll();
     scheduleSoon();
     m_loop.runAfter(TickInterval, [this, generation = m_generation] {
@@ -470,7 +490,6 @@
         }
     }
     cancelSilentRuns(batch);
-    moveToFasterEndpoints(batch);
     batch.writer->poll();
     batch.progress->poll();
 }
@@ -490,28 +509,52 @@
     }
 }
 
-void BatchRunner::moveToFasterEndpoints(Batch &batch)
+std::vector<MovableRun> BatchRunner::movableRuns(const Batch &batch, double usualGapMs) const
 {
-    const auto *route = routeOf(*batch.state);
-    // Waiting items take free slots first.
-    if (route == nullptr || batch.running.empty() || batch.waiting > 0) {
-        return;
-    }
     const auto now = m_loop.now();
-    const double usualGap = m_pace.medianGapMs(now);
     std::vector<MovableRun> runs;
     for (const auto &[item, running] : batch.running) {
         const double gap = m_pace.gapMs(running.endpoint, now);
         if (running.hasEvent && gap > 0 && now - running.run->startedAt() >= LeastRunTime) {
-            const auto tokens = runTokens(batch.state->item(item), batch.state->progress(item).text.eventCount());
-            runs.push_back({item, running.endpoint, gap / usualGap, m_use.remainingEvents(tokens), m_use.tokenUse(tokens)});
+            const auto &progress = batch.state->progress(item);
+            const auto tokens = runTokens(batch.state->item(item), progress.text.eventCount());
+            runs.push_back({item, running.endpoint, gap / usualGapMs, m_use.remainingEvents(tokens), m_use.tokenUse(tokens), progress.hasMoved});
+        }
+    }
+    return runs;
+}
+
+void BatchRunner::moveToFasterEndpoints()
+{
+    // Waiting items take free slots first, whichever batch they are of.
+    const bool isWaiting = std::any_of(m_batches.begin(), m_batches.end(), [](const auto &entry) { return entry.second->waiting > 0; });
+    if (isWaiting || m_batches.empty() || m_view.routes() == nullptr || !m_hooks.mayStart()) {
+        return;
+    }
+    const double usualGap = m_pace.medianGapMs(m_loop.now());
+    auto table = m_board.tableAt(m_loop.now());
+    std::size_t left = MovesPerTick;
+    for (auto *batch : batchesByAge()) {
+        const auto *route = routeOf(*batch->state);
+        if (route == nullptr || batch->running.empty()) {
+            continue;
+        }
+        const auto &submission = batch->state->submission();
+        m_board.select(table, *route, submission.model);
+        const auto moves = planMoves(movableRuns(*batch, usualGap), table.endpoints, usualGap, submission.minimumVersion, left);
+        left -= moves.size();
+        for (const auto &move : moves) {
+            moveRun(*batch, move);
         }
     }
-    const auto &submission = batch.state->submission();
-    auto moves = planMoves(std::move(runs), m_board.endpointsFor(*route, submission.model, now), usualGap, submission.minimumVersion);
-    moves.resize(std::min(moves.size(), MovesPerTick));
-    for (const auto item : moves) {
-        cancelRun(batch, item, "faster_elsewhere");
+}
+
+void BatchRunner::moveRun(Batch &batch, const RunMove &move)
+{
+    cancelRun(batch, move.item, "faster_elsewhere");
+    batch.state->progress(move.item).hasMoved = true;
+    if (const auto *endpoint = m_view.endpoints().find(move.endpoint)) {
+        start(batch, move.item, *endpoint);
     }
 }
 
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -17,6 +17,7 @@
 #include "scheduling/progresswriter.h"
 #include "scheduling/resultwriter.h"
 #include "scheduling/rewardcalls.h"
+#include "scheduling/runmoves.h"
 #include "scheduling/waitlog.h"
 
 #include <functional>
@@ -114,8 +115,12 @@
     void schedule();
     /// Takes a run out; its connection closes when the returned value is destroyed.
     std::optional<Running> takeRun(Batch &batch, std::size_t item);
-    std::string endpointOfGroup(const Batch &batch, std::size_t item) const;
-    void scheduleBatch(Batch &batch);
+    /// The batches in the order of their submission.
+    std::vector<Batch *> batchesByAge() const;
+    /// The items of a batch that may start now, most urgent first.
+    std::vector<PlacementItem> waitingItems(const Batch &batch) const;
+    /// Starts what may start; table: the endpoints in this round, gathered when the first batch needs them.
+    void scheduleBatch(Batch &batch, std::optional<EndpointTable> &table);
     void noteWaiting(Batch &batch, std::size_t waiting, const std::vector<PlacementEndpoint> &endpoints);
     void start(Batch &batch, std::size_t item, const EndpointRecord &endpoint);
     bool acceptEvent(const std::string &batch, std::size_t item, std::uint64_t run, std::uint64_t id, std::string data, std::uint64_t version);
@@ -129,7 +134,10 @@
     void tickBatch(Batch &batch);
     void cancelRun(Batch &batch, std::size_t item, const char *why);
     void cancelSilentRuns(Batch &batch);
-    void moveToFasterEndpoints(Batch &batch);
+    /// Moves long samples to faster endpoints once nothing waits for a place.
+    void moveToFasterEndpoints();
+    std::vector<MovableRun> movableRuns(const Batch &batch, double usualGapMs) const;
+    void moveRun(Batch &batch, const RunMove &move);
     const RouteRule *routeOf(const OpenBatch &batch) const;
     static BatchRules rulesOf(const RouteRule &route);
     Batch *find(const std::string &id);
@@ -151,6 +159,7 @@
     RewardCalls m_rewards;
     bool m_active = false;
     bool m_scheduled = false;
+    Timestamp m_lastRound;
     std::uint64_t m_generation = 0;
     std::uint64_t m_lastRun = 0;
 };
--- a/src/scheduling/endpointboard.h
+++ b/src/scheduling/endpointboard.h
@@ -19,18 +19,28 @@
     std::function<bool(const std::string &endpoint, const std::string &model)> isLoading;
 };
 
-/// Gathers what placement has to know of the endpoints of a route, from the registry, the configuration and what runs have
-/// shown.
+/// All model endpoints at one moment, for one round of placement over all batches.
+struct EndpointTable {
+    std::vector<PlacementEndpoint> endpoints;
+    /// The entry of each endpoint; valid until the registry changes.
+    std::vector<const EndpointRecord *> records;
+};
+
+/// Gathers what placement has to know of the model endpoints, from the registry, the configuration and what runs have shown.
+/// What does not depend on the model is gathered once a round, because hundreds of endpoints stand against dozens of batches.
 class EndpointBoard
 {
 public:
     EndpointBoard(const SystemView &view, const EndpointPace &pace, const EndpointUse &use, EndpointBoardHooks hooks);
 
-    /// The endpoints that take new runs of the model now.
-    std::vector<PlacementEndpoint> endpointsFor(const RouteRule &route, const std::string &model, Timestamp now) const;
+    /// All endpoints of services that run models.
+    EndpointTable tableAt(Timestamp now) const;
+
+    /// Sets which endpoints of the table take new runs of the model on the route, and their versions of it.
+    void select(EndpointTable &table, const RouteRule &route, const std::string &model) const;
 
 private:
-    PlacementEndpoint describe(const EndpointRecord &record, const std::string &model, Timestamp now, double medianGapMs) const;
+    PlacementEndpoint describe(const EndpointRecord &record, Timestamp now, double medianGapMs) const;
 
     const SystemView &m_view;
     const EndpointPace &m_pace;
--- a/src/scheduling/endpointpace.cpp
+++ b/src/scheduling/endpointpace.cpp
@@ -115,10 +115,10 @@
     return *middle;
 }
 
-bool EndpointPace::isSlow(const std::string &endpoint, Timestamp now) const
+bool EndpointPace::isSlow(const std::string &endpoint, double medianGapMs, Timestamp now) const
 {
     const double gap = gapMs(endpoint, now);
-    return gap > 0 && gap > SlowFactor * medianGapMs(now);
+    return gap > 0 && gap > SlowFactor * medianGapMs;
 }
 
 }
--- a/src/scheduling/endpointpace.h
+++ b/src/scheduling/endpointpace.h
@@ -37,8 +37,9 @@
     /// The middle of the known averages, or zero.
     double medianGapMs(Timestamp now) const;
 
-    /// Whether the endpoint generates at less than half of the usual speed.
-    bool isSlow(const std::string &endpoint, Timestamp now) const;
+    /// Whether the endpoint generates at less than half of the usual speed. Median: medianGapMs() of the same time, which looks
+    /// at all endpoints and need not be repeated for each of them.
+    bool isSlow(const std::string &endpoint, double medianGapMs, Timestamp now) const;
 
     static constexpr double SlowFactor = 1.9;
     static constexpr Milliseconds SampleLife{4000};
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -167,6 +167,13 @@
     return running;
 }
 
+std::size_t OpenBatch::waitingCount(Timestamp now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_progress.begin(), m_progress.end(), [now](const ItemProgress &progress) {
+        return progress.phase == ItemPhase::Waiting && now >= progress.notBefore;
+    }));
+}
+
 std::vector<ItemResult> OpenBatch::nextResults(std::size_t maxBytes) const
 {
     std::vector<ItemResult> results;
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -37,6 +37,8 @@
     std::string endpoint;
     std::string avoidedEndpoint;
     Timestamp notBefore;
+    /// A run of it was cancelled because another endpoint was faster.
+    bool hasMoved = false;
 };
 
 /// What the rules of its route say of a batch.
@@ -131,6 +133,9 @@
         return m_listed;
     }
 
+    /// How many items may start now.
+    std::size_t waitingCount(Timestamp now) const;
+
     /// Whether results wait to be listed.
     bool hasPending() const
     {
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -15,6 +15,11 @@
 /// An engine that runs all its slots generates each of them slower by about this part.
 constexpr double LoadWeight = 0.15;
 
+bool hasFreeSlot(const PlacementEndpoint &endpoint, std::uint64_t minimumVersion)
+{
+    return endpoint.isOpen && endpoint.running < endpoint.slots && endpoint.version >= minimumVersion;
+}
+
 PlacementEndpoint *findBest(std::vector<PlacementEndpoint> &endpoints, const PlacementItem &item, bool allowSlow, bool allowAvoided)
 {
     PlacementEndpoint *best = nullptr;
@@ -37,9 +42,15 @@
 
 }
 
+bool hasFreeSlot(const std::vector<PlacementEndpoint> &endpoints, std::uint64_t minimumVersion)
+{
+    return std::any_of(
+        endpoints.begin(), endpoints.end(), [minimumVersion](const PlacementEndpoint &endpoint) { return hasFreeSlot(endpoint, minimumVersion); });
+}
+
 bool hasRoom(const PlacementEndpoint &endpoint, const PlacementItem &item)
 {
-    if (endpoint.running >= endpoint.slots || endpoint.version < item.minimumVersion) {
+    if (!hasFreeSlot(endpoint, item.minimumVersion)) {
         return false;
     }
     // An endpoint without runs takes an item of any size.
@@ -55,6 +66,10 @@
 {
     PlacementObstacles obstacles;
     for (const auto &endpoint : endpoints) {
+        if (!endpoint.isOpen) {
+            continue;
+        }
+        ++obstacles.open;
         const bool isOutdated = endpoint.version < minimumVersion;
         obstacles.outdated += isOutdated ? 1 : 0;
         obstacles.full += !isOutdated && endpoint.running >= endpoint.slots ? 1 : 0;
@@ -63,14 +78,15 @@
     return obstacles;
 }
 
-std::vector<Assignment> assignItems(const std::vector<PlacementItem> &waiting, std::vector<PlacementEndpoint> endpoints)
+std::vector<Assignment> assignItems(const std::vector<PlacementItem> &waiting, std::vector<PlacementEndpoint> &endpoints)
 {
     std::vector<Assignment> assignments;
-    const bool onlySlow = std::all_of(endpoints.begin(), endpoints.end(), [](const PlacementEndpoint &endpoint) { return endpoint.isSlow; });
+    const bool onlySlow =
+        std::all_of(endpoints.begin(), endpoints.end(), [](const PlacementEndpoint &endpoint) { return endpoint.isSlow || !endpoint.isOpen; });
     const auto fastSlots = [&endpoints] {
         int n = 0;
         for (const auto &endpoint : endpoints) {
-            n += endpoint.isSlow ? 0 : endpoint.slots;
+            n += endpoint.isSlow || !endpoint.isOpen ? 0 : endpoint.slots;
         }
         return static_cast<std::size_t>(n);
     }();
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -12,6 +12,8 @@
 /// A model endpoint as the scheduler sees it at one moment.
 struct PlacementEndpoint {
     std::string id;
+    /// Takes runs of the model and the route in question at all.
+    bool isOpen = true;
     int slots = 1;
     int running = 0;
     /// Tokens of its runs, and what its memory holds; zero capacity: not known.
@@ -41,6 +43,9 @@
     std::string endpoint;
 };
 
+/// Whether any endpoint has a free slot and new enough weights. Without one, no waiting item need be looked at.
+bool hasFreeSlot(const std::vector<PlacementEndpoint> &endpoints, std::uint64_t minimumVersion);
+
 /// Whether the endpoint has a free slot, enough memory and new enough weights for the item.
 bool hasRoom(const PlacementEndpoint &endpoint, const PlacementItem &item);
 
@@ -49,6 +54,8 @@
 
 /// Endpoints that can't take an item now, by the reason.
 struct PlacementObstacles {
+    /// Endpoints that take runs of the model at all.
+    int open = 0;
     /// Their weights are too old.
     int outdated = 0;
     /// All slots are taken.
@@ -61,7 +68,8 @@
 
 /// Gives waiting items, most urgent first, to endpoints with a free slot and enough memory. An item goes to the endpoint
 /// that is expected to be done first, or to the one that holds its group's prompt when that is about as fast. Slow endpoints
-/// get work only when no other has a free slot and more items wait than the others can take soon.
-std::vector<Assignment> assignItems(const std::vector<PlacementItem> &waiting, std::vector<PlacementEndpoint> endpoints);
+/// get work only when no other has a free slot and more items wait than the others can take soon. What is assigned is added to
+/// the endpoints, so that the next batch of the round finds them as they then are.
+std::vector<Assignment> assignItems(const std::vector<PlacementItem> &waiting, std::vector<PlacementEndpoint> &endpoints);
 
 }
--- a/src/scheduling/runmoves.cpp
+++ b/src/scheduling/runmoves.cpp
@@ -25,12 +25,19 @@
 
 }
 
-std::vector<std::size_t> planMoves(std::vector<MovableRun> runs, std::vector<PlacementEndpoint> endpoints, double usualGapMs, std::uint64_t minimumVersion)
+std::vector<RunMove>
+planMoves(std::vector<MovableRun> runs, std::vector<PlacementEndpoint> &endpoints, double usualGapMs, std::uint64_t minimumVersion, std::size_t maxMoves)
 {
     std::stable_sort(
         runs.begin(), runs.end(), [](const MovableRun &a, const MovableRun &b) { return a.remainingEvents * a.pace > b.remainingEvents * b.pace; });
-    std::vector<std::size_t> moves;
+    std::vector<RunMove> moves;
     for (const auto &run : runs) {
+        if (moves.size() == maxMoves) {
+            break;
+        }
+        if (run.hasMoved && run.pace < SlowPace) {
+            continue;
+        }
         auto *target = fastestWithRoom(endpoints, run, minimumVersion);
         if (target == nullptr || run.pace < FasterFactor * target->pace) {
             continue;
@@ -40,7 +47,7 @@
         }
         ++target->running;
         target->forecast.add(run.tokens);
-        moves.push_back(run.item);
+        moves.push_back({run.item, target->id});
     }
     return moves;
 }
--- a/src/scheduling/waitlog.cpp
+++ b/src/scheduling/waitlog.cpp
@@ -23,7 +23,7 @@
                 {"waiting", state.waiting},
                 {"running", state.running},
                 {"since_ms", state.openFor},
-                {"endpoints", endpoints.size()},
+                {"endpoints", obstacles.open},
                 {"outdated", obstacles.outdated},
                 {"full", obstacles.full},
                 {"slow", obstacles.slow}});
--- a/tests/scheduling/endpointuse.cpp
+++ b/tests/scheduling/endpointuse.cpp
@@ -67,7 +67,8 @@
         waiting[i].index = i;
         waiting[i].tokens = use.tokenUse({276, 11'000, 12'000, 0});
     }
-    BOOST_TEST(assignItems(waiting, {engine("a")}).size() == 2U);
+    std::vector<PlacementEndpoint> endpoints = {engine("a")};
+    BOOST_TEST(assignItems(waiting, endpoints).size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(the_tokens_of_an_event_are_learned_from_complete_samples)
--- a/tests/scheduling/placement.cpp
+++ b/tests/scheduling/placement.cpp
@@ -39,6 +39,12 @@
     return result;
 }
 
+/// Assigns at endpoints of this round only.
+std::vector<Assignment> assign(const std::vector<PlacementItem> &items, std::vector<PlacementEndpoint> endpoints)
+{
+    return assignItems(items, endpoints);
+}
+
 std::map<std::string, int> countByEndpoint(const std::vector<Assignment> &assignments)
 {
     std::map<std::string, int> counts;
@@ -54,10 +60,10 @@
 
 BOOST_AUTO_TEST_CASE(items_fill_free_slots_evenly_and_the_rest_waits)
 {
-    const auto counts = countByEndpoint(assignItems(waiting(30), {endpoint("a", 8), endpoint("b", 8)}));
+    const auto counts = countByEndpoint(assign(waiting(30), {endpoint("a", 8), endpoint("b", 8)}));
     BOOST_TEST(counts.at("a") == 8);
     BOOST_TEST(counts.at("b") == 8);
-    const auto few = countByEndpoint(assignItems(waiting(6), {endpoint("a", 8), endpoint("b", 8)}));
+    const auto few = countByEndpoint(assign(waiting(6), {endpoint("a", 8), endpoint("b", 8)}));
     BOOST_TEST(few.at("a") == 3);
 }
 
@@ -66,8 +72,8 @@
 {
     auto old = endpoint("old", 8);
     old.version = 4;
-    BOOST_TEST(assignItems(waiting(3), {old}).empty());
-    BOOST_TEST(countByEndpoint(assignItems(waiting(3), {old, endpoint("new", 8)})).at("new") == 3);
+    BOOST_TEST(assign(waiting(3), {old}).empty());
+    BOOST_TEST(countByEndpoint(assign(waiting(3), {old, endpoint("new", 8)})).at("new") == 3);
 }
 
 // The longest items come first in the queue, so the fastest endpoints must get them, even against the endpoint that holds
@@ -76,18 +82,18 @@
 {
     auto items = waiting(4);
     items[0].preferredEndpoint = "slow";
-    const auto assignments = assignItems(items, {endpoint("slow", 8, 1.3), endpoint("fast", 8, 1.0)});
+    const auto assignments = assign(items, {endpoint("slow", 8, 1.3), endpoint("fast", 8, 1.0)});
     BOOST_TEST(assignments.at(0).endpoint == "fast");
     items[0].preferredEndpoint = "near";
-    BOOST_TEST(assignItems(items, {endpoint("fast", 8, 1.0), endpoint("near", 8, 1.05)}).at(0).endpoint == "near");
+    BOOST_TEST(assign(items, {endpoint("fast", 8, 1.0), endpoint("near", 8, 1.05)}).at(0).endpoint == "near");
 }
 
 BOOST_AUTO_TEST_CASE(memory_bounds_what_an_endpoint_gets_but_an_empty_one_takes_any_item)
 {
     auto small = endpoint("small", 8);
     small.tokenCapacity = 1000;
-    BOOST_TEST(assignItems(waiting(8, 400), {small}).size() == 2U);
-    BOOST_TEST(assignItems(waiting(1, 5000), {small}).size() == 1U);
+    BOOST_TEST(assign(waiting(8, 400), {small}).size() == 2U);
+    BOOST_TEST(assign(waiting(1, 5000), {small}).size() == 1U);
 }
 
 // Guards against a step that waits for one slow endpoint, and against slots that stay empty when everything is behind.
@@ -95,17 +101,17 @@
 {
     auto slow = endpoint("slow", 8, 4);
     slow.isSlow = true;
-    BOOST_TEST(countByEndpoint(assignItems(waiting(8), {slow, endpoint("a", 8)})).count("slow") == 0U);
-    BOOST_TEST(countByEndpoint(assignItems(waiting(40), {slow, endpoint("a", 8)})).at("slow") == 8);
-    BOOST_TEST(assignItems(waiting(2), {slow}).size() == 2U);
+    BOOST_TEST(countByEndpoint(assign(waiting(8), {slow, endpoint("a", 8)})).count("slow") == 0U);
+    BOOST_TEST(countByEndpoint(assign(waiting(40), {slow, endpoint("a", 8)})).at("slow") == 8);
+    BOOST_TEST(assign(waiting(2), {slow}).size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(an_item_goes_back_to_where_it_failed_only_when_there_is_no_other_place)
 {
     auto items = waiting(1);
     items[0].avoidedEndpoint = "a";
-    BOOST_TEST(assignItems(items, {endpoint("a", 8), endpoint("b", 8, 1.5)}).at(0).endpoint == "b");
-    BOOST_TEST(assignItems(items, {endpoint("a", 8)}).at(0).endpoint == "a");
+    BOOST_TEST(assign(items, {endpoint("a", 8), endpoint("b", 8, 1.5)}).at(0).endpoint == "b");
+    BOOST_TEST(assign(items, {endpoint("a", 8)}).at(0).endpoint == "a");
 }
 
 // The trainer waits for two of three groups and for the one that it carried over.
@@ -129,11 +135,11 @@
         }
         pace.noteGap("d", Milliseconds(150), now);
     }
-    BOOST_TEST(pace.isSlow("d", now));
-    BOOST_TEST(!pace.isSlow("a", now));
-    BOOST_TEST(!pace.isSlow("unknown", now));
+    BOOST_TEST(pace.isSlow("d", pace.medianGapMs(now), now));
+    BOOST_TEST(!pace.isSlow("a", pace.medianGapMs(now), now));
+    BOOST_TEST(!pace.isSlow("unknown", pace.medianGapMs(now), now));
     now = now + EndpointPace::SampleLife;
-    BOOST_TEST(!pace.isSlow("d", now));
+    BOOST_TEST(!pace.isSlow("d", pace.medianGapMs(now), now));
     BOOST_TEST(pace.lastGapMs("d") > pace.lastGapMs("a"));
 }
 
@@ -153,4 +159,27 @@
     BOOST_TEST(!pace.isSuspended("a", now + Milliseconds(300)));
 }
 
+// Guards against two batches of one round that are both given the last slot.
+BOOST_AUTO_TEST_CASE(the_next_batch_of_a_round_finds_the_slots_that_are_left)
+{
+    std::vector<PlacementEndpoint> endpoints = {endpoint("a", 4), endpoint("b", 4)};
+    BOOST_TEST(assignItems(waiting(6), endpoints).size() == 6U);
+    BOOST_TEST(assignItems(waiting(6), endpoints).size() == 2U);
+    BOOST_TEST(!hasFreeSlot(endpoints, 5));
+}
+
+// Guards against an item at an endpoint that its route does not lead to, or that is changing its weights.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_is_not_open_to_the_batch_gets_nothing)
+{
+    auto closed = endpoint("closed", 8);
+    closed.isOpen = false;
+    BOOST_TEST(assign(waiting(3), {closed}).empty());
+    BOOST_TEST(!hasFreeSlot({closed}, 5));
+    BOOST_TEST(countObstacles({closed, endpoint("a", 8)}, 6).open == 1);
+    BOOST_TEST(countObstacles({closed, endpoint("a", 8)}, 6).outdated == 1);
+    auto slow = endpoint("slow", 8, 4);
+    slow.isSlow = true;
+    BOOST_TEST(assign(waiting(2), {closed, slow}).size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/runmoves.cpp
+++ b/tests/scheduling/runmoves.cpp
@@ -22,7 +22,17 @@
 
 MovableRun run(std::size_t item, const std::string &endpoint, double pace, double remainingEvents)
 {
-    return {item, endpoint, pace, remainingEvents, {1000, 1000}};
+    return {item, endpoint, pace, remainingEvents, {1000, 1000}, false};
+}
+
+/// The items that move, in order.
+std::vector<std::size_t> movedItems(const std::vector<MovableRun> &runs, std::vector<PlacementEndpoint> endpoints, std::size_t maxMoves = 100)
+{
+    std::vector<std::size_t> items;
+    for (const auto &move : planMoves(runs, endpoints, UsualGapMs, 5, maxMoves)) {
+        items.push_back(move.item);
+    }
+    return items;
 }
 
 }
@@ -33,32 +43,64 @@
 // instead of 50. Guards against a step that waits two seconds for that one.
 BOOST_AUTO_TEST_CASE(a_long_sample_moves_to_a_faster_engine_that_has_become_free)
 {
-    const auto moves =
-        planMoves({run(1, "slow", 1.3, 100), run(2, "a", 1.0, 100)}, {engine("slow", 1.3, 1), engine("a", 1.0, 1), engine("b", 1.0, 0)}, UsualGapMs, 5);
+    const auto moves = movedItems({run(1, "slow", 1.3, 100), run(2, "a", 1.0, 100)}, {engine("slow", 1.3, 1), engine("a", 1.0, 1), engine("b", 1.0, 0)});
     BOOST_TEST((moves == std::vector<std::size_t>{1}));
 }
 
 // A move reads the prompt again, so it must be worth it, and measurements of the same engine vary.
 BOOST_AUTO_TEST_CASE(no_sample_moves_for_a_small_gain)
 {
-    BOOST_TEST(planMoves({run(1, "slow", 1.3, 10)}, {engine("b", 1.0, 0)}, UsualGapMs, 5).empty());
-    BOOST_TEST(planMoves({run(1, "a", 1.08, 145)}, {engine("b", 1.0, 0)}, UsualGapMs, 5).empty());
+    BOOST_TEST(movedItems({run(1, "slow", 1.3, 10)}, {engine("b", 1.0, 0)}).empty());
+    BOOST_TEST(movedItems({run(1, "a", 1.08, 145)}, {engine("b", 1.0, 0)}).empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_very_slow_engine_loses_also_short_samples)
 {
-    BOOST_TEST(planMoves({run(1, "slow", 4.0, 3)}, {engine("b", 1.0, 0)}, UsualGapMs, 5).size() == 1U);
+    BOOST_TEST(movedItems({run(1, "slow", 4.0, 3)}, {engine("b", 1.0, 0)}).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(samples_move_only_where_there_is_room_for_them)
 {
     const std::vector<MovableRun> runs = {run(1, "slow", 1.5, 50), run(2, "slow", 1.5, 100), run(3, "slow", 1.5, 80)};
     // One slot: the longest gains most.
-    BOOST_TEST((planMoves(runs, {engine("b", 1.0, 7)}, UsualGapMs, 5) == std::vector<std::size_t>{2}));
-    BOOST_TEST(planMoves(runs, {engine("b", 1.0, 0, 4)}, UsualGapMs, 5).empty());
+    BOOST_TEST((movedItems(runs, {engine("b", 1.0, 7)}) == std::vector<std::size_t>{2}));
+    BOOST_TEST(movedItems(runs, {engine("b", 1.0, 0, 4)}).empty());
     auto small = engine("b", 1.0, 1);
     small.tokenCapacity = 1500;
-    BOOST_TEST(planMoves(runs, {small}, UsualGapMs, 5).empty());
+    BOOST_TEST(movedItems(runs, {small}).empty());
+}
+
+// Replays a fleet of 115 engines whose pace follows the number of their runs: an engine that has given a run away looks faster
+// than the one that took it. Guards against runs that are moved in circles, each time with a new connection and a prompt read
+// again.
+BOOST_AUTO_TEST_CASE(a_sample_that_has_moved_stays_unless_its_engine_turns_slow)
+{
+    std::vector<PlacementEndpoint> engines;
+    std::vector<MovableRun> runs;
+    for (std::size_t i = 0; i < 115; ++i) {
+        engines.push_back(engine("e" + std::to_string(i), i % 3 == 0 ? 1.3 : 1.0, 3));
+        runs.push_back(run(i, "e" + std::to_string(i), i % 3 == 0 ? 1.3 : 1.0, 100));
+    }
+    const auto first = movedItems(runs, engines);
+    BOOST_TEST(first.size() == 39U);
+    for (const auto item : first) {
+        runs[item].hasMoved = true;
+    }
+    BOOST_TEST(movedItems(runs, engines).empty());
+    runs[0].pace = 2.5;
+    BOOST_TEST((movedItems(runs, engines) == std::vector<std::size_t>{0}));
+}
+
+// Guards against a move whose target is taken by another item, so that the moved one waits.
+BOOST_AUTO_TEST_CASE(each_move_names_its_target_and_fills_it)
+{
+    std::vector<PlacementEndpoint> engines = {engine("b", 1.0, 7), engine("c", 1.0, 7)};
+    const auto moves = planMoves({run(1, "slow", 1.5, 100), run(2, "slow", 1.5, 90), run(3, "slow", 1.5, 80)}, engines, UsualGapMs, 5, 100);
+    BOOST_REQUIRE(moves.size() == 2U);
+    BOOST_TEST(moves[0].endpoint != moves[1].endpoint);
+    BOOST_TEST(engines[0].running == 8);
+    BOOST_TEST(engines[1].running == 8);
+    BOOST_TEST(movedItems({run(1, "slow", 1.5, 100), run(2, "slow", 1.5, 90)}, {engine("b", 1.0, 0)}, 1).size() == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
