Let gateways follow the feeds of one of them

Ruled out: longer watches (a hung one would leave keyed requests unserved until it is noticed), joining watches in the relay (no proof of age).

Change: FeedHub and FeedFollower. A gateway that is a peer in the settings sends what its feeds learn, with the time at which its copy was proven current, counted from the follower's own request. A copy that is not proven for 1 s is left and the store is watched directly. Large values are read from the store.

Tests: 40 followers cost the store fewer than 40 calls in 10 s; a paused, a killed and a cut-off hub; a hub that listed anew; late delivery; large values; too few followers.

Still open: the start (every gateway watches directly for some seconds), probes in an outage, reads of results.

--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -9,11 +9,45 @@
 SystemView::SystemView(MetadataStore &store, EventLoop loop, EventLog &log, ViewScope scope, Milliseconds operatorSpan, Milliseconds endpointSpan)
     : m_loop(std::move(loop))
     , m_log(log)
-    , m_operatorFeed(store, m_loop, scope == ViewScope::Control ? operatorPrefix() : configurationPrefix(), operatorSpan, operatorHooks())
-    , m_endpointFeed(store, m_loop, endpointPrefix(), endpointSpan, endpointHooks())
+    , m_operatorPrefix(scope == ViewScope::Control ? operatorPrefix() : configurationPrefix())
+    , m_operatorFeed(store, m_loop, m_operatorPrefix, operatorSpan, sharedHooks(m_operatorPrefix, operatorHooks()))
+    , m_endpointFeed(store, m_loop, endpointPrefix(), endpointSpan, sharedHooks(endpointPrefix(), endpointHooks()))
 {
 }
 
+void SystemView::share(FeedHub &hub, const std::function<std::unique_ptr<FeedFollower>()> &makeFollower)
+{
+    m_hub = &hub;
+    hub.add(m_operatorPrefix, m_operatorFeed);
+    hub.add(endpointPrefix(), m_endpointFeed);
+    m_operatorFeed.setFollower(makeFollower());
+    m_endpointFeed.setFollower(makeFollower());
+}
+
+PrefixFeedHooks SystemView::sharedHooks(const std::string &prefix, PrefixFeedHooks hooks)
+{
+    PrefixFeedHooks shared;
+    shared.onSnapshot = [this, prefix, onSnapshot = std::move(hooks.onSnapshot)](const std::vector<MetadataItem> &items) {
+        onSnapshot(items);
+        if (m_hub != nullptr) {
+            m_hub->noteSnapshot(prefix);
+        }
+    };
+    shared.onChange = [this, prefix, onChange = std::move(hooks.onChange)](const MetadataItem &item) {
+        onChange(item);
+        if (m_hub != nullptr) {
+            m_hub->noteChange(prefix, item);
+        }
+    };
+    shared.onReachable = std::move(hooks.onReachable);
+    shared.onAdvanced = [this, prefix] {
+        if (m_hub != nullptr) {
+            m_hub->noteCurrent(prefix);
+        }
+    };
+    return shared;
+}
+
 void SystemView::start()
 {
     m_operatorFeed.start();
--- a/src/catalog/systemview.h
+++ b/src/catalog/systemview.h
@@ -4,6 +4,7 @@
 #include "catalog/endpointregistry.h"
 #include "catalog/routetable.h"
 #include "log/eventlog.h"
+#include "metadata/feedhub.h"
 #include "metadata/prefixfeed.h"
 
 #include <functional>
@@ -40,6 +41,9 @@
         m_endpointFeed.setGatherTime(span);
     }
 
+    /// Lets other processes follow this view's feeds, and this view follow the feeds of others. To be called before start().
+    void share(FeedHub &hub, const std::function<std::unique_ptr<FeedFollower>()> &makeFollower);
+
     /// Null before the first configuration.
     const RouteTable *routes() const
     {
@@ -84,6 +88,8 @@
 private:
     PrefixFeedHooks operatorHooks();
     PrefixFeedHooks endpointHooks();
+    /// Adds the notes of a hub to the hooks of a feed.
+    PrefixFeedHooks sharedHooks(const std::string &prefix, PrefixFeedHooks hooks);
     void applyOperatorItem(const MetadataItem &item);
     void applyConfiguration(const MetadataItem &item);
     void applyVersion(const MetadataItem &item);
@@ -97,6 +103,8 @@
     EndpointRegistry m_endpoints;
     std::map<std::string, std::uint64_t> m_publishedVersions;
     std::map<std::string, std::uint64_t> m_hostsToEmpty;
+    FeedHub *m_hub = nullptr;
+    std::string m_operatorPrefix;
     PrefixFeed m_operatorFeed;
     PrefixFeed m_endpointFeed;
 };
--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -28,13 +28,6 @@
 constexpr int FlushesPerSettingsCheck = 4;
 constexpr int FlushesPerCountsLine = 40;
 
-std::vector<std::string> peersOf(const DaemonSettings &settings)
-{
-    auto peers = settings.peers;
-    peers.erase(std::remove(peers.begin(), peers.end(), settings.processes), peers.end());
-    return peers;
-}
-
 std::string makeIncarnation()
 {
     std::random_device device;
@@ -66,7 +59,7 @@
     , m_random(std::hash<std::string>()(m_incarnation))
     , m_client(m_io, systemNow)
     , m_direct(m_client, m_loop, socketEndpoint(m_settings.store))
-    , m_relay(m_direct, m_client, m_loop, m_log, peersOf(m_settings), m_random.below(MaxPeers))
+    , m_relay(m_direct, m_client, m_loop, m_log, otherPeers(m_settings), m_random.below(MaxPeers))
     , m_store(m_relay)
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -3,6 +3,7 @@
 #include "base/textfile.h"
 #include "config/settingsreader.h"
 
+#include <algorithm>
 #include <cmath>
 #include <tuple>
 
@@ -29,6 +30,13 @@
 
 }
 
+std::vector<std::string> otherPeers(const DaemonSettings &settings)
+{
+    auto peers = settings.peers;
+    peers.erase(std::remove(peers.begin(), peers.end(), settings.processes), peers.end());
+    return peers;
+}
+
 bool operator==(const DaemonSettings &a, const DaemonSettings &b)
 {
     const auto tie = [](const DaemonSettings &s) {
--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -38,6 +38,9 @@
     Milliseconds leaderTurnTime{3000};
 };
 
+/// The peers without this process.
+std::vector<std::string> otherPeers(const DaemonSettings &settings);
+
 bool operator==(const DaemonSettings &a, const DaemonSettings &b);
 
 /// Reads and checks a settings file for the given role, "gateway" or "scheduler"; an empty role accepts either. Fails with
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -69,10 +69,14 @@
         , m_readiness(runtime.io(), runtime.settings().readiness, plainServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
                           exchange->respond(isReadinessRequest(exchange->request()) ? m_service.readiness() : ResponseMessage{404, {}, {}});
                       }))
-        , m_processes(runtime.io(), runtime.settings().processes, plainServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
-                          m_runtime.relay().serve(exchange);
-                      }))
+        , m_hub(runtime.loop(), runtime.log())
+        , m_processes(
+              runtime.io(), runtime.settings().processes, plainServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) { serveProcess(exchange); }))
     {
+        m_view.share(m_hub, [this] {
+            const auto &settings = m_runtime.settings();
+            return std::make_unique<FeedFollower>(m_runtime.client(), m_runtime.loop(), m_runtime.log(), otherPeers(settings), settings.node);
+        });
         m_view.onEndpointGone = [this](const EndpointRecord &endpoint) {
             m_picker.forget(endpoint.id);
             m_runtime.client().forget(socketEndpoint(endpoint.address));
@@ -107,11 +111,22 @@
         return hooks;
     }
 
+    /// A call of another process of the system.
+    void serveProcess(const std::shared_ptr<ServerExchange> &exchange)
+    {
+        if (targetPath(exchange->request().target) == FeedHub::Path) {
+            m_hub.serve(exchange);
+        } else {
+            m_runtime.relay().serve(exchange);
+        }
+    }
+
     void setGauges()
     {
         auto &metrics = m_runtime.metrics();
         metrics.setGauge("basilbend_ready", m_service.isReady() ? 1 : 0);
         metrics.setGauge("basilbend_client_connections", static_cast<double>(m_clients.sessionCount()));
+        metrics.setGauge("basilbend_feed_followers", static_cast<double>(m_hub.followerCount()));
         metrics.setGauge("basilbend_endpoints", static_cast<double>(m_view.endpoints().size()));
     }
 
@@ -175,6 +190,7 @@
     GatewayService m_service;
     WebServer m_clients;
     WebServer m_readiness;
+    FeedHub m_hub;
     WebServer m_processes;
     Timestamp m_drainStartedAt;
     bool m_wasReady = false;
--- /dev/null
+++ b/src/metadata/feedfollower.cpp
@@ -0,0 +1,99 @@
+#include "metadata/feedfollower.h"
+
+#include "http/socketoptions.h"
+#include "metadata/feedhub.h"
+
+namespace Basilbend
+{
+
+namespace
+{
+
+constexpr Milliseconds ConnectTimeout{300};
+/// A longer line is no update; values above FeedHub::MaxValueBytes are left out.
+constexpr std::size_t MaxLineBytes = 16 * 1024 * 1024;
+
+}
+
+FeedFollower::FeedFollower(WebClient &client, EventLoop loop, EventLog &log, std::vector<std::string> peers, std::string node)
+    : m_client(client)
+    , m_loop(std::move(loop))
+    , m_log(log)
+    , m_peers(std::move(peers))
+    , m_node(std::move(node))
+{
+}
+
+bool FeedFollower::mayStart() const
+{
+    return !m_peers.empty() && m_loop.now() >= m_nextStart;
+}
+
+void FeedFollower::start(const std::string &prefix, std::uint64_t afterRevision, FeedFollowerHooks hooks)
+{
+    m_hooks = std::move(hooks);
+    m_line.clear();
+    m_status = 0;
+    m_sentAt = m_loop.now();
+    const auto &peer = m_peers[m_peer];
+    RequestMessage request{"GET",
+                           FeedHub::Path,
+                           {{"Host", peer}, {FeedHub::PrefixField, prefix}, {FeedHub::AfterField, std::to_string(afterRevision)}, {FeedHub::NodeField, m_node}},
+                           {}};
+    CallHooks callHooks;
+    callHooks.onHead = [this](const ResponseHead &head) { m_status = head.status; };
+    callHooks.onBody = [this](std::string_view data) { acceptBytes(data); };
+    callHooks.onEnd = [this, peer, prefix](CallEnd end) {
+        m_log.info("feed_not_followed", {{"peer", peer}, {"prefix", prefix}, {"status", m_status}, {"end", callEndName(end)}});
+        // The hook may start or stop this follower.
+        const auto onLost = m_hooks.onLost;
+        onLost();
+    };
+    m_call = m_client.send(socketEndpoint(peer), request, std::move(callHooks), ConnectTimeout);
+}
+
+void FeedFollower::acceptBytes(std::string_view data)
+{
+    if (m_status != 200) {
+        return;
+    }
+    while (!data.empty()) {
+        const auto end = data.find('\n');
+        m_line.append(data.substr(0, end));
+        if (end == std::string_view::npos) {
+            break;
+        }
+        data.remove_prefix(end + 1);
+        const auto line = std::move(m_line);
+        m_line.clear();
+        acceptLine(line);
+    }
+    if (m_line.size() > MaxLineBytes) {
+        m_log.warning("feed_unreadable", {{"reason", "line too long"}, {"bytes", m_line.size()}});
+        m_line.clear();
+        m_loop.runAfter(Milliseconds(0), m_hooks.onLost);
+    }
+}
+
+void FeedFollower::acceptLine(std::string_view line)
+{
+    const auto update = decodeFeedUpdate(line);
+    if (!update) {
+        m_log.warning("feed_unreadable", {{"reason", update.error().message}});
+        m_loop.runAfter(Milliseconds(0), m_hooks.onLost);
+        return;
+    }
+    // The peer counts from the arrival of the request, which is later than its sending.
+    m_hooks.onUpdate(update.value(), m_sentAt + update.value().provenAt);
+}
+
+void FeedFollower::stop(bool failed)
+{
+    m_call.cancel();
+    if (failed) {
+        m_peer = (m_peer + 1) % m_peers.size();
+        m_nextStart = m_loop.now() + RetryPause;
+    }
+}
+
+}
--- /dev/null
+++ b/src/metadata/feedhub.cpp
@@ -0,0 +1,147 @@
+#include "metadata/feedhub.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// A process that has not asked for this long is no longer counted.
+constexpr Milliseconds AskerLife{12000};
+/// An older copy is not worth following.
+constexpr Milliseconds OldestServedState{800};
+/// A follower that takes nothing is cut off above this.
+constexpr std::size_t MaxPendingBytes = 256 * 1024;
+
+std::uint64_t wholeNumber(std::string_view text)
+{
+    std::uint64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+}
+
+FeedHub::FeedHub(EventLoop loop, EventLog &log)
+    : m_loop(std::move(loop))
+    , m_log(log)
+{
+}
+
+void FeedHub::add(const std::string &prefix, PrefixFeed &feed)
+{
+    m_feeds[prefix].source = &feed;
+}
+
+void FeedHub::noteSnapshot(const std::string &prefix)
+{
+    auto &feed = m_feeds.at(prefix);
+    feed.recent.clear();
+    feed.recentBegin = feed.source->revision();
+    for (const auto &follower : feed.followers) {
+        follower.exchange->abort();
+    }
+    feed.followers.clear();
+}
+
+void FeedHub::noteChange(const std::string &prefix, const MetadataItem &item)
+{
+    auto &feed = m_feeds.at(prefix);
+    feed.recent.push_back(item);
+    if (feed.recent.size() > MaxRecentChanges) {
+        feed.recentBegin = std::max(feed.recentBegin, feed.recent.front().revision);
+        feed.recent.pop_front();
+    }
+}
+
+void FeedHub::noteCurrent(const std::string &prefix)
+{
+    auto &feed = m_feeds.at(prefix);
+    dropEnded(feed);
+    for (auto &follower : feed.followers) {
+        send(feed, follower);
+    }
+}
+
+void FeedHub::dropEnded(Feed &feed)
+{
+    const auto now = m_loop.now();
+    for (auto it = feed.askers.begin(); it != feed.askers.end();) {
+        it = now - it->second > AskerLife ? feed.askers.erase(it) : std::next(it);
+    }
+    auto &followers = feed.followers;
+    followers.erase(std::remove_if(followers.begin(), followers.end(), [](const Follower &follower) { return !follower.exchange->isOpen(); }), followers.end());
+    feed.source->setServing(!followers.empty() || feed.askers.size() >= LeastFollowers);
+}
+
+bool FeedHub::mayServe(Feed &feed, const std::string &node)
+{
+    const auto now = m_loop.now();
+    feed.askers[node] = now;
+    dropEnded(feed);
+    const auto asOf = feed.source->currentAsOf();
+    const bool isWanted = feed.askers.size() + feed.followers.size() >= LeastFollowers;
+    return isWanted && feed.source->isDirect() && feed.source->isReachable() && asOf && now - *asOf <= OldestServedState;
+}
+
+void FeedHub::serve(const std::shared_ptr<ServerExchange> &exchange)
+{
+    const auto &fields = exchange->request().fields;
+    const auto it = m_feeds.find(std::string(fields.value(PrefixField)));
+    if (it == m_feeds.end()) {
+        exchange->respond({404, {}, {}});
+        return;
+    }
+    auto &feed = it->second;
+    const std::string node(fields.value(NodeField));
+    const auto after = wholeNumber(fields.value(AfterField));
+    if (!mayServe(feed, node)) {
+        exchange->respond({503, {}, {}});
+        return;
+    }
+    if (after < feed.recentBegin) {
+        exchange->respond({410, {}, {}});
+        return;
+    }
+    m_log.info("follower_joined", {{"follower", node}, {"prefix", it->first}, {"after", after}, {"followers", feed.followers.size() + 1}});
+    exchange->beginStream({200, {{"Content-Type", "application/json"}}});
+    feed.followers.push_back({exchange, node, m_loop.now(), after});
+    send(feed, feed.followers.back());
+}
+
+void FeedHub::send(const Feed &feed, Follower &follower) const
+{
+    if (follower.exchange->pendingBytes() > MaxPendingBytes) {
+        m_log.warning("follower_too_slow", {{"follower", follower.node}, {"pending", follower.exchange->pendingBytes()}});
+        follower.exchange->abort();
+        return;
+    }
+    FeedUpdate update;
+    update.revision = feed.source->revision();
+    update.provenAt = *feed.source->currentAsOf() - follower.arrivedAt;
+    update.isReachable = feed.source->isReachable();
+    for (auto it = feed.recent.rbegin(); it != feed.recent.rend() && it->revision > follower.sentRevision; ++it) {
+        update.isIncomplete = update.isIncomplete || it->value.size() > MaxValueBytes;
+        update.items.push_back(*it);
+    }
+    std::reverse(update.items.begin(), update.items.end());
+    if (update.isIncomplete) {
+        update.items.clear();
+    }
+    follower.sentRevision = std::max(follower.sentRevision, update.revision);
+    follower.exchange->sendPart(encodeFeedUpdate(update) + "\n");
+}
+
+std::size_t FeedHub::followerCount() const
+{
+    std::size_t n = 0;
+    for (const auto &[prefix, feed] : m_feeds) {
+        n += feed.followers.size();
+    }
+    return n;
+}
+
+}
--- /dev/null
+++ b/src/metadata/feedupdate.cpp
@@ -0,0 +1,64 @@
+#include "metadata/feedupdate.h"
+
+#include "net/base64.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+json itemObject(const MetadataItem &item)
+{
+    return {{"key", item.key}, {"value", toBase64(item.value)}, {"revision", item.revision}, {"removed", item.isRemoval}};
+}
+
+MetadataItem decodeItem(const json &object)
+{
+    MetadataItem item;
+    item.key = object.at("key").get<std::string>();
+    item.value = fromBase64(object.at("value").get<std::string>()).value_or(std::string());
+    item.revision = object.at("revision").get<std::uint64_t>();
+    item.isRemoval = object.at("removed").get<bool>();
+    return item;
+}
+
+}
+
+std::string encodeFeedUpdate(const FeedUpdate &update)
+{
+    auto items = json::array();
+    for (const auto &item : update.items) {
+        items.push_back(itemObject(item));
+    }
+    return json{{"revision", update.revision},
+                {"proven_at_ms", update.provenAt.count()},
+                {"incomplete", update.isIncomplete},
+                {"reachable", update.isReachable},
+                {"items", std::move(items)}}
+        .dump();
+}
+
+Result<FeedUpdate> decodeFeedUpdate(std::string_view line)
+{
+    try {
+        const auto object = json::parse(line);
+        FeedUpdate update;
+        update.revision = object.at("revision").get<std::uint64_t>();
+        update.provenAt = Milliseconds(object.at("proven_at_ms").get<std::int64_t>());
+        update.isIncomplete = object.at("incomplete").get<bool>();
+        update.isReachable = object.at("reachable").get<bool>();
+        for (const auto &item : object.at("items")) {
+            update.items.push_back(decodeItem(item));
+        }
+        return update;
+    } catch (const json::exception &error) {
+        return Error{ResultCode::MalformedRequest, error.what()};
+    }
+}
+
+}
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -17,6 +17,12 @@
 /// Longest time during which the store's watches may miss changes, with a margin: such gaps last up to one second.
 constexpr Milliseconds LongestMissedSpan{1500};
 
+/// Spans of a feed that others follow.
+constexpr Milliseconds ServingSpan{500};
+constexpr Milliseconds ServingGatherTime{300};
+
+constexpr Milliseconds FollowCheckInterval{200};
+
 /// One lost answer is no outage; the second one in a row is.
 constexpr int FailuresOfOutage = 2;
 
@@ -40,6 +46,10 @@
 void PrefixFeed::stop()
 {
     ++m_generation;
+    if (m_isFollowing) {
+        m_isFollowing = false;
+        m_follower->stop(false);
+    }
 }
 
 void PrefixFeed::runIfCurrent(std::uint64_t generation, const std::function<void()> &step) const
@@ -90,7 +100,8 @@
     const auto items = std::move(m_pages);
     m_pages.clear();
     m_hooks.onSnapshot(items);
-    watch();
+    noteAdvanced();
+    proceed();
 }
 
 void PrefixFeed::watch()
@@ -98,7 +109,8 @@
     const auto sentAt = m_loop.now();
     // An answer with a change proves the state only for the time at which the watch was sent, so the next watch ends early
     // enough to prove it again within one span.
-    const auto span = std::clamp(m_span - (sentAt - *m_currentAsOf), std::min(ShortestSpan, m_span), m_span);
+    const auto longest = m_isServing ? std::min(m_span, ServingSpan) : m_span;
+    const auto span = std::clamp(longest - (sentAt - *m_currentAsOf), std::min(ShortestSpan, longest), longest);
     m_store.watch(m_prefix, m_revision, span, [this, generation = m_generation, sentAt, span](const MetadataReply &reply) {
         if (generation == m_generation) {
             acceptWatch(reply, sentAt, span);
@@ -123,26 +135,106 @@
         const bool waitedOut = m_loop.now() - sentAt >= span;
         m_currentAsOf = std::max(*m_currentAsOf, waitedOut ? sentAt + span : sentAt);
         acceptEmptyWatch(reply.revision, sentAt);
-        watch();
+        noteAdvanced();
+        proceed();
         return;
     }
     m_currentAsOf = std::max(*m_currentAsOf, sentAt);
     m_unconfirmed.reset();
     m_revision = std::max(m_revision, reply.revision);
-    for (const auto &item : reply.items) {
+    tell(reply.items);
+    noteAdvanced();
+    const auto pause = m_isServing ? std::min(m_gatherTime, ServingGatherTime) : m_gatherTime;
+    if (pause.count() > 0) {
+        m_loop.runAfter(pause, [this, generation = m_generation] { runIfCurrent(generation, [this] { proceed(); }); });
+    } else {
+        proceed();
+    }
+}
+
+void PrefixFeed::tell(const std::vector<MetadataItem> &items)
+{
+    for (const auto &item : items) {
         auto &told = m_toldRevisions[item.key];
         if (item.revision > told) {
             told = item.revision;
             m_hooks.onChange(item);
         }
     }
-    if (m_gatherTime.count() > 0) {
-        m_loop.runAfter(m_gatherTime, [this, generation = m_generation] { runIfCurrent(generation, [this] { watch(); }); });
+}
+
+void PrefixFeed::noteAdvanced()
+{
+    if (m_hooks.onAdvanced) {
+        m_hooks.onAdvanced();
+    }
+}
+
+void PrefixFeed::proceed()
+{
+    if (m_follower && !m_isServing && m_follower->mayStart()) {
+        follow();
     } else {
         watch();
     }
 }
 
+void PrefixFeed::follow()
+{
+    m_isFollowing = true;
+    const auto following = ++m_following;
+    m_follower->start(m_prefix,
+                      m_revision,
+                      {[this](const FeedUpdate &update, Timestamp asOf) { acceptUpdate(update, asOf); },
+                       [this, following] {
+                           if (m_isFollowing && following == m_following) {
+                               leave(true);
+                           }
+                       }});
+    checkFollowed(following);
+}
+
+void PrefixFeed::acceptUpdate(const FeedUpdate &update, Timestamp asOf)
+{
+    if (!m_isFollowing) {
+        return;
+    }
+    if (update.isIncomplete || !update.isReachable) {
+        // The store has the change, or must be asked whether it is there.
+        m_loop.runAfter(Milliseconds(0), [this, following = m_following, failed = !update.isReachable] {
+            if (m_isFollowing && following == m_following) {
+                leave(failed);
+            }
+        });
+        return;
+    }
+    tell(update.items);
+    m_unconfirmed.reset();
+    m_revision = std::max(m_revision, update.revision);
+    m_currentAsOf = std::max(*m_currentAsOf, asOf);
+}
+
+void PrefixFeed::checkFollowed(std::uint64_t following)
+{
+    m_loop.runAfter(FollowCheckInterval, [this, following, generation = m_generation] {
+        if (generation != m_generation || !m_isFollowing || following != m_following) {
+            return;
+        }
+        if (m_loop.now() - *m_currentAsOf > LongestFollowedAge) {
+            leave(true);
+        } else {
+            checkFollowed(following);
+        }
+    });
+}
+
+void PrefixFeed::leave(bool failed)
+{
+    m_isFollowing = false;
+    m_follower->stop(failed);
+    watch();
+}
+
 void PrefixFeed::acceptEmptyWatch(std::uint64_t revision, Timestamp sentAt)
 {
     // A watch that starts after the store's watches hear again reports at once what earlier ones missed. Only such a watch,
@@ -162,6 +254,7 @@
     if (m_failures >= FailuresOfOutage && m_reachable) {
         m_reachable = false;
         m_hooks.onReachable(false);
+        noteAdvanced();
     }
     const auto pause = std::min(LongestRetryPause, FirstRetryPause * (1 << std::min(m_failures, 5)));
     m_loop.runAfter(pause, [this, generation = m_generation, step = std::move(step)] { runIfCurrent(generation, step); });
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "base/eventloop.h"
+#include "metadata/feedfollower.h"
 #include "metadata/metadatastore.h"
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -18,9 +20,12 @@
     std::function<void(const MetadataItem &)> onChange;
     /// The store answers again, or has stopped to.
     std::function<void(bool)> onReachable;
+    /// The state was proven anew, changes have been told, or the store was lost. May be null.
+    std::function<void()> onAdvanced = nullptr;
 };
 
-/// Keeps a copy of a key prefix up to date by a listing and watches behind it.
+/// Keeps a copy of a key prefix up to date by a listing and watches behind it, or by following the feed of another process.
+/// A followed copy that is not proven for LongestFollowedAge is no longer trusted; the store is then watched directly.
 class PrefixFeed
 {
 public:
@@ -33,6 +38,18 @@
         m_gatherTime = span;
     }
 
+    /// From now on the feed of another process is followed when one can be.
+    void setFollower(std::unique_ptr<FeedFollower> follower)
+    {
+        m_follower = std::move(follower);
+    }
+
+    /// Others follow this feed: it watches in short spans, so that they know soon how old their copy is.
+    void setServing(bool isServing)
+    {
+        m_isServing = isServing;
+    }
+
     void start();
 
     /// Stops for good; answers that are on the way are ignored.
@@ -44,6 +61,27 @@
         return m_currentAsOf;
     }
 
+    /// Everything up to this revision has been told.
+    std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+
+    /// Watches the store itself.
+    bool isDirect() const
+    {
+        return !m_isFollowing;
+    }
+
+    bool isReachable() const
+    {
+        return m_reachable;
+    }
+
+    /// Longer than a serving feed needs to prove its state anew, and well below the bounds for configurations and for leaving
+    /// endpoints, which hold for a follower also when the process that it follows is cut off.
+    static constexpr Milliseconds LongestFollowedAge{1000};
+
 private:
     /// A revision up to which a watch has told of no change, and when it said so.
     struct SilentRevision {
@@ -56,6 +94,14 @@
     void watch();
     void acceptWatch(const MetadataReply &reply, Timestamp sentAt, Milliseconds span);
     void acceptEmptyWatch(std::uint64_t revision, Timestamp sentAt);
+    void tell(const std::vector<MetadataItem> &items);
+    void noteAdvanced();
+    /// Follows another process or watches the store.
+    void proceed();
+    void follow();
+    void acceptUpdate(const FeedUpdate &update, Timestamp asOf);
+    void checkFollowed(std::uint64_t following);
+    void leave(bool failed);
     void retryAfterFailure(std::function<void()> step);
     void noteSuccess();
     void runIfCurrent(std::uint64_t generation, const std::function<void()> &step) const;
@@ -77,6 +123,11 @@
     int m_failures = 0;
     bool m_reachable = true;
     std::uint64_t m_generation = 0;
+    std::unique_ptr<FeedFollower> m_follower;
+    bool m_isServing = false;
+    bool m_isFollowing = false;
+    /// Counts the times a feed was followed; tells late checks.
+    std::uint64_t m_following = 0;
 };
 
 }
--- /dev/null
+++ b/tests/metadata/feedhub.cpp
@@ -0,0 +1,286 @@
+#include "metadata/feedhub.h"
+
+#include "http/webserver.h"
+#include "metadata/fakemetadatastore.h"
+
+#include <asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <optional>
+
+using namespace Basilbend;
+
+namespace
+{
+
+constexpr const char *Prefix = "op/";
+
+/// A process with one feed: it may be followed, and follows the peers that it is given.
+struct FeedProcess {
+    FeedProcess(asio::io_context &io, VirtualTime &time, MetadataStore &store, const std::string &name, std::vector<std::string> peers)
+        : log(
+            EventLogSettings(), [&time] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); })
+        , client(io, [&time] { return time.now(); })
+        , hub(virtualLoop(time), log)
+        , feed(store, virtualLoop(time), Prefix, Milliseconds(2500), hooks())
+        , server(io, "127.0.0.1:0", plainServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
+                     if (!isSilent) {
+                         hub.serve(exchange);
+                     }
+                 }))
+    {
+        hub.add(Prefix, feed);
+        feed.setFollower(std::make_unique<FeedFollower>(client, virtualLoop(time), log, std::move(peers), name));
+        feed.start();
+    }
+
+    PrefixFeedHooks hooks()
+    {
+        PrefixFeedHooks result;
+        result.onSnapshot = [this](const std::vector<MetadataItem> &items) {
+            copy.clear();
+            for (const auto &item : items) {
+                copy[item.key] = item.value;
+            }
+            hub.noteSnapshot(Prefix);
+        };
+        result.onChange = [this](const MetadataItem &item) {
+            if (item.isRemoval) {
+                copy.erase(item.key);
+            } else {
+                copy[item.key] = item.value;
+            }
+            hub.noteChange(Prefix, item);
+        };
+        result.onReachable = [](bool) {};
+        result.onAdvanced = [this] {
+            if (!isSilent) {
+                hub.noteCurrent(Prefix);
+            }
+        };
+        return result;
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(server.port());
+    }
+
+    EventLog log;
+    WebClient client;
+    FeedHub hub;
+    PrefixFeed feed;
+    WebServer server;
+    std::map<std::string, std::string> copy;
+    /// Answers and tells nothing, as a process that is paused.
+    bool isSilent = false;
+};
+
+struct FleetFixture {
+    asio::io_context io;
+    VirtualTime time{Timestamp(1'000'000)};
+    FakeMetadataStore store{time};
+    std::unique_ptr<FeedProcess> hub = std::make_unique<FeedProcess>(io, time, store, "hub", std::vector<std::string>());
+    std::deque<std::unique_ptr<FeedProcess>> followers;
+
+    void addFollowers(std::size_t n)
+    {
+        for (std::size_t i = 0; i < n; ++i) {
+            followers.push_back(std::make_unique<FeedProcess>(io, time, store, "follower-" + std::to_string(i), std::vector<std::string>{hub->address()}));
+        }
+    }
+
+    void run(int ms)
+    {
+        for (int i = 0; i < ms; i += 10) {
+            io.restart();
+            io.poll();
+            time.advance(Milliseconds(10));
+            io.restart();
+            io.poll();
+        }
+    }
+
+    std::size_t following() const
+    {
+        return static_cast<std::size_t>(std::count_if(followers.begin(), followers.end(), [](const auto &process) { return !process->feed.isDirect(); }));
+    }
+
+    Milliseconds oldest() const
+    {
+        Milliseconds oldest{0};
+        for (const auto &process : followers) {
+            oldest = std::max(oldest, time.now() - *process->feed.currentAsOf());
+        }
+        return oldest;
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(metadata, *boost::unit_test::label("metadata"))
+
+// Replays a fleet of 40 processes. Guards against store calls that grow with the fleet: the store counts each waiting watch.
+BOOST_FIXTURE_TEST_CASE(a_fleet_that_follows_one_process_asks_the_store_as_often_as_a_few, FleetFixture)
+{
+    addFollowers(40);
+    run(15000);
+    BOOST_TEST(following() == 40U);
+    const auto before = store.calls;
+    store.put("op/a", "1");
+    run(10000);
+    for (const auto &process : followers) {
+        BOOST_TEST(process->copy.at("op/a") == "1");
+    }
+    // 40 processes with one watch in 2.5 s each would make 160 calls.
+    BOOST_TEST(store.calls - before < 40);
+    BOOST_TEST((oldest() <= PrefixFeed::LongestFollowedAge));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_change_reaches_followers_at_once_and_removals_too, FleetFixture)
+{
+    store.put("op/b", "1");
+    addFollowers(5);
+    run(15000);
+    BOOST_REQUIRE(following() == 5U);
+    store.put("op/a", "1");
+    store.erase("op/b");
+    run(500);
+    for (const auto &process : followers) {
+        BOOST_TEST(process->copy.count("op/a") == 1U);
+        BOOST_TEST(process->copy.count("op/b") == 0U);
+    }
+}
+
+// A hub watches in shorter spans than others, which costs more than a few followers save.
+BOOST_FIXTURE_TEST_CASE(a_process_that_few_would_follow_serves_nobody, FleetFixture)
+{
+    addFollowers(FeedHub::LeastFollowers - 1);
+    run(20000);
+    BOOST_TEST(following() == 0U);
+}
+
+// Guards against a withdrawn key or a leaving endpoint that stays in use behind a process that hangs.
+BOOST_FIXTURE_TEST_CASE(followers_of_a_paused_process_watch_the_store_themselves_in_time, FleetFixture)
+{
+    addFollowers(6);
+    run(15000);
+    BOOST_REQUIRE(following() == 6U);
+    hub->isSilent = true;
+    store.put("op/config", "new");
+    run(1500);
+    for (const auto &process : followers) {
+        BOOST_TEST(process->copy.count("op/config") == 1U);
+    }
+    BOOST_TEST(following() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(followers_of_a_killed_process_watch_the_store_at_once, FleetFixture)
+{
+    addFollowers(6);
+    run(15000);
+    BOOST_REQUIRE(following() == 6U);
+    hub->feed.stop();
+    hub->server.stopAccepting();
+    hub->hub.noteSnapshot(Prefix);
+    store.put("op/config", "new");
+    run(200);
+    for (const auto &process : followers) {
+        BOOST_TEST(process->copy.count("op/config") == 1U);
+    }
+}
+
+// Guards against a copy that is trusted although the process that keeps it no longer reaches the store.
+BOOST_FIXTURE_TEST_CASE(a_followed_copy_is_proven_no_later_than_by_its_owner, FleetFixture)
+{
+    addFollowers(6);
+    run(15000);
+    BOOST_REQUIRE(following() == 6U);
+    store.faults.isSilent = true;
+    const auto lost = time.now();
+    for (int i = 0; i < 40; ++i) {
+        run(100);
+        for (const auto &process : followers) {
+            BOOST_TEST((*process->feed.currentAsOf() <= std::max(lost, *hub->feed.currentAsOf())));
+        }
+    }
+}
+
+// Guards against a large configuration that one process with a slow link has to send to the whole fleet.
+BOOST_FIXTURE_TEST_CASE(a_large_value_is_read_from_the_store, FleetFixture)
+{
+    addFollowers(6);
+    run(15000);
+    BOOST_REQUIRE(following() == 6U);
+    const std::string large(FeedHub::MaxValueBytes + 1, 'x');
+    store.put("op/config", large);
+    run(300);
+    for (const auto &process : followers) {
+        BOOST_TEST((process->copy["op/config"] == large));
+    }
+    run(2000);
+    BOOST_TEST(following() == 6U);
+}
+
+// Guards against changes that a follower misses because the process that it follows has missed them.
+BOOST_FIXTURE_TEST_CASE(followers_leave_a_process_that_had_to_list_again, FleetFixture)
+{
+    addFollowers(6);
+    run(15000);
+    BOOST_REQUIRE(following() == 6U);
+    hub->feed.start();
+    run(30);
+    BOOST_TEST(following() == 0U);
+    store.put("op/config", "new");
+    run(300);
+    for (const auto &process : followers) {
+        BOOST_TEST(process->copy.count("op/config") == 1U);
+    }
+}
+
+// Guards against an update that is delivered late and makes the copy seem newer than it is.
+BOOST_FIXTURE_TEST_CASE(the_age_of_a_followed_copy_does_not_depend_on_its_delivery, FleetFixture)
+{
+    EventLog log{EventLogSettings(), [this] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); }};
+    std::shared_ptr<ServerExchange> exchange;
+    WebServer server(io, "127.0.0.1:0", plainServerHooks([&exchange](const std::shared_ptr<ServerExchange> &asked) {
+                         exchange = asked;
+                         asked->beginStream({200, {}});
+                     }));
+    WebClient client(io, [this] { return time.now(); });
+    FeedFollower follower(client, virtualLoop(time), log, {"127.0.0.1:" + std::to_string(server.port())}, "n");
+    std::optional<Timestamp> asOf;
+    const auto sentAt = time.now();
+    follower.start(Prefix, 0, {[&asOf](const FeedUpdate &, Timestamp at) { asOf = at; }, [] {}});
+    run(50);
+    FeedUpdate update;
+    update.provenAt = Milliseconds(40);
+    const auto line = encodeFeedUpdate(update) + "\n";
+    exchange->sendPart(line.substr(0, 10));
+    run(3000);
+    BOOST_TEST(!asOf.has_value());
+    exchange->sendPart(line.substr(10));
+    run(50);
+    BOOST_REQUIRE(asOf.has_value());
+    BOOST_TEST((*asOf == sentAt + Milliseconds(40)));
+    follower.stop(false);
+}
+
+BOOST_AUTO_TEST_CASE(an_update_is_read_as_it_was_written)
+{
+    FeedUpdate update;
+    update.revision = 9;
+    update.provenAt = Milliseconds(-30);
+    update.items.push_back({"op/a", std::string("\x00\xff", 2), 8, 0, 0, false});
+    update.items.push_back({"op/b", {}, 9, 0, 0, true});
+    const auto decoded = decodeFeedUpdate(encodeFeedUpdate(update));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded.value().revision == 9U);
+    BOOST_TEST(decoded.value().provenAt.count() == -30);
+    BOOST_TEST((decoded.value().items.at(0).value == update.items[0].value));
+    BOOST_TEST(decoded.value().items.at(1).isRemoval);
+    BOOST_TEST(decodeFeedUpdate("{}").has_error());
+    BOOST_TEST(decodeFeedUpdate("no json").has_error());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
