Join the leader's commits, probe less, and serve followers sooner

Change: GroupingStore joins the changes of one turn of the loop, and the gather times of all batches end together. Processes that are no peer of others probe once a second, because a peer that has the store again relays for them. A feed that begins to serve starts a short watch at once, a refusing peer is asked again after 1 s, and a process that has just left counts as one that wants to follow.

--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -59,7 +59,7 @@
     , m_random(std::hash<std::string>()(m_incarnation))
     , m_client(m_io, systemNow)
     , m_direct(m_client, m_loop, socketEndpoint(m_settings.store))
-    , m_relay(m_direct, m_client, m_loop, m_log, otherPeers(m_settings), m_random.below(MaxPeers))
+    , m_relay(m_direct, m_client, m_loop, m_log, otherPeers(m_settings), m_random.below(MaxPeers), isPeer(m_settings))
     , m_store(m_relay)
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -30,6 +30,11 @@
 
 }
 
+bool isPeer(const DaemonSettings &settings)
+{
+    return std::find(settings.peers.begin(), settings.peers.end(), settings.processes) != settings.peers.end();
+}
+
 std::vector<std::string> otherPeers(const DaemonSettings &settings)
 {
     auto peers = settings.peers;
--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -38,6 +38,9 @@
     Milliseconds leaderTurnTime{3000};
 };
 
+/// Whether other processes may ask this one to relay their calls.
+bool isPeer(const DaemonSettings &settings);
+
 /// The peers without this process.
 std::vector<std::string> otherPeers(const DaemonSettings &settings);
 
--- a/src/metadata/feedfollower.cpp
+++ b/src/metadata/feedfollower.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr Milliseconds ConnectTimeout{300};
+constexpr int RefusedStatus = 503;
 /// A longer line is no update; values above FeedHub::MaxValueBytes are left out.
 constexpr std::size_t MaxLineBytes = 16 * 1024 * 1024;
 
@@ -90,7 +91,13 @@
 void FeedFollower::stop(bool failed)
 {
     m_call.cancel();
-    if (failed) {
+    if (!failed) {
+        return;
+    }
+    m_wasRefused = m_status == RefusedStatus && !m_wasRefused;
+    if (m_wasRefused) {
+        m_nextStart = m_loop.now() + RefusedPause;
+    } else {
         m_peer = (m_peer + 1) % m_peers.size();
         m_nextStart = m_loop.now() + RetryPause;
     }
--- a/src/metadata/feedfollower.h
+++ b/src/metadata/feedfollower.h
@@ -32,10 +32,12 @@
     /// Follows a prefix behind a revision.
     void start(const std::string &prefix, std::uint64_t afterRevision, FeedFollowerHooks hooks);
 
-    /// Ends without a call of the hooks. Failed: another peer is asked next, after RetryPause.
+    /// Ends without a call of the hooks. Failed: another peer is asked next, after RetryPause. A peer that only refuses may not
+    /// be ready yet and is asked once more after RefusedPause.
     void stop(bool failed);
 
     static constexpr Milliseconds RetryPause{4000};
+    static constexpr Milliseconds RefusedPause{1000};
 
 private:
     void acceptBytes(std::string_view data);
@@ -52,6 +54,7 @@
     FeedFollowerHooks m_hooks;
     std::string m_line;
     int m_status = 0;
+    bool m_wasRefused = false;
     ClientCall m_call;
 };
 
--- a/src/metadata/feedhub.cpp
+++ b/src/metadata/feedhub.cpp
@@ -72,9 +72,16 @@
     for (auto it = feed.askers.begin(); it != feed.askers.end();) {
         it = now - it->second > AskerLife ? feed.askers.erase(it) : std::next(it);
     }
-    auto &followers = feed.followers;
-    followers.erase(std::remove_if(followers.begin(), followers.end(), [](const Follower &follower) { return !follower.exchange->isOpen(); }), followers.end());
-    feed.source->setServing(!followers.empty() || feed.askers.size() >= LeastFollowers);
+    for (auto it = feed.followers.begin(); it != feed.followers.end();) {
+        if (it->exchange->isOpen()) {
+            ++it;
+            continue;
+        }
+        // It may come back soon, after it has read a large value from the store.
+        feed.askers[it->node] = now;
+        it = feed.followers.erase(it);
+    }
+    feed.source->setServing(!feed.followers.empty() || feed.askers.size() >= LeastFollowers);
 }
 
 bool FeedHub::mayServe(Feed &feed, const std::string &node)
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -52,6 +52,17 @@
     }
 }
 
+void PrefixFeed::setServing(bool isServing)
+{
+    const bool hasBegun = isServing && !m_isServing;
+    m_isServing = isServing;
+    if (hasBegun && !m_isFollowing && m_currentAsOf && m_reachable) {
+        // The answer to the long watch under way is ignored.
+        ++m_generation;
+        watch();
+    }
+}
+
 void PrefixFeed::runIfCurrent(std::uint64_t generation, const std::function<void()> &step) const
 {
     if (generation == m_generation) {
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -45,10 +45,7 @@
     }
 
     /// Others follow this feed: it watches in short spans, so that they know soon how old their copy is.
-    void setServing(bool isServing)
-    {
-        m_isServing = isServing;
-    }
+    void setServing(bool isServing);
 
     void start();
 
--- a/src/metadata/relayedtransport.cpp
+++ b/src/metadata/relayedtransport.cpp
@@ -12,6 +12,8 @@
 
 /// Pause between the probes of a store that is down.
 constexpr Milliseconds ProbeInterval{200};
+/// The same where peers probe and relay: each probe of a large fleet counts at a store that has just come back.
+constexpr Milliseconds FollowerProbeInterval{1000};
 constexpr Milliseconds ProbeTimeout{1000};
 /// A call that changes nothing; any answer shows that the store is back.
 constexpr const char *ProbeTarget = "/";
@@ -40,11 +42,17 @@
     StoreResponse response;
 };
 
-RelayedTransport::RelayedTransport(
-    StoreTransport &direct, WebClient &client, EventLoop loop, EventLog &log, const std::vector<std::string> &peers, std::size_t firstPeer)
+RelayedTransport::RelayedTransport(StoreTransport &direct,
+                                   WebClient &client,
+                                   EventLoop loop,
+                                   EventLog &log,
+                                   const std::vector<std::string> &peers,
+                                   std::size_t firstPeer,
+                                   bool relaysForOthers)
     : m_direct(direct)
     , m_loop(std::move(loop))
     , m_log(log)
+    , m_probeInterval(relaysForOthers || peers.empty() ? ProbeInterval : FollowerProbeInterval)
     , m_peer(firstPeer)
 {
     for (const auto &peer : peers) {
@@ -154,7 +162,7 @@
     m_direct.send(request, [this](const StoreResponse &response) {
         noteDirect(response);
         if (!m_rule.goesDirectly()) {
-            m_loop.runAfter(ProbeInterval, [this] { probe(); });
+            m_loop.runAfter(m_probeInterval, [this] { probe(); });
         }
     });
 }
--- a/src/metadata/relayedtransport.h
+++ b/src/metadata/relayedtransport.h
@@ -18,8 +18,15 @@
 class RelayedTransport : public StoreTransport
 {
 public:
-    /// Peers: "IP:PORT" of processes that may relay; own addresses are to be left out.
-    RelayedTransport(StoreTransport &direct, WebClient &client, EventLoop loop, EventLog &log, const std::vector<std::string> &peers, std::size_t firstPeer);
+    /// Peers: "IP:PORT" of processes that may relay; own addresses are to be left out. RelaysForOthers: this process is a peer
+    /// of others; while the store is down it probes more often than they do, and they learn from it that the store is back.
+    RelayedTransport(StoreTransport &direct,
+                     WebClient &client,
+                     EventLoop loop,
+                     EventLog &log,
+                     const std::vector<std::string> &peers,
+                     std::size_t firstPeer,
+                     bool relaysForOthers = true);
 
     void send(const StoreRequest &request, Callback callback) override;
     void abandonCalls() override;
@@ -49,6 +56,7 @@
     EventLog &m_log;
     std::vector<std::unique_ptr<DirectTransport>> m_peers;
     RelayRule m_rule;
+    Milliseconds m_probeInterval;
     /// The peer that relayed last.
     std::size_t m_peer = 0;
     bool m_isDown = false;
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -38,7 +38,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_client(client)
-    , m_store(store)
+    , m_writes(store, m_loop)
     , m_view(view)
     , m_hooks(std::move(hooks))
     , m_watch(store,
@@ -116,8 +116,8 @@
         std::move(loaded.progress.begin(), loaded.progress.end(), std::back_inserter(texts));
         batch->state->adopt(texts, rulesOf(*route));
     }
-    batch->writer = std::make_shared<ResultWriter>(m_store, m_loop, m_log, batch->state, ResultWriter::Hooks{m_hooks.term, [this, id] { reload(id); }});
-    batch->progress = std::make_shared<ProgressWriter>(m_store, m_loop, m_log, batch->state, m_hooks.term);
+    batch->writer = std::make_shared<ResultWriter>(m_writes, m_loop, m_log, batch->state, ResultWriter::Hooks{m_hooks.term, [this, id] { reload(id); }});
+    batch->progress = std::make_shared<ProgressWriter>(m_writes, m_loop, m_log, batch->state, m_hooks.term);
     m_log.info("batch_opened",
                {{"batch", id},
                 {"items", batch->state->index().itemCount},
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -4,6 +4,7 @@
 #include "catalog/systemview.h"
 #include "http/webclient.h"
 #include "log/eventlog.h"
+#include "metadata/groupingstore.h"
 #include "net/metrics.h"
 #include "scheduling/batchdemand.h"
 #include "scheduling/batchwatch.h"
@@ -146,7 +147,8 @@
     EventLog &m_log;
     Metrics &m_metrics;
     WebClient &m_client;
-    MetadataStore &m_store;
+    /// For results and progress of all batches.
+    GroupingStore m_writes;
     SystemView &m_view;
     BatchRunnerHooks m_hooks;
     BatchWatch m_watch;
--- a/src/scheduling/resultwriter.cpp
+++ b/src/scheduling/resultwriter.cpp
@@ -15,6 +15,11 @@
 constexpr Milliseconds RetryPause{100};
 constexpr int LongestRetryFactor = 4;
 
+std::int64_t gatherSlot(Timestamp time)
+{
+    return time.milliseconds() / ResultWriter::GatherTime.count();
+}
+
 }
 
 ResultWriter::ResultWriter(MetadataStore &store, EventLoop loop, EventLog &log, std::shared_ptr<OpenBatch> batch, Hooks hooks)
@@ -29,7 +34,7 @@
 
 void ResultWriter::poll()
 {
-    const bool isDue = m_loop.now() - m_lastWrite >= GatherTime || m_batch->isDecided();
+    const bool isDue = gatherSlot(m_loop.now()) != gatherSlot(m_lastWrite) || m_batch->isDecided();
     if (m_stopped || m_isWriting || !m_batch->hasPending() || !isDue || m_hooks.term() == 0) {
         return;
     }
--- a/src/scheduling/resultwriter.h
+++ b/src/scheduling/resultwriter.h
@@ -33,7 +33,8 @@
     /// Stops for good.
     void stop();
 
-    /// Results are gathered for this time, unless the batch is done.
+    /// Results are gathered for this time, unless the batch is done. The times of all batches end together, so that their
+    /// chunks can go to the store in one call.
     static constexpr Milliseconds GatherTime{300};
 
 private:
