Bound what endpoints send, and count only whole events as progress

Cause, shown by tests that failed: nothing bounded interim responses, responses to other calls, a line or an event of a stream, an answer that is held until it is whole, an answer of the store or a report; a stalled run or stream that sent comments or pieces of an event was never silent; a late second copy of an answer that names no call was taken for the next caller's.

Ruled out by tests that passed at once: heads, fields, trailers, chunk extensions and bytes that are no HTTP without end (http_parser stops at 80 KB).

Change: limits in MessageParser, ClientChannel (CallHooks::maxBodyBytes), EventStream and AnswerBudget (4 MB an answer, 16 MB together, 64 KB always); an item takes no more events than it may have tokens. CallHooks::owner tells Mine, Other and Unnamed; an unnamed response breaks a call on a connection that has carried another one. Progress is a whole event. silenceLimit() follows the pace of the endpoint and gives an item whose runs bring nothing more time, so slow but sound streams are not cut.

--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -5,6 +5,7 @@
 #include "billing/usagecounter.h"
 #include "catalog/systemview.h"
 #include "forwarding/endpointpicker.h"
+#include "gateway/answerbudget.h"
 #include "http/webclient.h"
 #include "log/eventlog.h"
 #include "metadata/metadatastore.h"
@@ -26,6 +27,7 @@
     Random &random;
     /// Other processes relay calls to the store, so a failure there means that nobody reaches it.
     bool hasPeers = false;
+    AnswerBudget answers = {};
 };
 
 }
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -19,7 +19,7 @@
 constexpr int EndpointTimeoutStatus = 504;
 /// Pause before full endpoints are asked again.
 constexpr Milliseconds RoomPause{20};
-/// A resumable stream without a byte for this long goes on elsewhere. Clients leave a stream after a gap of two seconds.
+/// A resumable stream without a new event for this long goes on elsewhere; other bytes are no progress. Clients leave a stream after a gap of two seconds.
 constexpr Milliseconds StreamSilenceLimit{1000};
 constexpr Milliseconds SilenceCheckInterval{100};
 /// A stream whose client takes nothing is ended above this.
@@ -38,6 +38,11 @@
     m_endsAt = m_arrivedAt + std::min(m_route.timeout, m_request.deadline.value_or(DefaultDeadline));
 }
 
+LiveCall::~LiveCall()
+{
+    m_context.answers.release(m_heldBytes);
+}
+
 bool LiveCall::streams() const
 {
     return m_route.kind == RouteKind::Streaming;
@@ -139,10 +144,7 @@
 {
     const auto self = shared_from_this();
     CallHooks hooks;
-    hooks.isMine = [self](const ResponseHead &head) {
-        const auto evidence = decodeEvidence(head);
-        return evidence.attemptId.empty() || evidence.attemptId == self->m_request.attemptId;
-    };
+    hooks.owner = [self](const ResponseHead &head) { return ownerOf(head, self->m_request.attemptId); };
     hooks.onHead = [self, index](const ResponseHead &head) { self->acceptHead(index, head); };
     hooks.onBody = [self, index](std::string_view data) { self->acceptBody(index, data); };
     hooks.onEnd = [self, index](CallEnd end) { self->acceptEnd(index, end); };
@@ -200,7 +202,7 @@
         m_exchange->beginStream(head);
     }
     if (m_route.canResume) {
-        m_lastStreamBytes = m_context.loop.now();
+        m_lastProgress = m_context.loop.now();
         watchSilence(index);
     }
 }
@@ -213,7 +215,7 @@
             return;
         }
         const bool isLastTry = self->m_ranTries + 1 >= self->m_route.attempts;
-        if (isLastTry || self->m_context.loop.now() - self->m_lastStreamBytes < StreamSilenceLimit) {
+        if (isLastTry || self->m_context.loop.now() - self->m_lastProgress < StreamSilenceLimit) {
             self->watchSilence(index);
             return;
         }
@@ -227,6 +229,7 @@
     if (event.hasId && event.id <= m_lastEventId) {
         return;
     }
+    m_lastProgress = m_context.loop.now();
     m_lastEventId = event.hasId ? event.id : m_lastEventId;
     m_exchange->sendPart(event.raw);
     if (m_exchange->pendingBytes() > MaxPendingBytes) {
@@ -238,11 +241,32 @@
 void LiveCall::acceptBody(std::size_t index, std::string_view data)
 {
     if (m_streaming && m_events) {
-        m_lastStreamBytes = m_context.loop.now();
-        m_events->feed(data);
+        if (!m_events->feed(data)) {
+            breakTry(index, "event too large");
+        }
         return;
     }
-    m_tries[index]->body.append(data);
+    auto &body = m_tries[index]->body;
+    if (m_context.answers.grow(body.size(), data.size())) {
+        m_heldBytes += data.size();
+        body.append(data);
+    } else {
+        breakTry(index, "answer too large");
+    }
+}
+
+void LiveCall::breakTry(std::size_t index, const char *why)
+{
+    auto &attempt = *m_tries[index];
+    m_context.log.warning("answer_refused",
+                          {{"request", m_request.attemptId}, {"endpoint", attempt.endpoint.id}, {"why", why}, {"bytes", attempt.body.size()}});
+    attempt.call.cancel();
+    // Called from the loop, because this is called from within the call, whose end may drop the last other owner of this.
+    m_context.loop.runAfter(Milliseconds(0), [self = shared_from_this(), index] {
+        if (!self->m_tries[index]->ended) {
+            self->acceptEnd(index, CallEnd::Broken);
+        }
+    });
 }
 
 void LiveCall::acceptEnd(std::size_t index, CallEnd end)
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -23,6 +23,9 @@
 {
 public:
     LiveCall(GatewayContext &context, std::shared_ptr<ServerExchange> exchange, ClientRequest request, RouteRule route, std::string workspace);
+    ~LiveCall();
+    LiveCall(const LiveCall &) = delete;
+    LiveCall &operator=(const LiveCall &) = delete;
 
     void start();
 
@@ -44,6 +47,8 @@
     CallHooks hooksOf(std::size_t index);
     void acceptHead(std::size_t index, const ResponseHead &head);
     void acceptBody(std::size_t index, std::string_view data);
+    /// Ends a try whose answer exceeds what may be held.
+    void breakTry(std::size_t index, const char *why);
     void acceptEnd(std::size_t index, CallEnd end);
     void noteEndpoint(const Try &ended, CallEnd end, TryOutcome outcome);
     void decide(std::size_t index, TryOutcome outcome);
@@ -87,7 +92,10 @@
     /// Streams: the response to the client has begun.
     bool m_streaming = false;
     std::uint64_t m_lastEventId = 0;
-    Timestamp m_lastStreamBytes;
+    /// Streams: the last new event, or the head of the answer that carries it.
+    Timestamp m_lastProgress;
+    /// Bytes of answers that are counted in the budget.
+    std::size_t m_heldBytes = 0;
     std::unique_ptr<EventStream> m_events;
 };
 
--- a/src/http/clientchannel.cpp
+++ b/src/http/clientchannel.cpp
@@ -14,6 +14,11 @@
 namespace
 {
 
+/// Responses to other calls that are skipped on one connection, and their bytes. A server in trouble may send them without
+/// end.
+constexpr int MaxSkippedResponses = 4;
+constexpr std::size_t MaxSkippedBytes = 1024 * 1024;
+
 /// The number behind "timeout=" in a Keep-Alive field, in milliseconds; zero when there is none.
 Milliseconds keepAliveTimeOf(std::string_view text)
 {
@@ -69,6 +74,7 @@
     m_requestWritten = false;
     m_responseStarted = false;
     m_skippedAny = false;
+    m_bodyBytes = 0;
     if (m_connected) {
         writeRequest();
     } else {
@@ -125,7 +131,7 @@
         if (m_closed) {
             return;
         }
-        if (m_parser.hasFailed()) {
+        if (m_parser.hasFailed() || m_refused) {
             endCall(CallEnd::Broken);
             return;
         }
@@ -143,9 +149,15 @@
     m_responseKeepsAlive = head.keepAlive;
     m_keepAliveTime = keepAliveTimeOf(response.fields.value("Keep-Alive"));
     const auto hooks = m_hooks;
-    m_skipping = hooks && hooks->isMine && !hooks->isMine(response);
+    const auto owner = hooks && hooks->owner ? hooks->owner(response) : ResponseOwner::Mine;
+    if (owner == ResponseOwner::Unnamed && m_isReused) {
+        m_refused = true;
+        return;
+    }
+    m_skipping = owner == ResponseOwner::Other;
     if (m_skipping) {
         m_skippedAny = true;
+        m_refused = ++m_skippedResponses > MaxSkippedResponses;
         return;
     }
     m_responseStarted = true;
@@ -156,8 +168,17 @@
 
 void ClientChannel::acceptBody(std::string_view data)
 {
+    if (m_skipping) {
+        m_skippedBytes += data.size();
+        m_refused = m_refused || m_skippedBytes > MaxSkippedBytes;
+        return;
+    }
     const auto hooks = m_hooks;
-    if (!m_skipping && hooks && hooks->onBody) {
+    m_bodyBytes += data.size();
+    if (hooks && hooks->maxBodyBytes > 0 && m_bodyBytes > hooks->maxBodyBytes) {
+        m_refused = true;
+    }
+    if (!m_refused && hooks && hooks->onBody) {
         hooks->onBody(data);
     }
 }
@@ -179,6 +200,7 @@
         return;
     }
     m_busy = false;
+    m_isReused = true;
     const auto hooks = std::move(m_hooks);
     m_hooks.reset();
     m_onIdle(shared_from_this());
--- a/src/http/clientchannel.h
+++ b/src/http/clientchannel.h
@@ -80,6 +80,13 @@
     bool m_skipping = false;
     bool m_skippedAny = false;
     bool m_messageComplete = false;
+    /// The response can't be this call's answer, or exceeds a limit.
+    bool m_refused = false;
+    /// A call before this one was carried.
+    bool m_isReused = false;
+    std::size_t m_skippedBytes = 0;
+    int m_skippedResponses = 0;
+    std::size_t m_bodyBytes = 0;
 };
 
 }
--- a/src/http/eventstream.cpp
+++ b/src/http/eventstream.cpp
@@ -28,13 +28,19 @@
 {
 }
 
-void EventStream::feed(std::string_view bytes)
+bool EventStream::feed(std::string_view bytes)
 {
-    while (!bytes.empty()) {
+    while (!bytes.empty() && !m_hasFailed) {
         const auto end = bytes.find('\n');
         m_line.append(bytes.substr(0, end));
+        if (m_line.size() + m_event.raw.size() > MaxEventBytes) {
+            m_hasFailed = true;
+            m_line = {};
+            m_event = {};
+            break;
+        }
         if (end == std::string_view::npos) {
-            return;
+            break;
         }
         bytes.remove_prefix(end + 1);
         m_event.raw.append(m_line).push_back('\n');
@@ -44,6 +50,7 @@
         endLine();
         m_line.clear();
     }
+    return !m_hasFailed;
 }
 
 void EventStream::endLine()
--- a/src/http/eventstream.h
+++ b/src/http/eventstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -28,7 +29,11 @@
 public:
     explicit EventStream(std::function<void(const StreamEvent &)> onEvent);
 
-    void feed(std::string_view bytes);
+    /// Returns false when a line or an event exceeds MaxEventBytes, and takes nothing from then on: a server in trouble may
+    /// send one without end.
+    bool feed(std::string_view bytes);
+
+    static constexpr std::size_t MaxEventBytes = 128 * 1024;
 
 private:
     void endLine();
@@ -38,6 +43,7 @@
     StreamEvent m_event;
     std::string m_line;
     bool m_hasData = false;
+    bool m_hasFailed = false;
 };
 
 }
--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -3,6 +3,15 @@
 namespace Basilbend
 {
 
+namespace
+{
+
+/// Interim responses (1xx) before a final one; a server in trouble may send them without end.
+constexpr int MaxInterimResponses = 16;
+constexpr int CallbackFailure = -1;
+
+}
+
 MessageParser::MessageParser(Kind kind, MessageHooks hooks)
     : m_hooks(std::move(hooks))
     , m_kind(kind)
@@ -84,6 +93,10 @@
     } else {
         m_head.status = static_cast<int>(m_parser.status_code);
         m_informational = m_head.status < 200;
+        m_interimResponses = m_informational ? m_interimResponses + 1 : 0;
+    }
+    if (m_interimResponses > MaxInterimResponses) {
+        return CallbackFailure;
     }
     if (!m_informational) {
         m_hooks.onHead(std::move(m_head));
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -84,6 +84,7 @@
     bool m_headOpen = false;
     bool m_readingValue = false;
     bool m_informational = false;
+    int m_interimResponses = 0;
     bool m_failed = false;
     std::size_t m_openHeadBytes = 0;
 };
--- a/src/metadata/storetransport.cpp
+++ b/src/metadata/storetransport.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr Milliseconds ConnectTimeout{500};
+/// Larger than any answer of the store: a page or a value of 1 MB, encoded.
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
 
 }
 
@@ -46,6 +48,7 @@
         std::from_chars(relayed.data(), relayed.data() + relayed.size(), open->response.relayedStatus);
     };
     hooks.onBody = [open](std::string_view data) { open->response.body.append(data); };
+    hooks.maxBodyBytes = MaxAnswerBytes;
     hooks.onEnd = [this, open](CallEnd end) { finish(open, end); };
     open->call = m_client.send(m_server, message, std::move(hooks), ConnectTimeout);
     m_loop.runAfter(request.timeout, [this, open] { finish(open, CallEnd::ClosedUnanswered); });
--- a/src/platform/endpointcalls.cpp
+++ b/src/platform/endpointcalls.cpp
@@ -65,6 +65,15 @@
     return evidence;
 }
 
+ResponseOwner ownerOf(const ResponseHead &head, const std::string &attemptId)
+{
+    const auto named = head.fields.value(Wire::AttemptId);
+    if (named.empty()) {
+        return ResponseOwner::Unnamed;
+    }
+    return named == attemptId ? ResponseOwner::Mine : ResponseOwner::Other;
+}
+
 RequestMessage
 makeForwardedRequest(const RequestMessage &message, const std::string &endpointId, const std::string &workspace, std::optional<Milliseconds> remaining)
 {
--- a/src/platform/endpointcalls.h
+++ b/src/platform/endpointcalls.h
@@ -4,6 +4,7 @@
 #include "base/timestamp.h"
 #include "batches/batch.h"
 #include "catalog/endpointrecord.h"
+#include "http/clientcall.h"
 #include "http/httpmessage.h"
 
 #include <cstdint>
@@ -42,6 +43,9 @@
 
 EndpointEvidence decodeEvidence(const ResponseHead &head);
 
+/// Whether an endpoint's response belongs to the attempt.
+ResponseOwner ownerOf(const ResponseHead &head, const std::string &attemptId);
+
 /// A client's request as the endpoint gets it. The client's key and what it claims of its workspace are removed.
 RequestMessage
 makeForwardedRequest(const RequestMessage &message, const std::string &endpointId, const std::string &workspace, std::optional<Milliseconds> remaining);
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/batchrunner.h"
 
+#include "scheduling/silencerule.h"
+
 #include <algorithm>
 #include <unordered_map>
 
@@ -10,8 +12,6 @@
 {
 
 constexpr Milliseconds TickInterval{100};
-/// A run without a byte for this long is given up. Longer than a change of weights, during which a run may pause.
-constexpr Milliseconds SilenceLimit{1800};
 /// Pause before an item is offered again after a failure.
 constexpr Milliseconds RetryPause{20};
 /// Runs moved to faster endpoints at one tick.
@@ -456,7 +456,7 @@
                    {"endpoint", endpoint},
                    {"why", why},
                    {"events", batch.state->progress(item).text.eventCount()},
-                   {"silent_ms", m_loop.now() - running->run->lastActivity()}});
+                   {"silent_ms", m_loop.now() - running->run->lastProgress()}});
     batch.state->requeue(item, endpoint, Timestamp());
     m_metrics.count("basilbend_item_runs_cancelled_total", {{"why", why}});
     scheduleSoon();
@@ -499,12 +499,15 @@
     const auto now = m_loop.now();
     std::vector<std::size_t> silent;
     for (const auto &[item, running] : batch.running) {
-        if (now - running.run->lastActivity() >= SilenceLimit) {
+        const auto limit = silenceLimit(m_pace.gapMs(running.endpoint, now), batch.state->progress(item).fruitlessRuns);
+        if (now - running.run->lastProgress() >= limit) {
             silent.push_back(item);
         }
     }
     for (const auto item : silent) {
-        m_pace.noteFailure(batch.running.at(item).endpoint, now);
+        auto &running = batch.running.at(item);
+        m_pace.noteFailure(running.endpoint, now);
+        batch.state->progress(item).fruitlessRuns += running.hasEvent ? 0 : 1;
         cancelRun(batch, item, "silent");
     }
 }
--- a/src/scheduling/endpointpace.cpp
+++ b/src/scheduling/endpointpace.cpp
@@ -58,6 +58,7 @@
         noteFull(endpoint, now);
         break;
     case RunEnd::NotConnected:
+    case RunEnd::Oversized:
         noteFailure(endpoint, now);
         break;
     case RunEnd::Broken:
--- a/src/scheduling/itemrun.cpp
+++ b/src/scheduling/itemrun.cpp
@@ -19,7 +19,7 @@
     , m_version(fallbackVersion)
     , m_hooks(std::move(hooks))
     , m_startedAt(m_loop.now())
-    , m_lastActivity(m_startedAt)
+    , m_lastProgress(m_startedAt)
 {
 }
 
@@ -27,24 +27,26 @@
 {
     m_itemId = item.id;
     CallHooks hooks;
-    hooks.isMine = [this](const ResponseHead &head) {
-        const auto evidence = decodeEvidence(head);
-        return evidence.attemptId.empty() || evidence.attemptId == m_itemId;
-    };
+    hooks.owner = [this](const ResponseHead &head) { return ownerOf(head, m_itemId); };
     hooks.onHead = [this](const ResponseHead &head) { acceptHead(head); };
-    hooks.onBody = [this](std::string_view data) {
-        m_lastActivity = m_loop.now();
-        if (m_events && !m_useless) {
-            m_events->feed(data);
-        }
-    };
+    hooks.onBody = [this](std::string_view data) { acceptBody(data); };
     hooks.onEnd = [this](CallEnd end) { acceptEnd(end); };
     m_call = m_client.send(socketEndpoint(m_endpoint.address), makeItemRequest(item, batch, m_endpoint.id, afterEvent), std::move(hooks), ConnectTimeout);
 }
 
+void ItemRun::acceptBody(std::string_view data)
+{
+    if (!m_events || m_useless || m_events->feed(data)) {
+        return;
+    }
+    m_useless = true;
+    // The hook destroys this run, so it is called from the loop.
+    m_loop.runAfter(Milliseconds(0), [onEnd = m_hooks.onEnd, status = m_evidence.status] { onEnd(RunEnd::Oversized, status); });
+}
+
 void ItemRun::acceptHead(const ResponseHead &head)
 {
-    m_lastActivity = m_loop.now();
+    m_lastProgress = m_loop.now();
     m_evidence = decodeEvidence(head);
     if (m_evidence.weightVersion > 0) {
         m_version = m_evidence.weightVersion;
@@ -60,6 +62,7 @@
         const auto version = versionOfEventLine(line);
         m_version = version > 0 ? version : m_version;
     }
+    m_lastProgress = m_loop.now();
     if (!m_useless) {
         m_useless = !event.hasId || !m_hooks.onEvent(event.id, event.data, m_version);
     }
--- a/src/scheduling/itemrun.h
+++ b/src/scheduling/itemrun.h
@@ -41,14 +41,15 @@
         return m_startedAt;
     }
 
-    /// Last byte of the answer, or the start.
-    Timestamp lastActivity() const
+    /// The last whole event, the head of the answer, or the start. Other bytes are no progress.
+    Timestamp lastProgress() const
     {
-        return m_lastActivity;
+        return m_lastProgress;
     }
 
 private:
     void acceptHead(const ResponseHead &head);
+    void acceptBody(std::string_view data);
     void acceptEvent(const StreamEvent &event);
     void acceptEnd(CallEnd end);
     RunEnd classify(CallEnd end) const;
@@ -63,7 +64,7 @@
     EndpointEvidence m_evidence;
     bool m_useless = false;
     Timestamp m_startedAt;
-    Timestamp m_lastActivity;
+    Timestamp m_lastProgress;
     ClientCall m_call;
 };
 
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -9,6 +9,21 @@
 namespace Basilbend
 {
 
+namespace
+{
+
+/// Events of an item whose client names no limit. An endpoint in trouble may send events without end.
+constexpr std::uint64_t MaxUnlimitedEvents = 100'000;
+
+/// Whether the text has as many events as its item may have tokens; an event holds one token or more.
+bool isFull(const BatchItem &item, const ItemText &text)
+{
+    const auto limit = item.tokens > item.promptTokens ? item.tokens - item.promptTokens : MaxUnlimitedEvents;
+    return text.eventCount() >= limit;
+}
+
+}
+
 OpenBatch::OpenBatch(BatchIndex index, BatchSubmission submission, std::vector<std::string> listed)
     : m_index(std::move(index))
     , m_submission(std::move(submission))
@@ -63,9 +78,10 @@
 bool OpenBatch::addEvent(std::size_t i, std::uint64_t id, std::string data, std::uint64_t version, const BatchRules &rules)
 {
     auto &progress = m_progress[i];
-    if (version < m_submission.minimumVersion) {
+    if (version < m_submission.minimumVersion || isFull(m_submission.items[i], progress.text)) {
         return false;
     }
+    progress.fruitlessRuns = 0;
     if (rules.singleVersion && !progress.text.isOnly(version)) {
         progress.text.clear();
         return false;
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -37,6 +37,8 @@
     std::string endpoint;
     std::string avoidedEndpoint;
     Timestamp notBefore;
+    /// Runs in a row that were given up without any event.
+    int fruitlessRuns = 0;
     /// A run of it was cancelled because another endpoint was faster.
     bool hasMoved = false;
 };
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -167,10 +167,9 @@
 CallHooks RewardCalls::callHooks(std::uint64_t number)
 {
     CallHooks hooks;
-    hooks.isMine = [this, number](const ResponseHead &head) {
+    hooks.owner = [this, number](const ResponseHead &head) {
         const auto it = m_entries.find(number);
-        const auto attemptId = decodeEvidence(head).attemptId;
-        return it != m_entries.end() && (attemptId.empty() || attemptId == requestOf(it->second).id);
+        return it == m_entries.end() ? ResponseOwner::Other : ownerOf(head, requestOf(it->second).id);
     };
     hooks.onHead = [this, number](const ResponseHead &head) {
         const auto it = m_entries.find(number);
--- a/src/scheduling/runend.cpp
+++ b/src/scheduling/runend.cpp
@@ -18,6 +18,8 @@
         return "not_connected";
     case RunEnd::Broken:
         return "broken";
+    case RunEnd::Oversized:
+        return "oversized";
     }
     return "unknown";
 }
--- a/src/scheduling/runend.h
+++ b/src/scheduling/runend.h
@@ -19,6 +19,8 @@
     NotConnected,
     /// The stream was cut or is no event stream.
     Broken,
+    /// The stream holds a line or an event that is larger than any sound one.
+    Oversized,
 };
 
 /// A word for log lines and metrics.
--- a/src/weights/weightroller.cpp
+++ b/src/weights/weightroller.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+/// Larger than any report of an endpoint.
+constexpr std::size_t MaxReportBytes = 1024 * 1024;
 constexpr Milliseconds ConnectTimeout{300};
 constexpr Milliseconds AnswerTimeout{700};
 /// A change of weights takes about this long; earlier reports would say nothing.
@@ -163,6 +165,7 @@
             open->body.append(data);
         }
     };
+    hooks.maxBodyBytes = MaxReportBytes;
     auto isOpen = std::make_shared<bool>(true);
     hooks.onEnd = [this, endpoint, serial, isOpen, onEnd](CallEnd end) {
         *isOpen = false;
--- a/tests/gateway/livecall.cpp
+++ b/tests/gateway/livecall.cpp
@@ -244,4 +244,80 @@
     BOOST_TEST(status == 200);
 }
 
+// Guards against a gateway whose memory is taken by an answer without end, and against a client that waits for it.
+BOOST_FIXTURE_TEST_CASE(an_answer_without_end_is_given_up_and_another_endpoint_asked, LiveFixture)
+{
+    auto pour = std::make_shared<std::function<void(const ExchangePtr &)>>();
+    *pour = [this, pour](const ExchangePtr &exchange) {
+        if (exchange->isOpen() && exchange->pendingBytes() < 4 * 1024 * 1024) {
+            exchange->sendPart(std::string(512 * 1024, 'x'));
+        }
+        time.schedule(Milliseconds(10), [pour, exchange] {
+            if (exchange->isOpen()) {
+                (*pour)(exchange);
+            }
+        });
+    };
+    script(
+        [pour](const ExchangePtr &exchange) {
+            exchange->beginStream({200, {{"Basilbend-Attempt-Id", "r-1"}, {"Basilbend-Server-Signature", "s"}}});
+            (*pour)(exchange);
+        },
+        answerAll);
+    send("/often/1");
+    run(2500);
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST(status == 200);
+    BOOST_TEST(body == "whole");
+    BOOST_TEST(gateway->context.answers.heldBytes() <= AnswerBudget::MaxAnswerBytes);
+    time.advance(Milliseconds(5000));
+    BOOST_TEST(gateway->context.answers.heldBytes() == 0U);
+    *pour = nullptr;
+}
+
+// Guards against a stalled stream that is kept alive by a byte now and then.
+BOOST_FIXTURE_TEST_CASE(a_stream_that_sends_bytes_but_no_event_goes_on_elsewhere, LiveFixture)
+{
+    auto trickle = std::make_shared<std::function<void(const ExchangePtr &)>>();
+    *trickle = [this, trickle](const ExchangePtr &exchange) {
+        exchange->sendPart(": still here\n\n");
+        time.schedule(Milliseconds(100), [trickle, exchange] {
+            if (exchange->isOpen()) {
+                (*trickle)(exchange);
+            }
+        });
+    };
+    script(
+        [trickle](const ExchangePtr &exchange) {
+            beginEvents(exchange, 1, 2);
+            (*trickle)(exchange);
+        },
+        [](const ExchangePtr &exchange) {
+            beginEvents(exchange, 3, 4);
+            exchange->endStream();
+        });
+    send("/kept/1");
+    run(4000);
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST(body == event(1) + event(2) + event(3) + event(4));
+    *trickle = nullptr;
+}
+
+BOOST_AUTO_TEST_CASE(many_large_answers_together_leave_room_for_small_ones)
+{
+    AnswerBudget budget;
+    std::size_t held = 0;
+    for (int endpoint = 0; endpoint < 50; ++endpoint) {
+        for (std::size_t size = 0; budget.grow(size, 32 * 1024); size += 32 * 1024) {
+            held += 32 * 1024;
+        }
+    }
+    BOOST_TEST(budget.heldBytes() == held);
+    BOOST_TEST(held <= AnswerBudget::MaxHeldBytes + 50 * AnswerBudget::SmallAnswerBytes);
+    BOOST_TEST(budget.grow(0, 800));
+    budget.release(held);
+    BOOST_TEST(budget.heldBytes() == 800U);
+    BOOST_TEST(budget.grow(0, AnswerBudget::MaxAnswerBytes));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/http/hostileserver.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// A server in trouble: answers each connection's first bytes with a beginning, and then with the same part over and over until
+/// the caller closes.
+class HostileServer
+{
+public:
+    HostileServer(asio::io_context &io, std::string beginning, std::string part)
+        : m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_beginning(std::move(beginning))
+        , m_part(std::move(part))
+    {
+        accept();
+    }
+
+    asio::ip::tcp::endpoint address() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+    /// Bytes that callers have taken.
+    std::size_t sentBytes = 0;
+    int closedByCaller = 0;
+
+private:
+    struct Connection {
+        explicit Connection(asio::ip::tcp::socket from)
+            : socket(std::move(from))
+        {
+        }
+        asio::ip::tcp::socket socket;
+        std::string input = std::string(4096, 0);
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
+            if (ec) {
+                return;
+            }
+            auto connection = std::make_shared<Connection>(std::move(socket));
+            connection->socket.async_read_some(asio::buffer(connection->input), [this, connection](const asio::error_code &error, std::size_t) {
+                if (!error) {
+                    write(connection, m_beginning);
+                }
+            });
+            accept();
+        });
+    }
+
+    void write(const std::shared_ptr<Connection> &connection, const std::string &text)
+    {
+        asio::async_write(connection->socket, asio::buffer(text), [this, connection](const asio::error_code &ec, std::size_t n) {
+            sentBytes += n;
+            if (ec) {
+                ++closedByCaller;
+            } else {
+                write(connection, m_part);
+            }
+        });
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    std::string m_beginning;
+    std::string m_part;
+};
+
+}
--- a/tests/http/webpath.cpp
+++ b/tests/http/webpath.cpp
@@ -213,7 +213,7 @@
     ScriptedServer scripted(io, "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nmine");
     Outcome outcome;
     CallHooks hooks;
-    hooks.isMine = [](const ResponseHead &head) { return head.fields.value("X-Id") == "mine"; };
+    hooks.owner = [](const ResponseHead &head) { return head.fields.value("X-Id") == "mine" ? ResponseOwner::Mine : ResponseOwner::Other; };
     hooks.onBody = [&outcome](std::string_view data) { outcome.body.append(data); };
     hooks.onEnd = [&outcome](CallEnd end) { outcome.end = end; };
     const auto open = client.send(scripted.acceptor.local_endpoint(), {"GET", "/", {{"Host", "h"}}, {}}, std::move(hooks), Milliseconds(500));
--- a/tests/scheduling/openbatch.cpp
+++ b/tests/scheduling/openbatch.cpp
@@ -263,4 +263,18 @@
     BOOST_TEST(second.progress(0).text.eventCount() == 1U);
 }
 
+// Guards against an endpoint that sends events without end.
+BOOST_AUTO_TEST_CASE(an_item_takes_no_more_events_than_it_may_have_tokens)
+{
+    auto submission = makeSubmission(1, 1);
+    submission.items[0].tokens = 104;
+    submission.items[0].promptTokens = 100;
+    OpenBatch batch(makeIndex(), submission, {});
+    batch.progress(0).phase = ItemPhase::Running;
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        BOOST_TEST(batch.addEvent(0, id, "e", 5, {}));
+    }
+    BOOST_TEST(!batch.addEvent(0, 5, "e", 5, {}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
