Let half of the endpoints follow a version while items wait

With eight trainers some item of a model nearly always waits, and where places were short no endpoint followed a version while an item waited. So all were two versions behind when the next step opened, and only a fifth of the fleet may load at once.

Ruled out: slots (720 places for about 200 runs at a time), the store.

Change: while items wait, half of a model's endpoints follow; the rest only while none waits, as before.

--- a/src/weights/orderplanner.cpp
+++ b/src/weights/orderplanner.cpp
@@ -42,12 +42,11 @@
         const int urgencyB = urgency(*b, demand);
         return urgencyA != urgencyB ? urgencyA < urgencyB : a->running < b->running;
     });
-    const auto wanted = demand.isTight ? endpoints.size() : (endpoints.size() + 1) / 2;
-    const bool mayFollow = !demand.isTight || !demand.hasWaiting;
+    const auto wanted = demand.isTight && !demand.hasWaiting ? endpoints.size() : (endpoints.size() + 1) / 2;
     std::vector<std::string> orders;
     for (const auto *candidate : candidates) {
         const bool isUrgent = urgency(*candidate, demand) < 2;
-        const bool isNeeded = isUrgent || (!urgentOnly && mayFollow && current < wanted);
+        const bool isNeeded = isUrgent || (!urgentOnly && current < wanted);
         if (!isNeeded || static_cast<int>(orders.size()) >= freeLoads) {
             break;
         }
--- a/src/weights/orderplanner.h
+++ b/src/weights/orderplanner.h
@@ -35,8 +35,9 @@
 /// Chooses the endpoints that are ordered to load the published version now, most urgent first.
 /// A step allows the version before the published one, so an endpoint that is one version behind still serves the step that
 /// follows a publication. Endpoints that are further behind, or that no open batch can use, are ordered at once. Of the others
-/// half follow, so that each version finds only half of the endpoints in need of an order; where steps are short of places,
-/// all of them follow, but only while no item waits, because an endpoint that loads takes no new item of its model.
+/// half follow, so that each version finds only half of the endpoints in need of an order. Where steps are short of places all
+/// of them follow while no item waits; while items wait it stays at half, because an endpoint that loads takes no new item of
+/// its model.
 /// Returns at most freeLoads; with urgentOnly those that no step can use.
 std::vector<std::string> planOrders(const std::vector<WeightEndpoint> &endpoints, const WeightDemand &demand, int freeLoads, bool urgentOnly = false);
 
