Start nothing on knowledge of batches that is older than their bound

A saturated leader works off old events while the news of the end lies unread.

Ruled out: a lost end; both processes cancelled the run when they read it.

Change: StartRule. The feed of the batches proves its state each 1.5 s instead of 5 s.

--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -60,6 +60,7 @@
                         s.gracePeriod,
                         s.usageWindow,
                         s.usageDue,
+                        s.batchCancelBound,
                         s.leaderTurnTime);
     };
     return tie(a) == tie(b);
@@ -98,6 +99,7 @@
     settings.gracePeriod = secondsOr(reader, "grace_seconds", settings.gracePeriod);
     settings.usageWindow = secondsOr(reader, "usage_window_seconds", settings.usageWindow);
     settings.usageDue = secondsOr(reader, "usage_due_seconds", settings.usageDue);
+    settings.batchCancelBound = secondsOr(reader, "batch_cancel_seconds", settings.batchCancelBound);
     settings.leaderTurnTime = secondsOr(reader, "leader_turn_seconds", settings.leaderTurnTime);
     BOOST_OUTCOME_TRYV(reader.finish());
     return settings;
--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -34,6 +34,8 @@
     Milliseconds gracePeriod{8000};
     Milliseconds usageWindow{5000};
     Milliseconds usageDue{10000};
+    /// Nothing of a batch reaches an endpoint this long after its client has ended it.
+    Milliseconds batchCancelBound{3000};
     /// Receivers of orders must not see two leaders take turns within this time.
     Milliseconds leaderTurnTime{3000};
 };
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -7,6 +7,7 @@
 #include "platform/configurationcodec.h"
 #include "platform/operatorkeys.h"
 #include "scheduling/batchrunner.h"
+#include "scheduling/startrule.h"
 #include "weights/weightroller.h"
 
 #include <algorithm>
@@ -93,13 +94,19 @@
     {
         BatchRunnerHooks hooks;
         hooks.term = [this] { return m_election.term(); };
-        hooks.mayStart = [this] { return m_isLeading && m_election.uncertainFor() < UncertainRunTime; };
+        hooks.mayStart = [this] { return mayStart(); };
         hooks.endpoints.versionAt = [this](const EndpointRecord &endpoint, const std::string &model) { return m_weights.versionAt(endpoint, model); };
         hooks.endpoints.isLoading = [this](const std::string &endpoint, const std::string &model) { return m_weights.isLoading(endpoint, model); };
         hooks.onDemandChanged = [this] { pollWeights(); };
         return hooks;
     }
 
+    bool mayStart() const
+    {
+        const StartRule rule{m_runtime.settings().batchCancelBound};
+        return m_isLeading && m_election.uncertainFor() < UncertainRunTime && rule.mayStart(m_runner.batchesAsOf(), m_runtime.loop().now());
+    }
+
     WeightRollerHooks weightHooks()
     {
         WeightRollerHooks hooks;
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -250,7 +250,9 @@
     for (auto *batch : batchesByAge()) {
         scheduleBatch(*batch, table);
     }
-    m_rewards.poll();
+    if (m_hooks.mayStart()) {
+        m_rewards.poll();
+    }
 }
 
 std::vector<PlacementItem> BatchRunner::waitingItems(const Batch &batch) const
@@ -298,7 +300,7 @@
     }
     m_board.select(*table, *route, state.submission().model);
     std::size_t started = 0;
-    if (hasFreeSlot(table->endpoints, state.submission().minimumVersion)) {
+    if (m_hooks.mayStart() && hasFreeSlot(table->endpoints, state.submission().minimumVersion)) {
         for (const auto &assignment : assignItems(waitingItems(batch), table->endpoints)) {
             if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
                 start(batch, assignment.item, *endpoint);
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -34,7 +34,7 @@
 struct BatchRunnerHooks {
     /// Fencing token of the leadership; zero: this process does not lead.
     std::function<std::uint64_t()> term;
-    /// Whether new runs may be started.
+    /// Whether new runs may be started. Asked for each batch of a round, because a round may take long.
     std::function<bool()> mayStart;
     EndpointBoardHooks endpoints;
     /// Work has come or gone, which may change which weights are needed.
@@ -77,6 +77,12 @@
         return m_use.running(endpoint);
     }
 
+    /// The time at which what is known of the batches was current.
+    std::optional<Timestamp> batchesAsOf() const
+    {
+        return m_watch.currentAsOf();
+    }
+
     std::size_t openBatchCount() const
     {
         return m_batches.size();
--- a/src/scheduling/batchwatch.cpp
+++ b/src/scheduling/batchwatch.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-constexpr Milliseconds IndexWatchSpan{5000};
+/// Proves the state of the batches again well within the time in which an end of one must be known.
+constexpr Milliseconds IndexWatchSpan{1500};
 
 }
 
--- a/src/scheduling/batchwatch.h
+++ b/src/scheduling/batchwatch.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,6 +41,12 @@
     /// To be called from time to time.
     void poll();
 
+    /// The time at which what was told of the batches was current; nothing: not known yet.
+    std::optional<Timestamp> currentAsOf() const
+    {
+        return m_feed ? m_feed->currentAsOf() : std::nullopt;
+    }
+
 private:
     void applySnapshot(std::vector<MetadataItem> items);
     void applyIndex(const MetadataItem &item);
--- a/tests/scheduling/batchlife.cpp
+++ b/tests/scheduling/batchlife.cpp
@@ -1,6 +1,8 @@
 #include "scheduling/batchcleaner.h"
 #include "scheduling/batchloader.h"
+#include "scheduling/batchwatch.h"
 #include "scheduling/progresswriter.h"
+#include "scheduling/startrule.h"
 
 #include "batches/batchrecords.h"
 #include "election/leaderelection.h"
@@ -205,4 +207,31 @@
     BOOST_TEST(store.keysBelow("batch/").size() == 3U);
 }
 
+// Replays a leader that is behind its work, as at 300 hosts and 3,000 endpoints: the end of a batch lies unread for seconds. Guards
+// against an item that reaches an endpoint after its client has ended the batch.
+BOOST_FIXTURE_TEST_CASE(nothing_is_started_on_old_knowledge_of_the_batches, LifeFixture)
+{
+    const StartRule rule;
+    int opened = 0;
+    BatchWatch watch(store,
+                     virtualLoop(time),
+                     log,
+                     {[this] { return term; }, [&opened](const std::string &, const LoadedBatch &) { ++opened; }, [](const std::string &) {}});
+    BOOST_TEST(!rule.mayStart(watch.currentAsOf(), time.now()));
+    watch.start();
+    time.advance(Milliseconds(500));
+    BOOST_TEST(opened == 1);
+    // A quiet store proves the state again and again.
+    for (int i = 0; i < 60; ++i) {
+        time.advance(Milliseconds(100));
+        BOOST_TEST(rule.mayStart(watch.currentAsOf(), time.now()));
+    }
+    store.faults.isSilent = true;
+    time.advance(Milliseconds(2500));
+    BOOST_TEST(!rule.mayStart(watch.currentAsOf(), time.now()));
+    store.faults.isSilent = false;
+    time.advance(Milliseconds(3000));
+    BOOST_TEST(rule.mayStart(watch.currentAsOf(), time.now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
