--- a/src/metadata/feedhub.cpp
+++ b/src/metadata/feedhub.cpp
@@ -50,9 +50,12 @@
 void FeedHub::noteChange(const std::string &prefix, const MetadataItem &item)
 {
     auto &feed = m_feeds.at(prefix);
-    feed.recent.push_back(item);
+    feed.recent.push_back({item, item.value.size() > MaxValueBytes});
+    if (feed.recent.back().isLarge) {
+        feed.recent.back().item.value = {};
+    }
     if (feed.recent.size() > MaxRecentChanges) {
-        feed.recentBegin = std::max(feed.recentBegin, feed.recent.front().revision);
+        feed.recentBegin = std::max(feed.recentBegin, feed.recent.front().item.revision);
         feed.recent.pop_front();
     }
 }
@@ -130,9 +133,9 @@
     update.revision = feed.source->revision();
     update.provenAt = *feed.source->currentAsOf() - follower.arrivedAt;
     update.isReachable = feed.source->isReachable();
-    for (auto it = feed.recent.rbegin(); it != feed.recent.rend() && it->revision > follower.sentRevision; ++it) {
-        update.isIncomplete = update.isIncomplete || it->value.size() > MaxValueBytes;
-        update.items.push_back(*it);
+    for (auto it = feed.recent.rbegin(); it != feed.recent.rend() && it->item.revision > follower.sentRevision; ++it) {
+        update.isIncomplete = update.isIncomplete || it->isLarge;
+        update.items.push_back(it->item);
     }
     std::reverse(update.items.begin(), update.items.end());
     if (update.isIncomplete) {
--- a/src/metadata/feedhub.h
+++ b/src/metadata/feedhub.h
@@ -58,11 +58,17 @@
         std::uint64_t sentRevision = 0;
     };
 
+    struct RecentChange {
+        MetadataItem item;
+        /// The value is too large to be kept and sent.
+        bool isLarge = false;
+    };
+
     struct Feed {
         PrefixFeed *source = nullptr;
         /// All changes after this revision are among the recent ones.
         std::uint64_t recentBegin = 0;
-        std::deque<MetadataItem> recent;
+        std::deque<RecentChange> recent;
         std::vector<Follower> followers;
         /// Processes that have asked lately, with the time of the newest request.
         std::map<std::string, Timestamp> askers;
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -3,7 +3,6 @@
 #include "scheduling/silencerule.h"
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace Basilbend
 {
@@ -16,12 +15,8 @@
 constexpr Milliseconds RetryPause{20};
 /// Runs moved to faster endpoints at one tick.
 constexpr std::size_t MovesPerTick = 12;
-/// A run that has just begun is not moved; its first events come after its prompt was read.
-constexpr Milliseconds LeastRunTime{500};
 /// Shortest time between two rounds of placement. Under load many runs end in this time, and one round serves them all.
 constexpr Milliseconds RoundInterval{10};
-/// Waiting items looked at in one round of a batch.
-constexpr std::size_t MaxWaitingInRound = 512;
 
 }
 
@@ -107,7 +102,7 @@
 
 void BatchRunner::open(const std::string &id, LoadedBatch loaded)
 {
-    auto batch = std::make_unique<Batch>(m_log);
+    auto batch = std::make_unique<RunningBatch>(m_log);
     batch->state = std::move(loaded.batch);
     batch->openedAt = m_loop.now();
     const auto *route = routeOf(*batch->state);
@@ -176,7 +171,7 @@
     m_watch.reload(index);
 }
 
-BatchRunner::Batch *BatchRunner::find(const std::string &id)
+RunningBatch *BatchRunner::find(const std::string &id)
 {
     const auto it = m_batches.find(id);
     return it == m_batches.end() ? nullptr : it->second.get();
@@ -230,13 +225,15 @@
     });
 }
 
-std::vector<BatchRunner::Batch *> BatchRunner::batchesByAge() const
+std::vector<RunningBatch *> BatchRunner::batchesByAge() const
 {
-    std::vector<Batch *> batches;
+    std::vector<RunningBatch *> batches;
     for (const auto &[id, batch] : m_batches) {
         batches.push_back(batch.get());
     }
-    std::sort(batches.begin(), batches.end(), [](const Batch *a, const Batch *b) { return a->state->index().submittedAtMs < b->state->index().submittedAtMs; });
+    std::sort(batches.begin(), batches.end(), [](const RunningBatch *a, const RunningBatch *b) {
+        return a->state->index().submittedAtMs < b->state->index().submittedAtMs;
+    });
     return batches;
 }
 
@@ -255,34 +252,7 @@
     }
 }
 
-std::vector<PlacementItem> BatchRunner::waitingItems(const Batch &batch) const
-{
-    const auto &state = *batch.state;
-    const auto now = m_loop.now();
-    std::unordered_map<std::string, std::string> endpointOfGroup;
-    for (const auto &[item, running] : batch.running) {
-        endpointOfGroup.emplace(state.item(item).group, running.endpoint);
-    }
-    std::vector<PlacementItem> waiting;
-    for (const auto i : state.order()) {
-        const auto &progress = state.progress(i);
-        if (progress.phase != ItemPhase::Waiting || now < progress.notBefore) {
-            continue;
-        }
-        const auto group = endpointOfGroup.find(state.item(i).group);
-        waiting.push_back({i,
-                           state.submission().minimumVersion,
-                           m_use.tokenUse(runTokens(state.item(i), progress.text.eventCount())),
-                           group == endpointOfGroup.end() ? std::string() : group->second,
-                           progress.avoidedEndpoint});
-        if (waiting.size() >= MaxWaitingInRound) {
-            break;
-        }
-    }
-    return waiting;
-}
-
-void BatchRunner::scheduleBatch(Batch &batch, std::optional<EndpointTable> &table)
+void BatchRunner::scheduleBatch(RunningBatch &batch, std::optional<EndpointTable> &table)
 {
     auto &state = *batch.state;
     const auto *route = routeOf(state);
@@ -301,7 +271,7 @@
     m_board.select(*table, *route, state.submission().model);
     std::size_t started = 0;
     if (m_hooks.mayStart() && hasFreeSlot(table->endpoints, state.submission().minimumVersion)) {
-        for (const auto &assignment : assignItems(waitingItems(batch), table->endpoints)) {
+        for (const auto &assignment : assignItems(batch.waitingItems(m_use, now), table->endpoints)) {
             if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
                 start(batch, assignment.item, *endpoint);
                 ++started;
@@ -311,7 +281,7 @@
     noteWaiting(batch, waiting - started, table->endpoints);
 }
 
-void BatchRunner::noteWaiting(Batch &batch, std::size_t waiting, const std::vector<PlacementEndpoint> &endpoints)
+void BatchRunner::noteWaiting(RunningBatch &batch, std::size_t waiting, const std::vector<PlacementEndpoint> &endpoints)
 {
     const auto now = m_loop.now();
     const bool hadWaiting = batch.waiting > 0;
@@ -325,7 +295,7 @@
     }
 }
 
-void BatchRunner::start(Batch &batch, std::size_t item, const EndpointRecord &endpoint)
+void BatchRunner::start(RunningBatch &batch, std::size_t item, const EndpointRecord &endpoint)
 {
     auto &state = *batch.state;
     auto &progress = state.progress(item);
@@ -339,7 +309,7 @@
         return acceptEvent(id, item, run, event, std::move(data), version);
     };
     hooks.onEnd = [this, id, item, run](RunEnd end, int status) { acceptEnd(id, item, run, end, status); };
-    Running running;
+    OpenRun running;
     running.endpoint = endpoint.id;
     running.number = run;
     running.run = std::make_unique<ItemRun>(m_client, m_loop, endpoint, m_hooks.endpoints.versionAt(endpoint, state.submission().model), std::move(hooks));
@@ -435,7 +405,7 @@
     scheduleSoon();
 }
 
-std::optional<BatchRunner::Running> BatchRunner::takeRun(Batch &batch, std::size_t item)
+std::optional<OpenRun> BatchRunner::takeRun(RunningBatch &batch, std::size_t item)
 {
     auto node = batch.running.extract(item);
     if (node.empty()) {
@@ -445,7 +415,7 @@
     return std::move(node.mapped());
 }
 
-void BatchRunner::cancelRun(Batch &batch, std::size_t item, const char *why)
+void BatchRunner::cancelRun(RunningBatch &batch, std::size_t item, const char *why)
 {
     const auto running = takeRun(batch, item);
     if (!running) {
@@ -482,7 +452,7 @@
     });
 }
 
-void BatchRunner::tickBatch(Batch &batch)
+void BatchRunner::tickBatch(RunningBatch &batch)
 {
     const auto now = m_loop.now();
     const auto *route = routeOf(*batch.state);
@@ -496,7 +466,7 @@
     batch.progress->poll();
 }
 
-void BatchRunner::cancelSilentRuns(Batch &batch)
+void BatchRunner::cancelSilentRuns(RunningBatch &batch)
 {
     const auto now = m_loop.now();
     std::vector<std::size_t> silent;
@@ -514,21 +484,6 @@
     }
 }
 
-std::vector<MovableRun> BatchRunner::movableRuns(const Batch &batch, double usualGapMs) const
-{
-    const auto now = m_loop.now();
-    std::vector<MovableRun> runs;
-    for (const auto &[item, running] : batch.running) {
-        const double gap = m_pace.gapMs(running.endpoint, now);
-        if (running.hasEvent && gap > 0 && now - running.run->startedAt() >= LeastRunTime) {
-            const auto &progress = batch.state->progress(item);
-            const auto tokens = runTokens(batch.state->item(item), progress.text.eventCount());
-            runs.push_back({item, running.endpoint, gap / usualGapMs, m_use.remainingEvents(tokens), m_use.tokenUse(tokens), progress.hasMoved});
-        }
-    }
-    return runs;
-}
-
 void BatchRunner::moveToFasterEndpoints()
 {
     // Waiting items take free slots first, whichever batch they are of.
@@ -536,8 +491,9 @@
     if (isWaiting || m_batches.empty() || m_view.routes() == nullptr || !m_hooks.mayStart()) {
         return;
     }
-    const double usualGap = m_pace.medianGapMs(m_loop.now());
-    auto table = m_board.tableAt(m_loop.now());
+    const auto now = m_loop.now();
+    const double usualGap = m_pace.medianGapMs(now);
+    auto table = m_board.tableAt(now);
     std::size_t left = MovesPerTick;
     for (auto *batch : batchesByAge()) {
         const auto *route = routeOf(*batch->state);
@@ -546,7 +502,7 @@
         }
         const auto &submission = batch->state->submission();
         m_board.select(table, *route, submission.model);
-        const auto moves = planMoves(movableRuns(*batch, usualGap), table.endpoints, usualGap, submission.minimumVersion, left);
+        const auto moves = planMoves(batch->movableRuns(m_use, m_pace, usualGap, now), table.endpoints, usualGap, submission.minimumVersion, left);
         left -= moves.size();
         for (const auto &move : moves) {
             moveRun(*batch, move);
@@ -554,7 +510,7 @@
     }
 }
 
-void BatchRunner::moveRun(Batch &batch, const RunMove &move)
+void BatchRunner::moveRun(RunningBatch &batch, const RunMove &move)
 {
     cancelRun(batch, move.item, "faster_elsewhere");
     batch.state->progress(move.item).hasMoved = true;
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -11,15 +11,9 @@
 #include "scheduling/endpointboard.h"
 #include "scheduling/endpointpace.h"
 #include "scheduling/endpointuse.h"
-#include "scheduling/itemrun.h"
 #include "scheduling/kepttexts.h"
-#include "scheduling/openbatch.h"
-#include "scheduling/placement.h"
-#include "scheduling/progresswriter.h"
-#include "scheduling/resultwriter.h"
 #include "scheduling/rewardcalls.h"
-#include "scheduling/runmoves.h"
-#include "scheduling/waitlog.h"
+#include "scheduling/runningbatch.h"
 
 #include <functional>
 #include <map>
@@ -89,30 +83,6 @@
     }
 
 private:
-    struct Running {
-        std::unique_ptr<ItemRun> run;
-        std::string endpoint;
-        Timestamp lastEventAt;
-        bool hasEvent = false;
-        /// Number of the run, as in ItemProgress::run.
-        std::uint64_t number = 0;
-    };
-
-    struct Batch {
-        explicit Batch(EventLog &log)
-            : waitLog(log)
-        {
-        }
-
-        std::shared_ptr<OpenBatch> state;
-        std::shared_ptr<ResultWriter> writer;
-        std::shared_ptr<ProgressWriter> progress;
-        std::map<std::size_t, Running> running;
-        Timestamp openedAt;
-        std::size_t waiting = 0;
-        WaitLog waitLog;
-    };
-
     void open(const std::string &id, LoadedBatch loaded);
     void close(const std::string &id);
     void reload(const std::string &id);
@@ -121,15 +91,13 @@
     void scheduleSoon();
     void schedule();
     /// Takes a run out; its connection closes when the returned value is destroyed.
-    std::optional<Running> takeRun(Batch &batch, std::size_t item);
+    std::optional<OpenRun> takeRun(RunningBatch &batch, std::size_t item);
     /// The batches in the order of their submission.
-    std::vector<Batch *> batchesByAge() const;
-    /// The items of a batch that may start now, most urgent first.
-    std::vector<PlacementItem> waitingItems(const Batch &batch) const;
+    std::vector<RunningBatch *> batchesByAge() const;
     /// Starts what may start; table: the endpoints in this round, gathered when the first batch needs them.
-    void scheduleBatch(Batch &batch, std::optional<EndpointTable> &table);
-    void noteWaiting(Batch &batch, std::size_t waiting, const std::vector<PlacementEndpoint> &endpoints);
-    void start(Batch &batch, std::size_t item, const EndpointRecord &endpoint);
+    void scheduleBatch(RunningBatch &batch, std::optional<EndpointTable> &table);
+    void noteWaiting(RunningBatch &batch, std::size_t waiting, const std::vector<PlacementEndpoint> &endpoints);
+    void start(RunningBatch &batch, std::size_t item, const EndpointRecord &endpoint);
     bool acceptEvent(const std::string &batch, std::size_t item, std::uint64_t run, std::uint64_t id, std::string data, std::uint64_t version);
     void acceptEnd(const std::string &batch, std::size_t item, std::uint64_t run, RunEnd end, int status);
 
@@ -138,16 +106,15 @@
     void pollResults(const std::string &batch);
 
     void tick();
-    void tickBatch(Batch &batch);
-    void cancelRun(Batch &batch, std::size_t item, const char *why);
-    void cancelSilentRuns(Batch &batch);
+    void tickBatch(RunningBatch &batch);
+    void cancelRun(RunningBatch &batch, std::size_t item, const char *why);
+    void cancelSilentRuns(RunningBatch &batch);
     /// Moves long samples to faster endpoints once nothing waits for a place.
     void moveToFasterEndpoints();
-    std::vector<MovableRun> movableRuns(const Batch &batch, double usualGapMs) const;
-    void moveRun(Batch &batch, const RunMove &move);
+    void moveRun(RunningBatch &batch, const RunMove &move);
     const RouteRule *routeOf(const OpenBatch &batch) const;
     static BatchRules rulesOf(const RouteRule &route);
-    Batch *find(const std::string &id);
+    RunningBatch *find(const std::string &id);
 
     EventLoop m_loop;
     EventLog &m_log;
@@ -158,7 +125,7 @@
     SystemView &m_view;
     BatchRunnerHooks m_hooks;
     BatchWatch m_watch;
-    std::map<std::string, std::unique_ptr<Batch>> m_batches;
+    std::map<std::string, std::unique_ptr<RunningBatch>> m_batches;
     KeptTexts m_kept;
     EndpointUse m_use;
     BatchDemand m_demand;
--- /dev/null
+++ b/src/scheduling/runningbatch.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "scheduling/endpointpace.h"
+#include "scheduling/endpointuse.h"
+#include "scheduling/itemrun.h"
+#include "scheduling/openbatch.h"
+#include "scheduling/placement.h"
+#include "scheduling/progresswriter.h"
+#include "scheduling/resultwriter.h"
+#include "scheduling/runmoves.h"
+#include "scheduling/waitlog.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// A run of one item that is under way.
+struct OpenRun {
+    std::unique_ptr<ItemRun> run;
+    std::string endpoint;
+    Timestamp lastEventAt;
+    bool hasEvent = false;
+    /// Number of the run, as in ItemProgress::run.
+    std::uint64_t number = 0;
+};
+
+/// An open batch with its runs and with what writes its results and its progress.
+struct RunningBatch {
+    explicit RunningBatch(EventLog &log)
+        : waitLog(log)
+    {
+    }
+
+    /// The items that may start now, most urgent first, at most MaxWaitingInRound.
+    std::vector<PlacementItem> waitingItems(const EndpointUse &use, Timestamp now) const;
+
+    /// The runs that have gone on for long enough to be moved. UsualGap: the usual time between two events, in ms.
+    std::vector<MovableRun> movableRuns(const EndpointUse &use, const EndpointPace &pace, double usualGapMs, Timestamp now) const;
+
+    std::shared_ptr<OpenBatch> state;
+    std::shared_ptr<ResultWriter> writer;
+    std::shared_ptr<ProgressWriter> progress;
+    std::map<std::size_t, OpenRun> running;
+    Timestamp openedAt;
+    /// Items that waited for a place after the last round.
+    std::size_t waiting = 0;
+    WaitLog waitLog;
+
+    /// Waiting items looked at in one round of placement.
+    static constexpr std::size_t MaxWaitingInRound = 512;
+};
+
+}
