--- a/src/gateway/answerbudget.h
+++ b/src/gateway/answerbudget.h
@@ -12,7 +12,7 @@
 public:
     /// Largest answer that is held.
     static constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
-    /// All answers together. Entry hosts have 88 MB and more.
+    /// All answers together; a small part of the memory of the smallest entry host.
     static constexpr std::size_t MaxHeldBytes = 16 * 1024 * 1024;
     /// An answer up to this size is always held.
     static constexpr std::size_t SmallAnswerBytes = 64 * 1024;
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -19,7 +19,8 @@
 constexpr int EndpointTimeoutStatus = 504;
 /// Pause before full endpoints are asked again.
 constexpr Milliseconds RoomPause{20};
-/// A resumable stream without a new event for this long goes on elsewhere; other bytes are no progress. Clients leave a stream after a gap of two seconds.
+/// A resumable stream without a new event for this long goes on elsewhere; other bytes are no progress. Clients leave a stream
+/// after a gap of two seconds.
 constexpr Milliseconds StreamSilenceLimit{1000};
 constexpr Milliseconds SilenceCheckInterval{100};
 /// A stream whose client takes nothing is ended above this.
--- a/src/metadata/feedhub.h
+++ b/src/metadata/feedhub.h
@@ -70,7 +70,7 @@
         std::uint64_t recentBegin = 0;
         std::deque<RecentChange> recent;
         std::vector<Follower> followers;
-        /// Processes that have asked lately, with the time of the newest request.
+        /// Processes that have lately asked to follow, with the time of the newest request.
         std::map<std::string, Timestamp> askers;
     };
 
