Refuse a followed update with a spoilt value, log texts without a route

A test with a spoilt value failed before. A text whose scorer no route leads to waited without a log line; reward_unrouted tells it once.

--- a/src/metadata/feedupdate.cpp
+++ b/src/metadata/feedupdate.cpp
@@ -3,6 +3,7 @@
 #include "net/base64.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace Basilbend
 {
@@ -17,11 +18,16 @@
     return {{"key", item.key}, {"value", toBase64(item.value)}, {"revision", item.revision}, {"removed", item.isRemoval}};
 }
 
-MetadataItem decodeItem(const json &object)
+/// Nothing: the value is not base64.
+std::optional<MetadataItem> decodeItem(const json &object)
 {
+    const auto value = fromBase64(object.at("value").get<std::string>());
+    if (!value) {
+        return std::nullopt;
+    }
     MetadataItem item;
     item.key = object.at("key").get<std::string>();
-    item.value = fromBase64(object.at("value").get<std::string>()).value_or(std::string());
+    item.value = *value;
     item.revision = object.at("revision").get<std::uint64_t>();
     item.isRemoval = object.at("removed").get<bool>();
     return item;
@@ -52,8 +58,12 @@
         update.provenAt = Milliseconds(object.at("proven_at_ms").get<std::int64_t>());
         update.isIncomplete = object.at("incomplete").get<bool>();
         update.isReachable = object.at("reachable").get<bool>();
-        for (const auto &item : object.at("items")) {
-            update.items.push_back(decodeItem(item));
+        for (const auto &entry : object.at("items")) {
+            auto item = decodeItem(entry);
+            if (!item) {
+                return Error{ResultCode::MalformedRequest, "a value is not base64"};
+            }
+            update.items.push_back(std::move(*item));
         }
         return update;
     } catch (const json::exception &error) {
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -107,8 +107,10 @@
         }
         const auto *route = routeOf(entry);
         if (route == nullptr) {
+            logUnrouted(entry);
             continue;
         }
+        entry.isUnroutedLogged = false;
         const auto &service = chooseService(*route, m_context.random);
         if (busyServices.count(service) > 0) {
             continue;
@@ -283,4 +285,18 @@
                            {"after_ms", m_context.loop.now() - entry.sentAt}});
 }
 
+void RewardCalls::logUnrouted(Entry &entry) const
+{
+    if (entry.isUnroutedLogged) {
+        return;
+    }
+    entry.isUnroutedLogged = true;
+    m_context.log.warning("reward_unrouted",
+                          {{"batch", entry.batch->index().id},
+                           {"item", entry.batch->item(entry.item).id},
+                           {"reward", requestOf(entry).id},
+                           {"host", requestOf(entry).host},
+                           {"path", requestOf(entry).path}});
+}
+
 }
--- a/src/scheduling/rewardcalls.h
+++ b/src/scheduling/rewardcalls.h
@@ -83,6 +83,8 @@
         std::set<std::string> failedAt;
         Timestamp notBefore;
         bool isOpen = false;
+        /// It has been logged that no route leads to its service.
+        bool isUnroutedLogged = false;
         std::string endpoint;
         Timestamp sentAt;
         EndpointEvidence evidence;
@@ -108,6 +110,7 @@
     void notePace(const Entry &entry, CallEnd end, TryOutcome outcome);
     void retry(std::uint64_t number, Entry &entry, TryOutcome outcome);
     void logFailure(const Entry &entry, std::string_view end) const;
+    void logUnrouted(Entry &entry) const;
 
     RewardContext m_context;
     RewardHooks m_hooks;
--- a/tests/metadata/feedhub.cpp
+++ b/tests/metadata/feedhub.cpp
@@ -281,6 +281,10 @@
     BOOST_TEST(decoded.value().items.at(1).isRemoval);
     BOOST_TEST(decodeFeedUpdate("{}").has_error());
     BOOST_TEST(decodeFeedUpdate("no json").has_error());
+    // A spoilt value must not look like an empty one: it would drop an endpoint or a configuration.
+    auto spoilt = encodeFeedUpdate(update);
+    spoilt.replace(spoilt.find("\"value\":\"") + 9, 2, "??");
+    BOOST_TEST(decodeFeedUpdate(spoilt).has_error());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
