Refuse an update of a followed feed that does not continue what is known

Cause: a gateway that follows another one's feed could miss a configuration for good and still count its copy as proven, so it would have honoured a withdrawn key. Two ways, each shown by a test that failed before: - An update that leaves out a large value made the follower leave from the loop; the next update was often in the same bytes and was still taken. It moved the position past the value, and the watch then began behind it. - The pages of a hub's listing may show changes newer than its position. They are not told again, so a follower that joined between the two never got them. Ruled out: lost answers of the store and deaf watches (the position moves only when confirmed); the age of late lines (it is counted from the request). Change: an update names the revision that it continues, and a follower that knows less leaves for the store. A hub counts its recent changes from the newest one that its listing showed, and drops a follower that is behind them. The fake store ends a watch without an answer when it was away while something changed; it used to claim that nothing had.

--- a/src/metadata/feedhub.cpp
+++ b/src/metadata/feedhub.cpp
@@ -40,7 +40,8 @@
 {
     auto &feed = m_feeds.at(prefix);
     feed.recent.clear();
-    feed.recentBegin = feed.source->revision();
+    // Later pages may have shown changes that are newer than the position, and that are not told once more.
+    feed.recentBegin = feed.source->toldRevision();
     for (const auto &follower : feed.followers) {
         follower.exchange->abort();
     }
@@ -129,7 +130,13 @@
         follower.exchange->abort();
         return;
     }
+    if (follower.sentRevision < feed.recentBegin) {
+        m_log.warning("follower_behind", {{"follower", follower.node}, {"sent", follower.sentRevision}, {"kept_after", feed.recentBegin}});
+        follower.exchange->abort();
+        return;
+    }
     FeedUpdate update;
+    update.after = follower.sentRevision;
     update.revision = feed.source->revision();
     update.provenAt = *feed.source->currentAsOf() - follower.arrivedAt;
     update.isReachable = feed.source->isReachable();
--- a/src/metadata/feedupdate.cpp
+++ b/src/metadata/feedupdate.cpp
@@ -41,7 +41,8 @@
     for (const auto &item : update.items) {
         items.push_back(itemObject(item));
     }
-    return json{{"revision", update.revision},
+    return json{{"after", update.after},
+                {"revision", update.revision},
                 {"proven_at_ms", update.provenAt.count()},
                 {"incomplete", update.isIncomplete},
                 {"reachable", update.isReachable},
@@ -54,6 +55,7 @@
     try {
         const auto object = json::parse(line);
         FeedUpdate update;
+        update.after = object.at("after").get<std::uint64_t>();
         update.revision = object.at("revision").get<std::uint64_t>();
         update.provenAt = Milliseconds(object.at("proven_at_ms").get<std::int64_t>());
         update.isIncomplete = object.at("incomplete").get<bool>();
--- a/src/metadata/feedupdate.h
+++ b/src/metadata/feedupdate.h
@@ -12,6 +12,9 @@
 
 /// What a process tells those that follow its copy of a key prefix.
 struct FeedUpdate {
+    /// The update continues this revision: it holds all changes after it, up to the revision below. A receiver that knows less
+    /// has missed an update.
+    std::uint64_t after = 0;
     /// Changes since the update before, in order.
     std::vector<MetadataItem> items;
     /// Everything up to this revision has been told.
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -163,6 +163,15 @@
     }
 }
 
+std::uint64_t PrefixFeed::toldRevision() const
+{
+    auto newest = m_revision;
+    for (const auto &[key, revision] : m_toldRevisions) {
+        newest = std::max(newest, revision);
+    }
+    return newest;
+}
+
 void PrefixFeed::tell(const std::vector<MetadataItem> &items)
 {
     for (const auto &item : items) {
@@ -210,13 +219,14 @@
     if (!m_isFollowing) {
         return;
     }
+    if (update.after > m_revision) {
+        // An update before this one was left out or could not be read. Its changes must come from the store.
+        leaveSoon(false);
+        return;
+    }
     if (update.isIncomplete || !update.isReachable) {
         // The store has the change, or must be asked whether it is there.
-        m_loop.runAfter(Milliseconds(0), [this, following = m_following, failed = !update.isReachable] {
-            if (m_isFollowing && following == m_following) {
-                leave(failed);
-            }
-        });
+        leaveSoon(!update.isReachable);
         return;
     }
     tell(update.items);
@@ -239,6 +249,15 @@
     });
 }
 
+void PrefixFeed::leaveSoon(bool failed)
+{
+    m_loop.runAfter(Milliseconds(0), [this, following = m_following, failed] {
+        if (m_isFollowing && following == m_following) {
+            leave(failed);
+        }
+    });
+}
+
 void PrefixFeed::leave(bool failed)
 {
     m_isFollowing = false;
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -64,6 +64,9 @@
         return m_revision;
     }
 
+    /// The newest change that has been told; a listing may show changes that are newer than its position.
+    std::uint64_t toldRevision() const;
+
     /// Watches the store itself.
     bool isDirect() const
     {
@@ -98,6 +101,8 @@
     void follow();
     void acceptUpdate(const FeedUpdate &update, Timestamp asOf);
     void checkFollowed(std::uint64_t following);
+    /// Leaves the followed feed from the loop, because its connection may be what calls.
+    void leaveSoon(bool failed);
     void leave(bool failed);
     void retryAfterFailure(std::function<void()> step);
     void noteSuccess();
--- a/tests/metadata/fakemetadatastore.cpp
+++ b/tests/metadata/fakemetadatastore.cpp
@@ -74,7 +74,13 @@
 
 void FakeMetadataStore::notifyWatchers()
 {
-    if (isDown() || faults.watchesAreDeaf) {
+    if (isDown()) {
+        for (const auto &watcher : m_watchers) {
+            watcher->isCut = true;
+        }
+        return;
+    }
+    if (faults.watchesAreDeaf) {
         return;
     }
     m_watchers.erase(std::remove_if(m_watchers.begin(), m_watchers.end(), [](const auto &watcher) { return !watcher->isOpen; }), m_watchers.end());
@@ -96,7 +102,7 @@
     }
     watcher->isOpen = false;
     MetadataReply reply;
-    if (!isDown()) {
+    if (!isDown() && !watcher->isCut) {
         reply.status = MetadataStatus::Done;
         reply.revision = m_revision;
     }
@@ -205,7 +211,7 @@
         answer(std::move(callback), std::move(reply));
         return;
     }
-    auto watcher = std::make_shared<Watcher>(Watcher{prefix, afterRevision, std::move(callback), true});
+    auto watcher = std::make_shared<Watcher>(Watcher{prefix, afterRevision, std::move(callback), true, false});
     m_watchers.push_back(watcher);
     m_time.schedule(span, [this, watcher] { endWatch(watcher); });
 }
--- a/tests/metadata/fakemetadatastore.h
+++ b/tests/metadata/fakemetadatastore.h
@@ -67,6 +67,8 @@
         std::uint64_t after = 0;
         Callback callback;
         bool isOpen = true;
+        /// The store was away while something changed; such a watch ends without an answer.
+        bool isCut = false;
     };
 
     void answer(Callback callback, MetadataReply reply);
--- /dev/null
+++ b/tests/metadata/feedcontinuity.cpp
@@ -0,0 +1,268 @@
+#include "base/random.h"
+#include "metadata/feedprocess.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+using namespace Basilbend;
+
+namespace
+{
+
+/// What the store held at each time, to compare copies with.
+class StoreHistory
+{
+public:
+    void note(Timestamp at, const std::string &key, std::optional<std::string> value)
+    {
+        m_changes[key].push_back({at, std::move(value)});
+    }
+
+    /// Whether the value is the one that the key had at that time, or a later one.
+    bool wasValueSince(const std::string &key, Timestamp at, const std::optional<std::string> &value) const
+    {
+        const auto &changes = m_changes.at(key);
+        for (std::size_t i = 0; i < changes.size(); ++i) {
+            const bool isOver = i + 1 < changes.size() && changes[i + 1].at < at;
+            if (!isOver && changes[i].value == value) {
+                return true;
+            }
+        }
+        return !value && changes.front().at >= at;
+    }
+
+    std::vector<std::string> keys() const
+    {
+        std::vector<std::string> keys;
+        for (const auto &[key, changes] : m_changes) {
+            keys.push_back(key);
+        }
+        return keys;
+    }
+
+private:
+    struct Change {
+        Timestamp at;
+        std::optional<std::string> value;
+    };
+
+    std::map<std::string, std::vector<Change>> m_changes;
+};
+
+std::optional<std::string> valueIn(const std::map<std::string, std::string> &copy, const std::string &key)
+{
+    const auto it = copy.find(key);
+    return it == copy.end() ? std::nullopt : std::optional<std::string>(it->second);
+}
+
+/// Followers of one process while keys change in random order, sizes and pauses, and the hub lists anew, is paused or loses the
+/// store.
+class ContinuityRun : public FleetFixture
+{
+public:
+    explicit ContinuityRun(std::uint64_t seed)
+        : m_random(seed)
+        , m_seed(seed)
+    {
+        store.pageItems = 2 + m_random.below(4);
+        addFollowers(FeedHub::LeastFollowers + 1);
+    }
+
+    void play(int steps)
+    {
+        run(5000);
+        for (int i = 0; i < steps; ++i) {
+            step();
+            checkClaims();
+        }
+        hub->isSilent = false;
+        store.faults = {};
+        run(8000);
+        checkClaims();
+        for (const auto &process : followers) {
+            BOOST_TEST(process->copy == hub->copy, "seed " << m_seed << ": a copy differs in the end");
+        }
+    }
+
+private:
+    void step()
+    {
+        switch (m_random.below(12)) {
+        case 0:
+            hub->feed.start();
+            break;
+        case 1:
+            hub->isSilent = !hub->isSilent;
+            break;
+        case 2:
+            store.faults.isSilent = !store.faults.isSilent && m_random.below(3) == 0;
+            break;
+        case 3:
+            erase();
+            break;
+        default:
+            put();
+        }
+        advance();
+    }
+
+    std::string anyKey()
+    {
+        return "op/" + std::to_string(m_random.below(9));
+    }
+
+    void put()
+    {
+        const auto key = anyKey();
+        auto value = std::to_string(++m_lastValue);
+        if (m_random.below(4) == 0) {
+            value.append(FeedHub::MaxValueBytes, 'x');
+        }
+        store.put(key, value);
+        m_history.note(time.now(), key, value);
+    }
+
+    void erase()
+    {
+        const auto key = anyKey();
+        if (store.peek(key) != nullptr) {
+            store.erase(key);
+            m_history.note(time.now(), key, std::nullopt);
+        }
+    }
+
+    /// Time passes with or without deliveries in between, so that lines arrive one by one, joined or cut.
+    void advance()
+    {
+        switch (m_random.below(3)) {
+        case 0:
+            time.advance(Milliseconds(1 + m_random.below(12)));
+            if (m_random.below(2) == 0) {
+                deliver();
+            }
+            break;
+        case 1:
+            run(10 + static_cast<int>(m_random.below(60)));
+            break;
+        default:
+            run(10 + static_cast<int>(m_random.below(900)));
+        }
+    }
+
+    void checkClaims()
+    {
+        for (const auto &process : followers) {
+            const auto asOf = process->feed.currentAsOf();
+            if (!asOf) {
+                continue;
+            }
+            for (const auto &key : m_history.keys()) {
+                const auto held = valueIn(process->copy, key);
+                BOOST_REQUIRE_MESSAGE(m_history.wasValueSince(key, *asOf, held),
+                                      "seed " << m_seed << ": " << key << " is older than the copy claims to be, " << (time.now() - *asOf).count() << " ms");
+            }
+        }
+    }
+
+    Random m_random;
+    std::uint64_t m_seed;
+    StoreHistory m_history;
+    std::uint64_t m_lastValue = 0;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(metadata, *boost::unit_test::label("metadata"))
+
+// Guards against a change that the pages of the hub's own listing showed and that it therefore never tells its followers.
+BOOST_FIXTURE_TEST_CASE(a_follower_from_before_a_listing_is_refused_what_only_the_listing_showed, FleetFixture)
+{
+    store.pageItems = 2;
+    for (const auto *key : {"op/a", "op/b", "op/c", "op/d", "op/e"}) {
+        store.put(key, "1");
+    }
+    addFollowers(6);
+    run(15000);
+    BOOST_REQUIRE(following() == 6U);
+    const auto before = hub->feed.revision();
+    hub->feed.start();
+    time.advance(Milliseconds(6));
+    store.put("op/z", "1");
+    run(8000);
+    BOOST_REQUIRE(following() == 6U);
+    EventLog log{EventLogSettings(), [this] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); }};
+    WebClient client(io, [this] { return time.now(); });
+    FeedFollower follower(client, virtualLoop(time), log, {hub->address()}, "late");
+    bool isTold = false;
+    bool isRefused = false;
+    const auto noteUpdate = [&isTold](const FeedUpdate &update, Timestamp) {
+        isTold = isTold || std::any_of(update.items.begin(), update.items.end(), [](const MetadataItem &item) { return item.key == "op/z"; });
+    };
+    follower.start(FollowedPrefix, before, {noteUpdate, [&isRefused] { isRefused = true; }});
+    run(2000);
+    BOOST_TEST((isTold || isRefused));
+    follower.stop(false);
+}
+
+/// A process that follows a peer whose lines the test writes.
+struct ScriptedHubFixture : FleetFixture {
+    std::shared_ptr<ServerExchange> exchange;
+    WebServer server{io, "127.0.0.1:0", plainServerHooks([this](const std::shared_ptr<ServerExchange> &asked) {
+                         exchange = asked;
+                         asked->beginStream({200, {}});
+                     })};
+    FeedProcess process{io, time, store, "n", {"127.0.0.1:" + std::to_string(server.port())}};
+
+    ScriptedHubFixture()
+    {
+        run(100);
+        BOOST_REQUIRE(exchange);
+        BOOST_REQUIRE(!process.feed.isDirect());
+    }
+};
+
+// Guards against a large configuration that a follower never gets because the next update was in the same bytes: it would
+// honour a withdrawn key and refuse a new one until its next listing.
+BOOST_FIXTURE_TEST_CASE(a_large_value_is_not_passed_over_when_the_next_update_comes_with_it, ScriptedHubFixture)
+{
+    const std::string large(FeedHub::MaxValueBytes + 1, 'x');
+    store.put("op/config", large);
+    FeedUpdate withoutLarge;
+    withoutLarge.after = process.feed.revision();
+    withoutLarge.revision = withoutLarge.after + 1;
+    withoutLarge.isIncomplete = true;
+    FeedUpdate next;
+    next.after = withoutLarge.revision;
+    next.revision = next.after + 1;
+    next.items.push_back({"op/other", "1", next.revision, 0, 0, false});
+    store.put("op/other", "1");
+    exchange->sendPart(encodeFeedUpdate(withoutLarge) + "\n" + encodeFeedUpdate(next) + "\n");
+    run(1000);
+    BOOST_TEST((process.copy["op/config"] == large));
+    BOOST_TEST(process.copy["op/other"] == "1");
+}
+
+// Guards against an update that a follower takes although one before it is missing.
+BOOST_FIXTURE_TEST_CASE(a_follower_leaves_when_an_update_does_not_continue_what_it_knows, ScriptedHubFixture)
+{
+    store.put("op/a", "1");
+    FeedUpdate update;
+    update.after = process.feed.revision() + 1;
+    update.revision = update.after + 1;
+    update.provenAt = Milliseconds(90);
+    update.items.push_back({"op/b", "2", update.revision, 0, 0, false});
+    exchange->sendPart(encodeFeedUpdate(update) + "\n");
+    run(50);
+    BOOST_TEST(process.copy.count("op/b") == 0U);
+    BOOST_TEST(process.copy.count("op/a") == 1U);
+}
+
+// Guards against any hole between hub and follower: a copy that claims an age must equal the store's state at that time.
+BOOST_AUTO_TEST_CASE(a_copy_is_never_older_than_it_claims)
+{
+    for (std::uint64_t seed = 1; seed <= 120; ++seed) {
+        ContinuityRun(seed).play(120);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/metadata/feedhub.cpp
+++ b/tests/metadata/feedhub.cpp
@@ -1,123 +1,12 @@
 #include "metadata/feedhub.h"
 
-#include "http/webserver.h"
-#include "metadata/fakemetadatastore.h"
+#include "metadata/feedprocess.h"
 
-#include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
-#include <deque>
 #include <optional>
 
 using namespace Basilbend;
 
-namespace
-{
-
-constexpr const char *Prefix = "op/";
-
-/// A process with one feed: it may be followed, and follows the peers that it is given.
-struct FeedProcess {
-    FeedProcess(asio::io_context &io, VirtualTime &time, MetadataStore &store, const std::string &name, std::vector<std::string> peers)
-        : log(
-            EventLogSettings(), [&time] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); })
-        , client(io, [&time] { return time.now(); })
-        , hub(virtualLoop(time), log)
-        , feed(store, virtualLoop(time), Prefix, Milliseconds(2500), hooks())
-        , server(io, "127.0.0.1:0", plainServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
-                     if (!isSilent) {
-                         hub.serve(exchange);
-                     }
-                 }))
-    {
-        hub.add(Prefix, feed);
-        feed.setFollower(std::make_unique<FeedFollower>(client, virtualLoop(time), log, std::move(peers), name));
-        feed.start();
-    }
-
-    PrefixFeedHooks hooks()
-    {
-        PrefixFeedHooks result;
-        result.onSnapshot = [this](const std::vector<MetadataItem> &items) {
-            copy.clear();
-            for (const auto &item : items) {
-                copy[item.key] = item.value;
-            }
-            hub.noteSnapshot(Prefix);
-        };
-        result.onChange = [this](const MetadataItem &item) {
-            if (item.isRemoval) {
-                copy.erase(item.key);
-            } else {
-                copy[item.key] = item.value;
-            }
-            hub.noteChange(Prefix, item);
-        };
-        result.onReachable = [](bool) {};
-        result.onAdvanced = [this] {
-            if (!isSilent) {
-                hub.noteCurrent(Prefix);
-            }
-        };
-        return result;
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(server.port());
-    }
-
-    EventLog log;
-    WebClient client;
-    FeedHub hub;
-    PrefixFeed feed;
-    WebServer server;
-    std::map<std::string, std::string> copy;
-    /// Answers and tells nothing, as a process that is paused.
-    bool isSilent = false;
-};
-
-struct FleetFixture {
-    asio::io_context io;
-    VirtualTime time{Timestamp(1'000'000)};
-    FakeMetadataStore store{time};
-    std::unique_ptr<FeedProcess> hub = std::make_unique<FeedProcess>(io, time, store, "hub", std::vector<std::string>());
-    std::deque<std::unique_ptr<FeedProcess>> followers;
-
-    void addFollowers(std::size_t n)
-    {
-        for (std::size_t i = 0; i < n; ++i) {
-            followers.push_back(std::make_unique<FeedProcess>(io, time, store, "follower-" + std::to_string(i), std::vector<std::string>{hub->address()}));
-        }
-    }
-
-    void run(int ms)
-    {
-        for (int i = 0; i < ms; i += 10) {
-            io.restart();
-            io.poll();
-            time.advance(Milliseconds(10));
-            io.restart();
-            io.poll();
-        }
-    }
-
-    std::size_t following() const
-    {
-        return static_cast<std::size_t>(std::count_if(followers.begin(), followers.end(), [](const auto &process) { return !process->feed.isDirect(); }));
-    }
-
-    Milliseconds oldest() const
-    {
-        Milliseconds oldest{0};
-        for (const auto &process : followers) {
-            oldest = std::max(oldest, time.now() - *process->feed.currentAsOf());
-        }
-        return oldest;
-    }
-};
-
-}
-
 BOOST_AUTO_TEST_SUITE(metadata, *boost::unit_test::label("metadata"))
 
 // Replays a fleet of 40 processes. Guards against store calls that grow with the fleet: the store counts each waiting watch.
@@ -182,7 +71,7 @@
     BOOST_REQUIRE(following() == 6U);
     hub->feed.stop();
     hub->server.stopAccepting();
-    hub->hub.noteSnapshot(Prefix);
+    hub->hub.noteSnapshot(FollowedPrefix);
     store.put("op/config", "new");
     run(200);
     for (const auto &process : followers) {
@@ -251,7 +140,7 @@
     FeedFollower follower(client, virtualLoop(time), log, {"127.0.0.1:" + std::to_string(server.port())}, "n");
     std::optional<Timestamp> asOf;
     const auto sentAt = time.now();
-    follower.start(Prefix, 0, {[&asOf](const FeedUpdate &, Timestamp at) { asOf = at; }, [] {}});
+    follower.start(FollowedPrefix, 0, {[&asOf](const FeedUpdate &, Timestamp at) { asOf = at; }, [] {}});
     run(50);
     FeedUpdate update;
     update.provenAt = Milliseconds(40);
