Send nothing more to an endpoint that says in an answer that it leaves

Cause: endpoints that leave set Server-Leaving in all their answers, and requests must stop from the moment when an answer has said so, whether or not the store is reached. Nothing read the field; only the registry counted. Ruled out: that the registry is enough. It lags by up to 0.8 s, longer in an outage, and some endpoints never register that they drain. The registry keeps the endpoint as draining until it starts anew (another start time), also when its heartbeats still say ready and after a new listing. A 421 comes from another endpoint at the address and does not count.

--- a/src/catalog/endpointregistry.cpp
+++ b/src/catalog/endpointregistry.cpp
@@ -7,7 +7,31 @@
 
 void EndpointRegistry::put(const EndpointRecord &record)
 {
-    m_entries[record.id] = {record, std::nullopt};
+    auto &entry = m_entries[record.id];
+    entry = {record, std::nullopt};
+    const auto it = m_leaving.find(record.id);
+    if (it == m_leaving.end()) {
+        return;
+    }
+    if (it->second == record.startedAtMs) {
+        entry.record.isDraining = true;
+    } else {
+        m_leaving.erase(it);
+    }
+}
+
+bool EndpointRegistry::noteLeaving(const std::string &id, std::int64_t startedAtMs)
+{
+    const auto it = m_entries.find(id);
+    const bool isOlderStart = it != m_entries.end() && it->second.record.startedAtMs != startedAtMs;
+    if (isOlderStart) {
+        return false;
+    }
+    const bool isNews = m_leaving.insert_or_assign(id, startedAtMs).second;
+    if (it != m_entries.end()) {
+        it->second.record.isDraining = true;
+    }
+    return isNews;
 }
 
 bool EndpointRegistry::holdsRemovals(Timestamp now) const
--- a/src/catalog/endpointregistry.h
+++ b/src/catalog/endpointregistry.h
@@ -18,6 +18,10 @@
     /// Adds or replaces an entry.
     void put(const EndpointRecord &record);
 
+    /// An endpoint has said in an answer that it is about to leave: it counts as draining until it starts anew, whatever the
+    /// metadata store still says. Returns whether that is news.
+    bool noteLeaving(const std::string &id, std::int64_t startedAtMs);
+
     /// An entry is gone, or no longer readable.
     void remove(const std::string &id, Timestamp now);
 
@@ -55,6 +59,8 @@
     bool holdsRemovals(Timestamp now) const;
 
     std::map<std::string, Entry> m_entries;
+    /// Endpoints that said that they leave, with the start in which they said it.
+    std::map<std::string, std::int64_t> m_leaving;
     bool m_storeReachable = true;
     std::optional<Timestamp> m_storeBackAt;
 };
--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -219,6 +219,17 @@
     }
 }
 
+void SystemView::noteEndpointLeaving(const std::string &id, std::int64_t startedAtMs)
+{
+    if (!m_endpoints.noteLeaving(id, startedAtMs)) {
+        return;
+    }
+    m_log.info("endpoint_leaving", {{"endpoint", id}, {"started_at_ms", startedAtMs}});
+    if (onEndpointsChanged) {
+        onEndpointsChanged();
+    }
+}
+
 void SystemView::expireEndpoints()
 {
     const auto dropped = m_endpoints.expire(m_loop.now());
--- a/src/catalog/systemview.h
+++ b/src/catalog/systemview.h
@@ -75,6 +75,9 @@
         return m_operatorFeed.currentAsOf();
     }
 
+    /// An answer of the endpoint says that it is about to leave; startedAtMs: the start of it that was asked.
+    void noteEndpointLeaving(const std::string &id, std::int64_t startedAtMs);
+
     /// To be called from time to time: drops endpoints whose time to register again is over.
     void expireEndpoints();
 
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -184,6 +184,9 @@
     attempt.hasHead = true;
     attempt.head = head;
     attempt.evidence = decodeEvidence(head);
+    if (attempt.evidence.isLeaving) {
+        m_context.view.noteEndpointLeaving(attempt.endpoint.id, attempt.endpoint.startedAtMs);
+    }
     if (attempt.evidence.load) {
         m_context.picker.noteWaiting(attempt.endpoint.id, attempt.evidence.load->waiting, m_context.loop.now());
     }
--- a/src/platform/endpointcalls.cpp
+++ b/src/platform/endpointcalls.cpp
@@ -18,6 +18,9 @@
 /// What the system sets itself or keeps to itself; a client's values never reach an endpoint.
 constexpr std::array ReservedFields = {Wire::ApiKey, Wire::Tenant, Wire::ExpectInstance, Wire::Signature, Wire::NotExecuted};
 
+/// The address belongs to another endpoint than the one that the request names.
+constexpr int WrongEndpointStatus = 421;
+
 std::uint64_t wholeOrZero(std::string_view text)
 {
     std::uint64_t n = 0;
@@ -57,14 +60,21 @@
 {
     EndpointEvidence evidence;
     evidence.status = head.status;
-    evidence.notExecuted = head.fields.find(Wire::NotExecuted) != nullptr || head.status == 421;
+    evidence.notExecuted = head.fields.find(Wire::NotExecuted) != nullptr || head.status == WrongEndpointStatus;
     evidence.signature = std::string(head.fields.value(Wire::Signature));
     evidence.attemptId = std::string(head.fields.value(Wire::AttemptId));
     evidence.weightVersion = wholeOrZero(head.fields.value(Wire::WeightVersions));
     evidence.load = decodeLoad(head.fields.value(Wire::ServerLoad));
+    evidence.isLeaving = saysLeaving(head);
     return evidence;
 }
 
+bool saysLeaving(const ResponseHead &head)
+{
+    // An answer of 421 comes from another endpoint, which now has the address.
+    return head.status != WrongEndpointStatus && head.fields.value(Wire::Leaving) == "1";
+}
+
 ResponseOwner ownerOf(const ResponseHead &head, const std::string &attemptId)
 {
     const auto named = head.fields.value(Wire::AttemptId);
--- a/src/platform/endpointcalls.h
+++ b/src/platform/endpointcalls.h
@@ -34,6 +34,8 @@
     /// Version of the weights when the response began; zero when it does not say.
     std::uint64_t weightVersion = 0;
     std::optional<EndpointLoad> load;
+    /// The endpoint that was asked says that it is about to leave.
+    bool isLeaving = false;
 
     bool isSigned() const
     {
@@ -43,6 +45,9 @@
 
 EndpointEvidence decodeEvidence(const ResponseHead &head);
 
+/// Whether the endpoint that was asked says that it is about to leave.
+bool saysLeaving(const ResponseHead &head);
+
 /// Whether an endpoint's response belongs to the attempt.
 ResponseOwner ownerOf(const ResponseHead &head, const std::string &attemptId);
 
--- a/src/platform/wirenames.h
+++ b/src/platform/wirenames.h
@@ -10,6 +10,8 @@
 inline constexpr const char *Tenant = "Basilbend-Tenant";
 inline constexpr const char *ExpectInstance = "Basilbend-Expect-Instance";
 inline constexpr const char *ServerLoad = "Basilbend-Server-Load";
+/// Set by an endpoint that is about to leave, in each of its answers.
+inline constexpr const char *Leaving = "Server-Leaving";
 inline constexpr const char *NotExecuted = "Basilbend-Not-Executed";
 inline constexpr const char *WaitMs = "Basilbend-Wait-Ms";
 inline constexpr const char *WeightVersions = "Basilbend-Weight-Versions";
--- a/src/scheduling/itemrun.cpp
+++ b/src/scheduling/itemrun.cpp
@@ -48,6 +48,9 @@
 {
     m_lastProgress = m_loop.now();
     m_evidence = decodeEvidence(head);
+    if (m_evidence.isLeaving && m_hooks.onLeaving) {
+        m_hooks.onLeaving();
+    }
     if (m_evidence.weightVersion > 0) {
         m_version = m_evidence.weightVersion;
     }
--- a/src/scheduling/itemrun.h
+++ b/src/scheduling/itemrun.h
@@ -19,6 +19,8 @@
     /// An event with its id, its data and the version that generated it. Returns false when the run is of no use.
     std::function<bool(std::uint64_t id, std::string data, std::uint64_t version)> onEvent;
     std::function<void(RunEnd, int status)> onEnd;
+    /// The endpoint says that it is about to leave. May be null.
+    std::function<void()> onLeaving = nullptr;
 };
 
 /// One run of an item at one endpoint. Destroying it cancels the run: the connection closes and the endpoint stops.
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -148,6 +148,7 @@
     const auto limit = rewardTimeLimit({route.latencyTarget, route.timeout, entry.unanswered, dueAt(entry) - now});
     entry.isOpen = true;
     entry.endpoint = endpoint.id;
+    entry.endpointStartedAtMs = endpoint.startedAtMs;
     entry.sentAt = now;
     entry.evidence = {};
     const int call = ++entry.calls;
@@ -175,8 +176,13 @@
     };
     hooks.onHead = [this, number](const ResponseHead &head) {
         const auto it = m_entries.find(number);
-        if (it != m_entries.end()) {
-            it->second.evidence = decodeEvidence(head);
+        if (it == m_entries.end()) {
+            return;
+        }
+        auto &entry = it->second;
+        entry.evidence = decodeEvidence(head);
+        if (entry.evidence.isLeaving) {
+            m_context.view.noteEndpointLeaving(entry.endpoint, entry.endpointStartedAtMs);
         }
     };
     // Only the signature of the answer is of use.
--- a/src/scheduling/rewardcalls.h
+++ b/src/scheduling/rewardcalls.h
@@ -28,7 +28,7 @@
     EventLog &log;
     Metrics &metrics;
     WebClient &client;
-    const SystemView &view;
+    SystemView &view;
     Random &random;
     std::string zone;
 };
@@ -86,6 +86,8 @@
         /// It has been logged that no route leads to its service.
         bool isUnroutedLogged = false;
         std::string endpoint;
+        /// The start of the endpoint that is asked.
+        std::int64_t endpointStartedAtMs = 0;
         Timestamp sentAt;
         EndpointEvidence evidence;
         ClientCall call;
--- a/src/weights/weightroller.cpp
+++ b/src/weights/weightroller.cpp
@@ -158,6 +158,9 @@
     hooks.onHead = [this, endpoint, serial](const ResponseHead &head) {
         if (auto *open = find(endpoint, serial)) {
             open->status = head.status;
+            if (saysLeaving(head)) {
+                m_view.noteEndpointLeaving(endpoint, open->endpoint.startedAtMs);
+            }
         }
     };
     hooks.onBody = [this, endpoint, serial](std::string_view data) {
--- a/tests/catalog/endpointregistry.cpp
+++ b/tests/catalog/endpointregistry.cpp
@@ -48,6 +48,28 @@
     BOOST_TEST(registry.readyOf("s").size() == 1U);
 }
 
+// Guards against requests to an endpoint that said that it leaves while the store does not say so yet, or is away.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_says_that_it_leaves_gets_no_work_until_it_starts_anew)
+{
+    EndpointRegistry registry;
+    auto record = endpoint("a");
+    record.startedAtMs = 100;
+    registry.put(record);
+    BOOST_TEST(registry.noteLeaving("a", 100));
+    BOOST_TEST(!registry.noteLeaving("a", 100));
+    BOOST_TEST(registry.readyOf("s").empty());
+    // Its heartbeats still say that it is ready.
+    registry.put(record);
+    registry.replaceAll({record}, Timestamp(1000));
+    BOOST_TEST(registry.readyOf("s").empty());
+    record.startedAtMs = 200;
+    registry.put(record);
+    BOOST_TEST(registry.readyOf("s").size() == 1U);
+    // A late answer of the start before.
+    BOOST_TEST(!registry.noteLeaving("a", 100));
+    BOOST_TEST(registry.readyOf("s").size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_endpoint_that_lapses_in_an_outage_does_not_come_back)
 {
     EndpointRegistry registry;
--- a/tests/gateway/livecall.cpp
+++ b/tests/gateway/livecall.cpp
@@ -245,6 +245,40 @@
 }
 
 // Guards against a gateway whose memory is taken by an answer without end, and against a client that waits for it.
+// Guards against requests that reach an endpoint after it has said in an answer that it leaves.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_whose_answer_says_that_it_leaves_is_sent_nothing_more, LiveFixture)
+{
+    const auto respond = [](const ExchangePtr &exchange, HttpFields fields) {
+        fields.set("Basilbend-Attempt-Id", std::string(exchange->request().fields.value("Basilbend-Attempt-Id")));
+        fields.set("Basilbend-Server-Signature", "s");
+        exchange->respond({200, fields, "whole"});
+    };
+    script(
+        [respond](const ExchangePtr &exchange) {
+            respond(exchange, {{"Server-Leaving", "1"}});
+        },
+        [respond](const ExchangePtr &exchange) { respond(exchange, {}); });
+    for (int i = 0; i < 12; ++i) {
+        end.reset();
+        send("/often/1");
+        run(500);
+        BOOST_TEST(status == 200);
+    }
+    BOOST_TEST(std::min(first.requests.size(), second.requests.size()) == 1U);
+    BOOST_TEST(runs() == 12U);
+}
+
+// Guards against an endpoint that is left alone because another one, which now has its address, leaves.
+BOOST_FIXTURE_TEST_CASE(the_leaving_of_another_endpoint_at_the_address_does_not_count, LiveFixture)
+{
+    const auto misdirected = [](const ExchangePtr &exchange) { exchange->respond({421, {{"Server-Leaving", "1"}}, {}}); };
+    script(misdirected, answerAll);
+    send("/often/1");
+    run(500);
+    BOOST_TEST(status == 200);
+    BOOST_TEST(gateway->view.endpoints().readyOf("s").size() == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_answer_without_end_is_given_up_and_another_endpoint_asked, LiveFixture)
 {
     auto pour = std::make_shared<std::function<void(const ExchangePtr &)>>();
--- a/tests/scheduling/rewardcalls.cpp
+++ b/tests/scheduling/rewardcalls.cpp
@@ -136,6 +136,19 @@
     BOOST_TEST(second.requests.size() == 3U);
 }
 
+// Guards against texts that are sent to an endpoint after it has said in an answer that it leaves.
+BOOST_FIXTURE_TEST_CASE(an_endpoint_that_says_that_it_leaves_gets_no_more_texts, RewardFixture)
+{
+    first.onRequest = [](const ExchangePtr &exchange) {
+        exchange->respond({200, {{"Basilbend-Attempt-Id", idOf(exchange)}, {"Basilbend-Server-Signature", "scored"}, {"Server-Leaving", "1"}}, "{}"});
+    };
+    finishTexts(20, 2);
+    run(1000);
+    BOOST_TEST(scores.size() == 40U);
+    // Those that were sent together before the first answer.
+    BOOST_TEST(first.requests.size() <= 3U);
+}
+
 // Guards against a sample that waits for an answer that is lost.
 BOOST_FIXTURE_TEST_CASE(a_call_without_an_answer_is_repeated_at_another_endpoint, RewardFixture)
 {
