Let gateways read results from the leader

A trainer reads twice a second, each time at another gateway, which lists the batch from its first result. While the store is away, results that are listed can't be read either. Ruled out: a longer life of listings (a page must not lack what another gateway has told); joining reads in one gateway (each read comes to another one). Change: ResultServer. The leader serves what the store has acknowledged, and tells "nothing here" only while its lease holds and no write of the batch is in doubt. What an earlier leader listed, ended batches, and everything else is read from the store as before. Schedulers get the setting processes; without it gateways read the store. Tests: a trainer's reads cost the store nothing; an uncertain, silent, deposed and successor leader; another workspace; a batch that ends during a read; a write without an answer is in doubt.

--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -94,6 +94,9 @@
         settings.readiness = addressText(reader, "readiness");
         settings.processes = addressText(reader, "processes");
     }
+    if (settings.role == "scheduler" && reader.has("processes")) {
+        settings.processes = addressText(reader, "processes");
+    }
     settings.withdrawalBound = secondsOr(reader, "withdrawal_seconds", settings.withdrawalBound);
     settings.endpointLeaveBound = secondsOr(reader, "endpoint_leave_seconds", settings.endpointLeaveBound);
     settings.gracePeriod = secondsOr(reader, "grace_seconds", settings.gracePeriod);
--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -17,7 +17,8 @@
     /// Gateways: where clients and the platform's readiness checks come in.
     std::string clients;
     std::string readiness;
-    /// Gateways: where other processes of the system come in. Not to be reachable for clients.
+    /// Where other processes of the system come in. Not to be reachable for clients. Schedulers may do without: gateways then read
+    /// results from the store.
     std::string processes;
     /// Processes that may relay calls to the store; the own address does not matter.
     std::vector<std::string> peers;
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -4,6 +4,7 @@
 #include "catalog/systemview.h"
 #include "election/leaderelection.h"
 #include "http/socketoptions.h"
+#include "http/webserver.h"
 #include "platform/configurationcodec.h"
 #include "platform/operatorkeys.h"
 #include "scheduling/batchrunner.h"
@@ -75,6 +76,11 @@
         };
         m_view.onVersionPublished = [this] { pollWeights(); };
         m_view.onHostsToEmptyChanged = [this] { emptyHosts(); };
+        if (!runtime.settings().processes.empty()) {
+            m_processes = std::make_unique<WebServer>(runtime.io(),
+                                                      runtime.settings().processes,
+                                                      plainServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) { serveProcess(exchange); }));
+        }
         m_runtime.onStop = [this] { stop(); };
         m_runtime.onMetrics = [this] { setGauges(); };
         m_election.start();
@@ -86,6 +92,7 @@
         ElectionSettings settings;
         settings.node = runtime.settings().node;
         settings.incarnation = runtime.incarnation();
+        settings.address = runtime.settings().processes;
         settings.rule.turnGuard = runtime.settings().leaderTurnTime + TurnMargin;
         return settings;
     }
@@ -94,6 +101,7 @@
     {
         BatchRunnerHooks hooks;
         hooks.term = [this] { return m_election.term(); };
+        hooks.leadsForSure = [this] { return m_election.mayAct(); };
         hooks.mayStart = [this] { return mayStart(); };
         hooks.endpoints.versionAt = [this](const EndpointRecord &endpoint, const std::string &model) { return m_weights.versionAt(endpoint, model); };
         hooks.endpoints.isLoading = [this](const std::string &endpoint, const std::string &model) { return m_weights.isLoading(endpoint, model); };
@@ -105,6 +113,16 @@
         return hooks;
     }
 
+    /// A call of a gateway.
+    void serveProcess(const std::shared_ptr<ServerExchange> &exchange)
+    {
+        if (targetPath(exchange->request().target) == ResultServer::Path) {
+            m_runner.serveResults(exchange);
+        } else {
+            exchange->respond({404, {}, {}});
+        }
+    }
+
     bool mayStart() const
     {
         const StartRule rule{m_runtime.settings().batchCancelBound};
@@ -237,6 +255,8 @@
     BatchRunner m_runner;
     WeightRoller m_weights;
     UsageDuty m_usage;
+    /// Null: gateways read results from the store.
+    std::unique_ptr<WebServer> m_processes;
     std::set<std::pair<std::string, std::uint64_t>> m_emptied;
     bool m_isLeading = false;
     bool m_viewStarted = false;
--- a/src/election/leaderelection.cpp
+++ b/src/election/leaderelection.cpp
@@ -175,7 +175,7 @@
 
 void LeaderElection::commitCandidacy(std::uint64_t lease, Timestamp leaseSentAt)
 {
-    const LeaderRecord record{m_settings.node, m_settings.incarnation, ++m_attempt};
+    const LeaderRecord record{m_settings.node, m_settings.incarnation, ++m_attempt, m_settings.address};
     MetadataChange change;
     // Nobody leads, or the record is the one that an earlier process of this host has left.
     change.preconditions.push_back({HolderKey, m_holder ? m_holder->revision : 0});
--- a/src/election/leaderelection.h
+++ b/src/election/leaderelection.h
@@ -18,6 +18,8 @@
 struct ElectionSettings {
     std::string node;
     std::string incarnation;
+    /// Where other processes of the system reach this one; told by the leader's record.
+    std::string address;
     /// Span of the lease in the metadata store.
     Milliseconds leaseSpan{2000};
     Milliseconds renewInterval{600};
--- a/src/election/leaderrecord.cpp
+++ b/src/election/leaderrecord.cpp
@@ -10,19 +10,23 @@
 
 bool operator==(const LeaderRecord &a, const LeaderRecord &b)
 {
-    return std::tie(a.node, a.incarnation, a.attempt) == std::tie(b.node, b.incarnation, b.attempt);
+    return std::tie(a.node, a.incarnation, a.attempt, a.address) == std::tie(b.node, b.incarnation, b.attempt, b.address);
 }
 
 std::string encodeLeaderRecord(const LeaderRecord &record)
 {
-    return json{{"node", record.node}, {"incarnation", record.incarnation}, {"attempt", record.attempt}}.dump();
+    return json{{"node", record.node}, {"incarnation", record.incarnation}, {"attempt", record.attempt}, {"address", record.address}}.dump();
 }
 
 std::optional<LeaderRecord> decodeLeaderRecord(std::string_view text)
 {
     try {
         const auto object = json::parse(text);
-        return LeaderRecord{object.at("node").get<std::string>(), object.at("incarnation").get<std::string>(), object.at("attempt").get<std::uint64_t>()};
+        return LeaderRecord{object.at("node").get<std::string>(),
+                            object.at("incarnation").get<std::string>(),
+                            object.at("attempt").get<std::uint64_t>(),
+                            // Missing in records of earlier releases.
+                            object.value("address", std::string())};
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/src/election/leaderrecord.h
+++ b/src/election/leaderrecord.h
@@ -15,6 +15,8 @@
     std::string incarnation;
     /// Number of the attempt within the incarnation; tells a write whose answer was lost.
     std::uint64_t attempt = 0;
+    /// Where other processes of the system reach the leader, "IP:PORT"; empty: nowhere.
+    std::string address = {};
 };
 
 bool operator==(const LeaderRecord &a, const LeaderRecord &b);
--- a/src/gateway/batchapi.cpp
+++ b/src/gateway/batchapi.cpp
@@ -30,6 +30,7 @@
 BatchApi::BatchApi(GatewayContext &context)
     : m_context(context)
     , m_results(context)
+    , m_leader(context)
 {
 }
 
@@ -58,21 +59,40 @@
 
 void BatchApi::readResults(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const std::string &workspace)
 {
-    const IndexedCall call{exchange, request, workspace, m_context.loop.now()};
-    m_results.read(request.batchId, request.afterPosition, request.wait, [this, call](const ResultPage &page) {
-        if (page.kind == ResultPage::Kind::Unsure) {
-            reject(call, 503, ResultCode::StoreUnavailable, "the metadata store does not answer", UnsurePause);
+    const auto now = m_context.loop.now();
+    const IndexedCall call{exchange, request, workspace, now};
+    m_leader.read(request.batchId, request.afterPosition, request.wait, [this, call, until = now + request.wait](const auto &chunk) {
+        if (!chunk) {
+            readFromStore(call, std::max(Milliseconds(0), until - m_context.loop.now()));
             return;
         }
-        if (page.kind == ResultPage::Kind::NoSuchBatch || page.workspace != call.workspace) {
-            reject(call, 404, ResultCode::StepUnknown, "no such batch", Milliseconds(0));
-            return;
+        ResultPage page{ResultPage::Kind::Found, chunk->workspace, chunk->itemCount, {}};
+        for (const auto &result : chunk->results) {
+            page.results.push_back(&result);
         }
-        auto body = encodeResultPage(page.itemCount, call.request.afterPosition, page.results, MaxPageBytes);
-        call.exchange->respond({200, {{"Content-Type", "application/json"}}, std::move(body)});
+        answerRead(call, page);
     });
 }
 
+void BatchApi::readFromStore(const IndexedCall &call, Milliseconds wait)
+{
+    m_results.read(call.request.batchId, call.request.afterPosition, wait, [this, call](const ResultPage &page) { answerRead(call, page); });
+}
+
+void BatchApi::answerRead(const IndexedCall &call, const ResultPage &page)
+{
+    if (page.kind == ResultPage::Kind::Unsure) {
+        reject(call, 503, ResultCode::StoreUnavailable, "the metadata store does not answer", UnsurePause);
+        return;
+    }
+    if (page.kind == ResultPage::Kind::NoSuchBatch || page.workspace != call.workspace) {
+        reject(call, 404, ResultCode::StepUnknown, "no such batch", Milliseconds(0));
+        return;
+    }
+    auto body = encodeResultPage(page.itemCount, call.request.afterPosition, page.results, MaxPageBytes);
+    call.exchange->respond({200, {{"Content-Type", "application/json"}}, std::move(body)});
+}
+
 void BatchApi::end(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const std::string &workspace)
 {
     endIndexed({exchange, request, workspace, m_context.loop.now() + StorePatience});
--- a/src/gateway/batchapi.h
+++ b/src/gateway/batchapi.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/gatewaycontext.h"
+#include "gateway/leaderresults.h"
 #include "gateway/resultcache.h"
 #include "http/serverexchange.h"
 #include "platform/clientrequest.h"
@@ -33,6 +34,8 @@
 
     using IndexStep = std::function<void(const BatchIndex &, std::uint64_t revision)>;
 
+    void readFromStore(const IndexedCall &call, Milliseconds wait);
+    void answerRead(const IndexedCall &call, const ResultPage &page);
     void withIndex(const IndexedCall &call, const IndexStep &step);
     void endIndexed(const IndexedCall &call);
     void commitEnd(const IndexedCall &call, const BatchIndex &index, std::uint64_t revision);
@@ -43,6 +46,7 @@
 
     GatewayContext &m_context;
     ResultCache m_results;
+    LeaderResults m_leader;
 };
 
 }
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -42,9 +42,30 @@
               {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
     , m_board(m_view, m_pace, m_use, m_hooks.endpoints)
     , m_rewards({m_loop, log, metrics, client, view, random, std::move(zone)}, rewardHooks())
+    , m_results(m_loop, resultHooks())
 {
 }
 
+ResultServerHooks BatchRunner::resultHooks()
+{
+    ResultServerHooks hooks;
+    hooks.isLeading = [this] { return m_active; };
+    hooks.isCertain = [this](const std::string &id) {
+        const auto *batch = find(id);
+        return m_hooks.leadsForSure() && batch != nullptr && !batch->writer->isInDoubt();
+    };
+    return hooks;
+}
+
+ResultWriter::Hooks BatchRunner::writerHooks(const std::string &id)
+{
+    ResultWriter::Hooks hooks;
+    hooks.term = m_hooks.term;
+    hooks.onOverwritten = [this, id] { reload(id); };
+    hooks.onListed = [this, id](const std::vector<ItemResult> &results) { m_results.noteListed(id, results); };
+    return hooks;
+}
+
 RewardHooks BatchRunner::rewardHooks()
 {
     RewardHooks hooks;
@@ -96,6 +117,7 @@
     }
     m_batches.clear();
     m_rewards.clear();
+    m_results.clear();
     m_kept.clear();
     m_use.clear();
 }
@@ -111,7 +133,7 @@
         std::move(loaded.progress.begin(), loaded.progress.end(), std::back_inserter(texts));
         batch->state->adopt(texts, rulesOf(*route));
     }
-    batch->writer = std::make_shared<ResultWriter>(m_writes, m_loop, m_log, batch->state, ResultWriter::Hooks{m_hooks.term, [this, id] { reload(id); }});
+    batch->writer = std::make_shared<ResultWriter>(m_writes, m_loop, m_log, batch->state, writerHooks(id));
     batch->progress = std::make_shared<ProgressWriter>(m_writes, m_loop, m_log, batch->state, m_hooks.term);
     m_log.info("batch_opened",
                {{"batch", id},
@@ -125,6 +147,7 @@
             m_rewards.add(batch->state, i);
         }
     }
+    m_results.open(batch->state->index(), batch->state->listedCount());
     m_demand.noteBatch(batch->state->submission());
     m_batches[id] = std::move(batch);
     m_hooks.onDemandChanged();
@@ -148,6 +171,7 @@
     const auto batch = std::move(it->second);
     m_batches.erase(it);
     m_rewards.drop(id);
+    m_results.close(id);
     batch->writer->stop();
     m_kept.add(batch->state->textsToKeep());
     noteDuration(*batch->state);
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -12,6 +12,7 @@
 #include "scheduling/endpointpace.h"
 #include "scheduling/endpointuse.h"
 #include "scheduling/kepttexts.h"
+#include "scheduling/resultserver.h"
 #include "scheduling/rewardcalls.h"
 #include "scheduling/runningbatch.h"
 
@@ -26,6 +27,8 @@
 {
 
 struct BatchRunnerHooks {
+    /// No other process can lead.
+    std::function<bool()> leadsForSure;
     /// Fencing token of the leadership; zero: this process does not lead.
     std::function<std::uint64_t()> term;
     /// Whether new runs may be started. Asked for each batch of a round, because a round may take long.
@@ -62,6 +65,12 @@
     /// Endpoints, weights or the configuration have changed.
     void reconsider();
 
+    /// Answers a gateway that reads results.
+    void serveResults(const std::shared_ptr<ServerExchange> &exchange)
+    {
+        m_results.serve(exchange);
+    }
+
     /// An endpoint is gone or about to leave; its runs go on until it ends them.
     void noteEndpointGone(const std::string &id);
 
@@ -104,6 +113,8 @@
     void acceptEnd(const std::string &batch, std::size_t item, std::uint64_t run, RunEnd end, int status);
 
     RewardHooks rewardHooks();
+    ResultServerHooks resultHooks();
+    ResultWriter::Hooks writerHooks(const std::string &batch);
     /// Writes results of the batch if it is time.
     void pollResults(const std::string &batch);
 
@@ -134,6 +145,7 @@
     EndpointPace m_pace;
     EndpointBoard m_board;
     RewardCalls m_rewards;
+    ResultServer m_results;
     bool m_active = false;
     bool m_scheduled = false;
     Timestamp m_lastRound;
--- /dev/null
+++ b/src/scheduling/resultserver.cpp
@@ -0,0 +1,144 @@
+#include "scheduling/resultserver.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// A gateway's page of results stays below one megabyte.
+constexpr std::size_t MaxAnswerBytes = 900 * 1000;
+
+std::uint64_t wholeNumber(std::string_view text)
+{
+    std::uint64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+}
+
+ResultServer::ResultServer(EventLoop loop, ResultServerHooks hooks)
+    : m_loop(std::move(loop))
+    , m_hooks(std::move(hooks))
+{
+}
+
+void ResultServer::open(const BatchIndex &index, std::size_t listedBefore)
+{
+    close(index.id);
+    auto &batch = m_batches[index.id];
+    batch.workspace = index.workspace;
+    batch.itemCount = index.itemCount;
+    batch.begin = listedBefore;
+}
+
+void ResultServer::noteListed(const std::string &id, const std::vector<ItemResult> &results)
+{
+    const auto it = m_batches.find(id);
+    if (it == m_batches.end()) {
+        return;
+    }
+    auto &batch = it->second;
+    batch.results.insert(batch.results.end(), results.begin(), results.end());
+    const auto readers = std::move(batch.readers);
+    batch.readers.clear();
+    for (const auto &reader : readers) {
+        if (reader.position < batch.end()) {
+            answer(batch, reader);
+        } else {
+            batch.readers.push_back(reader);
+        }
+    }
+}
+
+void ResultServer::close(const std::string &id)
+{
+    const auto it = m_batches.find(id);
+    if (it == m_batches.end()) {
+        return;
+    }
+    for (const auto &reader : it->second.readers) {
+        refuse(reader.exchange, NotKnownStatus);
+    }
+    m_batches.erase(it);
+}
+
+void ResultServer::clear()
+{
+    for (const auto &[id, batch] : m_batches) {
+        for (const auto &reader : batch.readers) {
+            refuse(reader.exchange, NotLeadingStatus);
+        }
+    }
+    m_batches.clear();
+}
+
+void ResultServer::serve(const std::shared_ptr<ServerExchange> &exchange)
+{
+    const auto &fields = exchange->request().fields;
+    const std::string id(fields.value(BatchField));
+    const Reader reader{++m_lastReader, wholeNumber(fields.value(AfterField)), exchange};
+    if (!m_hooks.isLeading()) {
+        refuse(exchange, NotLeadingStatus);
+        return;
+    }
+    const auto it = m_batches.find(id);
+    if (it == m_batches.end() || reader.position < it->second.begin) {
+        refuse(exchange, NotKnownStatus);
+        return;
+    }
+    auto &batch = it->second;
+    if (reader.position < batch.end() || reader.position >= batch.itemCount) {
+        answer(batch, reader);
+        return;
+    }
+    const auto wait = std::min(Milliseconds(static_cast<std::int64_t>(wholeNumber(fields.value(WaitField)))), LongestWait);
+    batch.readers.push_back(reader);
+    m_loop.runAfter(wait, [this, id, number = reader.number] { endWait(id, number); });
+}
+
+void ResultServer::endWait(const std::string &id, std::uint64_t number)
+{
+    const auto it = m_batches.find(id);
+    if (it == m_batches.end()) {
+        return;
+    }
+    auto &readers = it->second.readers;
+    const auto reader = std::find_if(readers.begin(), readers.end(), [number](const Reader &waiting) { return waiting.number == number; });
+    if (reader == readers.end()) {
+        return;
+    }
+    const auto ended = *reader;
+    readers.erase(reader);
+    if (m_hooks.isCertain(id)) {
+        answer(it->second, ended);
+    } else {
+        refuse(ended.exchange, NotKnownStatus);
+    }
+}
+
+void ResultServer::answer(const Batch &batch, const Reader &reader)
+{
+    BatchRecords::ResultChunk chunk{batch.workspace, batch.itemCount, {}};
+    std::size_t bytes = 0;
+    for (auto position = reader.position; position < batch.end(); ++position) {
+        const auto &result = batch.results[position - batch.begin];
+        bytes += result.text.size();
+        if (!chunk.results.empty() && bytes > MaxAnswerBytes) {
+            break;
+        }
+        chunk.results.push_back(result);
+    }
+    reader.exchange->respond({200, {{"Content-Type", "application/json"}}, BatchRecords::encodeChunk(chunk)});
+}
+
+void ResultServer::refuse(const std::shared_ptr<ServerExchange> &exchange, int status)
+{
+    exchange->respond({status, {}, {}});
+}
+
+}
--- a/src/scheduling/resultwriter.cpp
+++ b/src/scheduling/resultwriter.cpp
@@ -40,9 +40,9 @@
     }
     // A chunk that may have been written is repeated as it is.
     if (m_chunk.empty()) {
-        const auto results = m_batch->nextResults(MaxChunkBytes);
-        m_chunk = BatchRecords::encodeChunk({m_batch->index().workspace, m_batch->index().itemCount, results});
-        m_chunkResults = results.size();
+        m_chunkResults = m_batch->nextResults(MaxChunkBytes);
+        m_chunk = BatchRecords::encodeChunk({m_batch->index().workspace, m_batch->index().itemCount, m_chunkResults});
+        m_chunkSentAt = m_loop.now();
     }
     m_failures = 0;
     m_isWriting = true;
@@ -54,6 +54,11 @@
     m_stopped = true;
 }
 
+bool ResultWriter::isInDoubt() const
+{
+    return !m_chunk.empty() && m_loop.now() - m_chunkSentAt >= DoubtTime;
+}
+
 void ResultWriter::commit()
 {
     const auto term = m_hooks.term();
@@ -103,11 +108,15 @@
 void ResultWriter::noteWritten()
 {
     m_lastWrite = m_loop.now();
-    m_batch->noteListed(m_chunkResults);
+    m_batch->noteListed(m_chunkResults.size());
     m_isWriting = false;
+    if (m_hooks.onListed) {
+        m_hooks.onListed(m_chunkResults);
+    }
     m_log.info("results_listed",
-               {{"batch", m_batch->index().id}, {"results", m_chunkResults}, {"listed", m_batch->listedCount()}, {"of", m_batch->index().itemCount}});
+               {{"batch", m_batch->index().id}, {"results", m_chunkResults.size()}, {"listed", m_batch->listedCount()}, {"of", m_batch->index().itemCount}});
     m_chunk.clear();
+    m_chunkResults.clear();
     poll();
 }
 
--- a/src/scheduling/resultwriter.h
+++ b/src/scheduling/resultwriter.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Basilbend
 {
@@ -23,6 +24,8 @@
         std::function<std::uint64_t()> term;
         /// Another process has listed results of the batch; it must be read again.
         std::function<void()> onOverwritten;
+        /// The store has acknowledged these results. May be null.
+        std::function<void(const std::vector<ItemResult> &)> onListed = nullptr;
     };
 
     ResultWriter(MetadataStore &store, EventLoop loop, EventLog &log, std::shared_ptr<OpenBatch> batch, Hooks hooks);
@@ -33,10 +36,16 @@
     /// Stops for good.
     void stop();
 
+    /// Whether results may stand in the store whose write has not been acknowledged for DoubtTime.
+    bool isInDoubt() const;
+
     /// Results are gathered for this time, unless the batch is done. The times of all batches end together, so that their
     /// chunks can go to the store in one call.
     static constexpr Milliseconds GatherTime{300};
 
+    /// Others may read results this long before the write is acknowledged here.
+    static constexpr Milliseconds DoubtTime{300};
+
 private:
     void commit();
     void acceptReply(const MetadataReply &reply);
@@ -51,7 +60,9 @@
     Hooks m_hooks;
     /// The chunk under way: repeated unchanged until its fate is known.
     std::string m_chunk;
-    std::size_t m_chunkResults = 0;
+    std::vector<ItemResult> m_chunkResults;
+    /// The first write of the chunk was sent at this time.
+    Timestamp m_chunkSentAt;
     bool m_isWriting = false;
     bool m_stopped = false;
     int m_failures = 0;
--- /dev/null
+++ b/tests/gateway/leaderreads.cpp
@@ -0,0 +1,168 @@
+#include "election/leaderelection.h"
+#include "gateway/batchfixture.h"
+#include "scheduling/resultserver.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+/// A leader that has opened the batch "b1" and lists results of it.
+struct Leader {
+    Leader(asio::io_context &io, VirtualTime &time)
+        : results(virtualLoop(time), {[this] { return isLeading; }, [this](const std::string &) { return isCertain; }})
+        , server(io, "127.0.0.1:0", plainServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
+                     ++reads;
+                     if (!isSilent) {
+                         results.serve(exchange);
+                     }
+                 }))
+    {
+    }
+
+    std::string record() const
+    {
+        return encodeLeaderRecord({"node", "life", 1, "127.0.0.1:" + std::to_string(server.port())});
+    }
+
+    bool isLeading = true;
+    bool isCertain = true;
+    bool isSilent = false;
+    int reads = 0;
+    ResultServer results;
+    WebServer server;
+};
+
+ItemResult result(const std::string &id)
+{
+    return {id, ItemOutcome::Completed, "t " + id, {1}, {}};
+}
+
+struct LeaderFixture : BatchFixture {
+    Leader leader{io, time};
+
+    LeaderFixture()
+    {
+        submit(0);
+        run(50);
+        store.put(LeaderElection::holderKey(), leader.record());
+        BatchIndex index;
+        index.id = "b1";
+        index.workspace = "w";
+        index.itemCount = 2;
+        leader.results.open(index, 0);
+        // The gateway has looked for the leader once.
+        read(1, 0);
+        run(1200);
+    }
+
+    /// Lists a result as the leader does: first in the store.
+    void listAtLeader(std::size_t position, const std::string &id)
+    {
+        list(position, id);
+        leader.results.noteListed("b1", {result(id)});
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(gateway, *boost::unit_test::label("gateway"))
+
+// Replays a trainer that reads its step at a gateway. Guards against store calls that grow with the reads of all trainers.
+BOOST_FIXTURE_TEST_CASE(results_are_read_from_the_leader_without_a_call_to_the_store, LeaderFixture)
+{
+    const auto early = read(1, 0, "1000");
+    run(100);
+    BOOST_TEST(!early->ended);
+    listAtLeader(0, "i2");
+    const auto before = store.calls;
+    run(50);
+    BOOST_TEST(early->status == 200);
+    BOOST_TEST(early->json()["results"][0]["id"] == "i2");
+    BOOST_TEST(early->json()["total"] == 2);
+    for (int i = 0; i < 10; ++i) {
+        const auto again = read(1, i % 2, "100");
+        run(150);
+        BOOST_TEST(again->status == 200);
+        BOOST_TEST(again->json()["next"] == 1);
+    }
+    // Less than one a second: the gateway's own watches.
+    BOOST_TEST(store.calls - before <= 4);
+}
+
+// Guards against a page that ends before what the store holds although another gateway has told of it.
+BOOST_FIXTURE_TEST_CASE(nothing_is_told_by_a_leader_that_is_not_certain, LeaderFixture)
+{
+    leader.isCertain = false;
+    list(0, "i2");
+    const auto answer = read(1, 0, "100");
+    run(400);
+    BOOST_TEST(answer->status == 200);
+    BOOST_TEST(answer->json()["results"].size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_leader_that_does_not_answer_costs_a_read_little_and_the_next_ones_nothing, LeaderFixture)
+{
+    listAtLeader(0, "i2");
+    leader.isSilent = true;
+    const auto first = read(1, 0, "0");
+    run(450);
+    BOOST_TEST(first->status == 200);
+    BOOST_TEST(first->json()["results"].size() == 1U);
+    const auto next = read(1, 0, "0");
+    run(50);
+    BOOST_TEST(next->status == 200);
+}
+
+// Guards against reads that go on at a process that has lost its leadership.
+BOOST_FIXTURE_TEST_CASE(a_successor_is_found_and_the_store_is_read_meanwhile, LeaderFixture)
+{
+    listAtLeader(0, "i2");
+    leader.isLeading = false;
+    leader.results.clear();
+    Leader successor(io, time);
+    store.put(LeaderElection::holderKey(), successor.record());
+    const auto meanwhile = read(1, 0, "0");
+    run(50);
+    BOOST_TEST(meanwhile->status == 200);
+    BOOST_TEST(meanwhile->json()["results"].size() == 1U);
+    run(1200);
+    read(1, 0, "0");
+    run(50);
+    BatchIndex index;
+    index.id = "b1";
+    index.workspace = "w";
+    index.itemCount = 2;
+    // The successor does not know the texts of what was listed before.
+    successor.results.open(index, 1);
+    const auto known = read(1, 0, "0");
+    const auto later = read(1, 1, "200");
+    run(300);
+    BOOST_TEST(known->json()["results"].size() == 1U);
+    BOOST_TEST(later->json()["results"].empty());
+    BOOST_TEST(successor.reads >= 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(results_of_another_workspace_are_not_told_by_the_leader, LeaderFixture)
+{
+    listAtLeader(0, "i2");
+    const auto foreign = read(1, 0, "0", "l");
+    run(50);
+    BOOST_TEST(foreign->status == 404);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_batch_that_has_ended_is_read_from_the_store, LeaderFixture)
+{
+    listAtLeader(0, "i2");
+    const auto waiting = read(1, 1, "1000");
+    run(50);
+    leader.results.close("b1");
+    list(1, "i1");
+    run(100);
+    BOOST_TEST(waiting->status == 200);
+    BOOST_TEST(waiting->json()["results"][0]["id"] == "i1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/resultwriter.cpp
+++ b/tests/scheduling/resultwriter.cpp
@@ -140,4 +140,20 @@
     BOOST_TEST((listed() == std::vector<std::string>{"i0"}));
 }
 
+// Guards against a leader that tells a reader "nothing" while its write may stand in the store.
+BOOST_FIXTURE_TEST_CASE(a_write_without_an_answer_is_in_doubt_until_it_is_settled, WriterFixture)
+{
+    complete(0);
+    run(1000);
+    BOOST_TEST(!writer->isInDoubt());
+    store.faults.isSilent = true;
+    complete(1);
+    run(800);
+    BOOST_TEST(writer->isInDoubt());
+    store.faults.isSilent = false;
+    run(2500);
+    BOOST_TEST(!writer->isInDoubt());
+    BOOST_TEST(listed().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
