Bound the texts that the leader keeps for readers

Cause: the leader kept the results of all open batches to serve them. Ruled out: a leak (closed batches are dropped, and the count returns to zero). Change: ResultServer keeps at most 12 MB of text; above it the oldest results of the batch that holds most go, and who reads these is sent to the store. The usual load time stands once, in LoadRule. Test: 40 MB of results keep the bound, the newest are served, the oldest not.

--- a/src/scheduling/resultserver.cpp
+++ b/src/scheduling/resultserver.cpp
@@ -43,7 +43,11 @@
         return;
     }
     auto &batch = it->second;
-    batch.results.insert(batch.results.end(), results.begin(), results.end());
+    for (const auto &result : results) {
+        batch.results.push_back(result);
+        batch.bytes += result.text.size();
+        m_bytes += result.text.size();
+    }
     const auto readers = std::move(batch.readers);
     batch.readers.clear();
     for (const auto &reader : readers) {
@@ -53,6 +57,20 @@
             batch.readers.push_back(reader);
         }
     }
+    evict();
+}
+
+void ResultServer::evict()
+{
+    while (m_bytes > MaxBytes) {
+        const auto largest = std::max_element(m_batches.begin(), m_batches.end(), [](const auto &a, const auto &b) { return a.second.bytes < b.second.bytes; });
+        auto &batch = largest->second;
+        const auto bytes = batch.results.front().text.size();
+        batch.results.pop_front();
+        ++batch.begin;
+        batch.bytes -= bytes;
+        m_bytes -= bytes;
+    }
 }
 
 void ResultServer::close(const std::string &id)
@@ -64,6 +82,7 @@
     for (const auto &reader : it->second.readers) {
         refuse(reader.exchange, NotKnownStatus);
     }
+    m_bytes -= it->second.bytes;
     m_batches.erase(it);
 }
 
@@ -75,6 +94,7 @@
         }
     }
     m_batches.clear();
+    m_bytes = 0;
 }
 
 void ResultServer::serve(const std::shared_ptr<ServerExchange> &exchange)
--- a/src/scheduling/resultserver.h
+++ b/src/scheduling/resultserver.h
@@ -5,6 +5,7 @@
 #include "http/serverexchange.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -52,6 +53,14 @@
     /// Another process may lead.
     static constexpr int NotLeadingStatus = 421;
     static constexpr Milliseconds LongestWait{5000};
+    /// Bytes of result text kept. Above it the oldest results of the batch that holds most go: readers want the newest.
+    static constexpr std::size_t MaxBytes = 12 * 1024 * 1024;
+
+    /// Bytes of result text that are kept now.
+    std::size_t keptBytes() const
+    {
+        return m_bytes;
+    }
 
 private:
     struct Reader {
@@ -65,7 +74,8 @@
         std::size_t itemCount = 0;
         /// Position of the first result that is known here.
         std::size_t begin = 0;
-        std::vector<ItemResult> results;
+        std::deque<ItemResult> results;
+        std::size_t bytes = 0;
         std::list<Reader> readers;
 
         std::size_t end() const
@@ -77,11 +87,13 @@
     static void answer(const Batch &batch, const Reader &reader);
     static void refuse(const std::shared_ptr<ServerExchange> &exchange, int status);
     void endWait(const std::string &id, std::uint64_t number);
+    void evict();
 
     EventLoop m_loop;
     ResultServerHooks m_hooks;
     std::map<std::string, Batch> m_batches;
     std::uint64_t m_lastReader = 0;
+    std::size_t m_bytes = 0;
 };
 
 }
--- a/src/weights/weightroller.cpp
+++ b/src/weights/weightroller.cpp
@@ -15,7 +15,7 @@
 constexpr Milliseconds ConnectTimeout{300};
 constexpr Milliseconds AnswerTimeout{700};
 /// A change of weights takes about this long; earlier reports would say nothing.
-constexpr Milliseconds UsualLoadTime{900};
+constexpr Milliseconds UsualLoadTime = LoadRule().usualTime;
 constexpr Milliseconds CheckInterval{120};
 /// Reports are some hundred milliseconds old, so an unanswered order may show only after this time.
 constexpr Milliseconds UnansweredWait{900};
--- a/tests/gateway/leaderreads.cpp
+++ b/tests/gateway/leaderreads.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/resultserver.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 using namespace Basilbend;
 
@@ -165,4 +166,38 @@
     BOOST_TEST(waiting->json()["results"][0]["id"] == "i1");
 }
 
+// Guards against a leader that grows over its memory with the texts of many steps.
+BOOST_FIXTURE_TEST_CASE(a_leader_keeps_a_bounded_part_of_the_texts_and_the_newest_ones, LeaderFixture)
+{
+    constexpr std::size_t Results = 40;
+    BatchIndex index;
+    index.id = "large";
+    index.workspace = "w";
+    index.itemCount = Results + 1;
+    leader.results.open(index, 0);
+    const std::string text(1024 * 1024, 'x');
+    for (std::size_t i = 0; i < Results; ++i) {
+        leader.results.noteListed("large", {{"i" + std::to_string(i), ItemOutcome::Completed, text, {1}, {}}});
+        BOOST_TEST(leader.results.keptBytes() <= ResultServer::MaxBytes);
+    }
+    std::optional<int> oldest;
+    std::optional<int> newest;
+    const auto ask = [this](std::size_t position, std::optional<int> &status) {
+        CallHooks hooks;
+        hooks.onHead = [&status](const ResponseHead &head) { status = head.status; };
+        hooks.onBody = [](std::string_view) {};
+        hooks.onEnd = [](CallEnd) {};
+        const RequestMessage request{
+            "GET", ResultServer::Path, {{"Host", "l"}, {ResultServer::BatchField, "large"}, {ResultServer::AfterField, std::to_string(position)}}, {}};
+        calls.push_back(client.send({asio::ip::make_address("127.0.0.1"), leader.server.port()}, request, std::move(hooks), Milliseconds(500)));
+    };
+    ask(0, oldest);
+    ask(Results - 1, newest);
+    run(200);
+    BOOST_TEST((oldest == ResultServer::NotKnownStatus));
+    BOOST_TEST((newest == 200));
+    leader.results.close("large");
+    BOOST_TEST(leader.results.keptBytes() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
