Let the soak's gateways read results from the leader

Cause: the soak wrote no address for its schedulers, so its readers never went through the leader and its faults did not reach that path. Change: schedulers get the setting processes there as well.

--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -121,6 +121,10 @@
         text += "clients: " + own(node.clients->target()) + "readiness: " + own(freePort()) + "processes: " + own(processes);
         m_peers.push_back("127.0.0.1:" + std::to_string(processes));
     }
+    if (!node.clients) {
+        // The leader serves reads of results there.
+        text += "processes: " + own(freePort());
+    }
     text += "peers: [";
     for (std::size_t i = 0; i < m_peers.size(); ++i) {
         text += (i == 0 ? "\"" : ", \"") + m_peers[i] + "\"";
