--- a/src/gateway/leaderresults.h
+++ b/src/gateway/leaderresults.h
@@ -25,7 +25,7 @@
 
     /// The store is asked for the leader at most once in this time.
     static constexpr Milliseconds LookUpPause{1000};
-    /// A leader that is silent for this long beyond the wait is not asked again until the store has named one.
+    /// A leader that is silent for this long beyond the wait is given up; the read goes to the store.
     static constexpr Milliseconds AnswerMargin{300};
 
     /// A leader that did not answer is left alone for this long, although the store still names it: about the time in which a
@@ -38,7 +38,7 @@
     void lookUp();
     void end(const std::shared_ptr<Call> &call, std::optional<BatchRecords::ResultChunk> chunk);
     void acceptEnd(const std::shared_ptr<Call> &call, CallEnd how);
-    /// The leader must be looked up again; what: why, for the log.
+    /// The leader must be looked up again. Why: for the log.
     void forgetLeader(const std::string &address, const char *why);
 
     GatewayContext &m_context;
--- a/src/scheduling/itemrun.h
+++ b/src/scheduling/itemrun.h
@@ -30,6 +30,7 @@
     /// FallbackVersion: the version of the endpoint's weights, for answers that do not name one.
     ItemRun(WebClient &client, EventLoop loop, const EndpointRecord &endpoint, std::uint64_t fallbackVersion, ItemRunHooks hooks);
 
+    /// Sends the item to the endpoint; the hooks tell what comes of it.
     void start(const BatchItem &item, const BatchIndex &batch, const RunStart &from);
 
     const EndpointRecord &endpoint() const
