--- a/tests/scheduling/itemrun.cpp
+++ b/tests/scheduling/itemrun.cpp
@@ -30,7 +30,7 @@
     int events = 0;
     std::optional<RunEnd> end;
     ItemRunHooks hooks;
-    hooks.onEvent = [&events](std::uint64_t, std::string, std::uint64_t) { return ++events > 0; };
+    hooks.onEvent = [&events](std::uint64_t, const std::string &, std::uint64_t) { return ++events > 0; };
     hooks.onEnd = [&end](RunEnd how, int) { end = how; };
     hooks.onLeaving = [&leaving] { ++leaving; };
     ItemRun run(client, virtualLoop(time), record, 1, hooks);
