Start a gateway again in the soak that drains past the end of the faults

Cause: the plan paused a gateway, told it to stop while it was paused, and ended its faults; the gateway drained for 4.2 s after its resumption, past the only check that starts ended processes again, so one gateway was missing to the end. Ruled out: a fault of the gateway; it drained in order and exited with 0. Change: when the faults end, a process that was told to stop is watched until it has ended, and is then started. No check or bound changed.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -6,6 +6,13 @@
 namespace Basilbend
 {
 
+namespace
+{
+
+constexpr Milliseconds RestartCheckInterval{100};
+
+}
+
 FaultPlan::FaultPlan(EventLoop loop, Random &random, SoakSystem &system)
     : m_loop(std::move(loop))
     , m_random(random)
@@ -60,7 +67,8 @@
             node.clientProxy->setFault(LinkFault::None);
         }
         node.process->signal(SIGCONT);
-        restart(node);
+        // A process that was paused when it was told to stop drains only now.
+        restartOnceStopped(node);
     }
     logFault("all faults of the store, links and processes ended");
 }
@@ -88,6 +96,14 @@
     }
 }
 
+void FaultPlan::restartOnceStopped(SoakNode &node)
+{
+    restart(node);
+    if (node.process->isStopRequested()) {
+        m_loop.runAfter(RestartCheckInterval, [this, &node] { restartOnceStopped(node); });
+    }
+}
+
 void FaultPlan::killProcess()
 {
     auto &node = randomNode();
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -44,6 +44,8 @@
     void pauseProcess();
     void terminateProcess();
     void restart(SoakNode &node);
+    /// Starts the process unless it runs; one that has been told to stop is started again when it has ended.
+    void restartOnceStopped(SoakNode &node);
     void cutStoreLink();
     void cutClientLink();
     void failStore();
--- a/tests/soak/soakprocess.cpp
+++ b/tests/soak/soakprocess.cpp
@@ -47,6 +47,7 @@
 void SoakProcess::start()
 {
     m_exitCode.reset();
+    m_isStopRequested = false;
     const int log = openOutput();
     std::array<char *, 5> arguments = {m_program.data(), m_role.data(), const_cast<char *>("--settings"), m_settingsFile.data(), nullptr};
     m_pid = ::fork();
@@ -62,9 +63,10 @@
     ::close(log);
 }
 
-void SoakProcess::signal(int number) const
+void SoakProcess::signal(int number)
 {
     if (m_pid > 0) {
+        m_isStopRequested = m_isStopRequested || number == SIGTERM;
         ::kill(m_pid, number);
     }
 }
--- a/tests/soak/soakprocess.h
+++ b/tests/soak/soakprocess.h
@@ -29,7 +29,13 @@
     void start();
 
     /// Sends a signal; does nothing when the process has ended.
-    void signal(int number) const;
+    void signal(int number);
+
+    /// Whether SIGTERM has been sent since the last start.
+    bool isStopRequested() const
+    {
+        return m_isStopRequested;
+    }
 
     /// Whether the process runs. Records its exit code and processor time when it has ended.
     bool isRunning();
@@ -59,6 +65,7 @@
     std::string m_settingsFile;
     std::string m_logFile;
     bool m_isOutputRead = true;
+    bool m_isStopRequested = false;
     /// Read end of the pipe that is never read; -1 when there is none.
     int m_unreadPipe = -1;
     pid_t m_pid = 0;
