--- a/src/catalog/endpointregistry.cpp
+++ b/src/catalog/endpointregistry.cpp
@@ -105,7 +105,7 @@
 {
     std::vector<const EndpointRecord *> ready;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.record.service == service && !entry.record.isDraining) {
+        if (entry.record.service == service && mayReceiveRequests(entry.record)) {
             ready.push_back(&entry.record);
         }
     }
--- a/src/catalog/endpointregistry.h
+++ b/src/catalog/endpointregistry.h
@@ -4,13 +4,14 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace Basilbend
 {
 
-/// Holds the endpoints that may receive requests. Entries that expire while the metadata store is unreachable stay usable
+/// Holds the endpoints and decides which of them may receive requests. Entries that expire while the metadata store is unreachable stay usable
 /// until the endpoints have had time to register again, because such an expiry says nothing about the endpoint.
 class EndpointRegistry
 {
@@ -37,7 +38,24 @@
 
     const EndpointRecord *find(const std::string &id) const;
 
-    /// Returns the entries of a service that are not draining.
+    /// Sets the availability zones that the operator evacuates. Their endpoints get no new requests.
+    void setEvacuatedZones(std::set<std::string> zones)
+    {
+        m_evacuatedZones = std::move(zones);
+    }
+
+    const std::set<std::string> &evacuatedZones() const
+    {
+        return m_evacuatedZones;
+    }
+
+    /// Whether new requests may be sent to the endpoint: it is neither draining nor in an evacuated zone.
+    bool mayReceiveRequests(const EndpointRecord &record) const
+    {
+        return !record.isDraining && m_evacuatedZones.count(record.zone) == 0;
+    }
+
+    /// Returns the entries of a service that may receive requests.
     std::vector<const EndpointRecord *> readyEndpoints(const std::string &service) const;
 
     std::vector<const EndpointRecord *> all() const;
@@ -62,6 +80,7 @@
     std::map<std::string, Entry> m_entries;
     /// Endpoints that have announced that they leave, with the start time at which they announced it.
     std::map<std::string, std::int64_t> m_leavingStarts;
+    std::set<std::string> m_evacuatedZones;
     bool m_isStoreReachable = true;
     std::optional<Timestamp> m_storeRegainedAt;
 };
--- a/src/catalog/routetable.cpp
+++ b/src/catalog/routetable.cpp
@@ -43,6 +43,7 @@
             indexes.begin(), indexes.end(), [&routes](std::size_t a, std::size_t b) { return routes[a].pathPrefix.size() > routes[b].pathPrefix.size(); });
     }
     for (std::size_t i = 0; i < m_configuration.workspaces.size(); ++i) {
+        m_indexOfWorkspace.emplace(m_configuration.workspaces[i].workspace, i);
         for (const auto &key : m_configuration.workspaces[i].apiKeys) {
             m_workspaceOfKey.emplace(key, i);
         }
@@ -70,6 +71,12 @@
     return itemNamed(m_configuration.services, name);
 }
 
+const WorkspaceKeys *RouteTable::workspaceNamed(const std::string &name) const
+{
+    const auto it = m_indexOfWorkspace.find(name);
+    return it == m_indexOfWorkspace.end() ? nullptr : &m_configuration.workspaces[it->second];
+}
+
 const std::string *RouteTable::workspaceOfKey(std::string_view key) const
 {
     const auto it = m_workspaceOfKey.find(std::string(key));
--- a/src/catalog/routetable.h
+++ b/src/catalog/routetable.h
@@ -33,6 +33,9 @@
     const RouteRule *routeNamed(std::string_view name) const;
     const ServiceSpec *serviceNamed(std::string_view name) const;
 
+    /// Returns the keys and restrictions of a workspace, or null.
+    const WorkspaceKeys *workspaceNamed(const std::string &name) const;
+
     /// Returns the workspace to which the API key belongs, or null.
     const std::string *workspaceOfKey(std::string_view key) const;
 
@@ -47,6 +50,7 @@
     /// Indexes into the routes, sorted by descending prefix length.
     std::unordered_map<std::string, std::vector<std::size_t>> m_routesOfHost;
     std::unordered_map<std::string, std::size_t> m_workspaceOfKey;
+    std::unordered_map<std::string, std::size_t> m_indexOfWorkspace;
 };
 
 }
--- a/src/catalog/serviceconfiguration.h
+++ b/src/catalog/serviceconfiguration.h
@@ -53,6 +53,8 @@
     /// Batches only: time after the submission of a batch within which all results are due.
     Milliseconds resultDeadline{0};
     std::vector<TrafficShare> shares;
+    /// Regions in which requests of the route may be processed; empty: any region.
+    std::vector<std::string> allowedRegions;
 };
 
 /// Capacity of each endpoint of a model service.
@@ -64,6 +66,8 @@
 
 struct ServiceSpec {
     std::string name;
+    /// Requests per second that an endpoint bears while it warms up after its start; zero: it needs no warm-up.
+    double warmupRequestsPerSecond = 0;
     std::optional<EngineSpec> engine;
 };
 
@@ -78,6 +82,8 @@
 struct WorkspaceKeys {
     std::string workspace;
     std::vector<std::string> apiKeys;
+    /// Regions in which requests of the workspace may be processed; empty: any region.
+    std::vector<std::string> allowedRegions = {};
 };
 
 /// One complete version of the operators' configuration.
--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -3,14 +3,16 @@
 #include "platform/configurationcodec.h"
 #include "platform/operatorkeys.h"
 
+#include <algorithm>
+
 namespace Basilbend
 {
 
 SystemView::SystemView(MetadataStore &store, EventLoop loop, EventLog &log, ViewScope scope, Milliseconds operatorSpan, Milliseconds endpointSpan)
     : m_loop(std::move(loop))
     , m_log(log)
-    , m_operatorPrefix(scope == ViewScope::Control ? operatorPrefix() : configurationPrefix())
-    , m_operatorFeed(store, m_loop, m_operatorPrefix, operatorSpan, publishingHooks(m_operatorPrefix, operatorHooks()))
+    , m_scope(scope)
+    , m_operatorFeed(store, m_loop, operatorPrefix(), operatorSpan, publishingHooks(operatorPrefix(), operatorHooks()))
     , m_endpointFeed(store, m_loop, endpointPrefix(), endpointSpan, publishingHooks(endpointPrefix(), endpointHooks()))
 {
 }
@@ -18,7 +20,7 @@
 void SystemView::shareFeeds(FeedHub &hub, const std::function<std::unique_ptr<FeedFollower>()> &makeFollower)
 {
     m_hub = &hub;
-    hub.add(m_operatorPrefix, m_operatorFeed);
+    hub.add(operatorPrefix(), m_operatorFeed);
     hub.add(endpointPrefix(), m_endpointFeed);
     m_operatorFeed.setFollower(makeFollower());
     m_endpointFeed.setFollower(makeFollower());
@@ -66,9 +68,20 @@
     return it == m_publishedVersions.end() ? 0 : it->second;
 }
 
+std::vector<const EndpointRecord *> SystemView::usableEndpoints(const std::string &service, const RouteRule &route, const std::string &workspace) const
+{
+    auto usable = m_endpoints.readyEndpoints(service);
+    const auto *restrictions = m_routes ? m_routes->workspaceNamed(workspace) : nullptr;
+    const auto isElsewhere = [&](const EndpointRecord *endpoint) { return !m_residency.allows(route, restrictions, endpoint->zone); };
+    usable.erase(std::remove_if(usable.begin(), usable.end(), isElsewhere), usable.end());
+    return usable;
+}
+
 PrefixFeedHooks SystemView::operatorHooks()
 {
     return {[this](const std::vector<MetadataItem> &items) {
+                // Evacuations first: the first configuration allows requests to be sent.
+                replaceEvacuations(items);
                 for (const auto &item : items) {
                     applyOperatorItem(item);
                 }
@@ -111,10 +124,17 @@
         applyConfiguration(item);
         break;
     case OperatorKeyKind::PublishedVersion:
-        applyPublishedVersion(item);
+        if (m_scope == ViewScope::Control) {
+            applyPublishedVersion(item);
+        }
         break;
     case OperatorKeyKind::RetiringHost:
-        applyHostToEmpty(item);
+        if (m_scope == ViewScope::Control) {
+            applyHostToEmpty(item);
+        }
+        break;
+    case OperatorKeyKind::ZoneEvacuation:
+        applyEvacuation(item);
         break;
     case OperatorKeyKind::Other:
         break;
@@ -178,6 +198,51 @@
     }
 }
 
+void SystemView::applyEvacuation(const MetadataItem &item)
+{
+    auto zones = m_endpoints.evacuatedZones();
+    const auto zone = zoneOfEvacuationKey(item.key);
+    if (item.isRemoval) {
+        zones.erase(zone);
+    } else {
+        zones.insert(zone);
+    }
+    setEvacuatedZones(std::move(zones));
+}
+
+void SystemView::replaceEvacuations(const std::vector<MetadataItem> &items)
+{
+    std::set<std::string> zones;
+    for (const auto &item : items) {
+        if (operatorKeyKind(item.key) == OperatorKeyKind::ZoneEvacuation) {
+            zones.insert(zoneOfEvacuationKey(item.key));
+        }
+    }
+    setEvacuatedZones(std::move(zones));
+}
+
+void SystemView::setEvacuatedZones(std::set<std::string> zones)
+{
+    const auto previous = m_endpoints.evacuatedZones();
+    if (zones == previous) {
+        return;
+    }
+    m_endpoints.setEvacuatedZones(std::move(zones));
+    for (const auto &zone : m_endpoints.evacuatedZones()) {
+        if (previous.count(zone) == 0) {
+            m_log.warning("zone_evacuated", {{"zone", zone}, {"evacuated_zones", m_endpoints.evacuatedZones().size()}});
+        }
+    }
+    for (const auto &zone : previous) {
+        if (m_endpoints.evacuatedZones().count(zone) == 0) {
+            m_log.warning("zone_evacuation_ended", {{"zone", zone}, {"evacuated_zones", m_endpoints.evacuatedZones().size()}});
+        }
+    }
+    if (onEndpointsChanged) {
+        onEndpointsChanged();
+    }
+}
+
 void SystemView::applyEndpoint(const MetadataItem &item)
 {
     const auto id = endpointIdOfKey(item.key);
--- a/src/catalog/systemview.h
+++ b/src/catalog/systemview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/eventloop.h"
+#include "catalog/dataresidency.h"
 #include "catalog/endpointregistry.h"
 #include "catalog/routetable.h"
 #include "log/eventlog.h"
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Basilbend
@@ -18,14 +20,14 @@
 
 /// The data that a SystemView keeps up to date.
 enum class ViewScope {
-    /// The configuration and the endpoints.
+    /// The configuration, the evacuated zones and the endpoints.
     Serving,
     /// Also the published weight versions and the hosts to be emptied.
     Control,
 };
 
-/// Local view of the operators' configuration, the published weight versions, the hosts to be emptied and the endpoints,
-/// each kept up to date from the metadata store.
+/// Local view of the operators' configuration, the evacuated zones, the published weight versions, the hosts to be emptied
+/// and the endpoints, each kept up to date from the metadata store.
 class SystemView
 {
 public:
@@ -56,6 +58,20 @@
         return m_endpoints;
     }
 
+    /// Sets the region of each availability zone, for routes and workspaces that are restricted to regions.
+    void setRegions(std::map<std::string, std::string> regionOfZone)
+    {
+        m_residency = DataResidency(std::move(regionOfZone));
+    }
+
+    const DataResidency &residency() const
+    {
+        return m_residency;
+    }
+
+    /// Returns the endpoints of the service that may receive requests of the route and the workspace.
+    std::vector<const EndpointRecord *> usableEndpoints(const std::string &service, const RouteRule &route, const std::string &workspace) const;
+
     /// Returns the published version of a model, or zero if there is none.
     std::uint64_t publishedVersion(const std::string &model) const;
 
@@ -70,8 +86,8 @@
         return m_hostsToEmpty;
     }
 
-    /// The time at which the configuration and the published versions were last verified to be current; nothing before the
-    /// first listing.
+    /// The time at which everything that the operator writes was last verified to be current: the configuration, the evacuated
+    /// zones and the published versions. Nothing before the first listing.
     std::optional<Timestamp> configurationVerifiedAt() const
     {
         return m_operatorFeed.verifiedAt();
@@ -100,6 +116,10 @@
     void applyConfiguration(const MetadataItem &item);
     void applyPublishedVersion(const MetadataItem &item);
     void applyHostToEmpty(const MetadataItem &item);
+    void applyEvacuation(const MetadataItem &item);
+    /// Replaces the evacuated zones by those of a full listing.
+    void replaceEvacuations(const std::vector<MetadataItem> &items);
+    void setEvacuatedZones(std::set<std::string> zones);
     void applyEndpoint(const MetadataItem &item);
     void dropEndpoint(const std::string &id);
 
@@ -107,10 +127,11 @@
     EventLog &m_log;
     std::unique_ptr<RouteTable> m_routes;
     EndpointRegistry m_endpoints;
+    DataResidency m_residency;
     std::map<std::string, std::uint64_t> m_publishedVersions;
     std::map<std::string, std::uint64_t> m_hostsToEmpty;
     FeedHub *m_hub = nullptr;
-    std::string m_operatorPrefix;
+    ViewScope m_scope;
     PrefixFeed m_operatorFeed;
     PrefixFeed m_endpointFeed;
 };
--- a/src/config/settingsreader.cpp
+++ b/src/config/settingsreader.cpp
@@ -210,6 +210,25 @@
     return setting->node.as<std::vector<std::string>>();
 }
 
+std::map<std::string, std::string> SettingsReader::textMapOr(const std::string &key, std::map<std::string, std::string> fallback)
+{
+    if (auto *setting = m_d->find(key)) {
+        if (!setting->node.IsNull()) {
+            m_d->recordFault(setting->line, key, "must be a table of strings");
+        }
+        return fallback;
+    }
+    const auto prefix = key + ".";
+    std::map<std::string, std::string> texts;
+    for (auto it = m_d->settings.lower_bound(prefix); it != m_d->settings.end() && it->first.compare(0, prefix.size(), prefix) == 0; ++it) {
+        const auto value = m_d->scalar(it->first, "a string");
+        if (value) {
+            texts[it->first.substr(prefix.size())] = *value;
+        }
+    }
+    return texts.empty() ? fallback : texts;
+}
+
 std::uint64_t SettingsReader::numberOr(const std::string &key, std::uint64_t fallback, std::uint64_t minimum, std::uint64_t maximum)
 {
     const auto expected = "a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum);
--- a/src/config/settingsreader.h
+++ b/src/config/settingsreader.h
@@ -3,6 +3,7 @@
 #include "base/result.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,6 +39,9 @@
     std::string oneOf(const std::string &key, const std::vector<std::string> &allowed, const std::string &fallback);
     std::vector<std::string> textsOr(const std::string &key, std::vector<std::string> fallback);
 
+    /// Reads a table of strings.
+    std::map<std::string, std::string> textMapOr(const std::string &key, std::map<std::string, std::string> fallback);
+
     /// Reads a whole number.
     std::uint64_t numberOr(const std::string &key, std::uint64_t fallback, std::uint64_t minimum, std::uint64_t maximum);
 
--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -15,6 +15,9 @@
 
 constexpr double LongestSeconds = 3600;
 constexpr double ShortestSeconds = 0.1;
+constexpr double MaxWarmupRateFactor = 100;
+constexpr double MaxWarmupExtraRequests = 10000;
+constexpr std::uint64_t MaxGateways = 100000;
 
 Milliseconds secondsOr(SettingsReader &reader, const std::string &key, Milliseconds fallback)
 {
@@ -57,6 +60,10 @@
                         s.reportsAddress,
                         s.withdrawalBound,
                         s.endpointLeaveBound,
+                        s.evacuationBound,
+                        s.regionOfZone,
+                        s.warmupTolerance,
+                        s.gatewayCount,
                         s.gracePeriod,
                         s.usageWindow,
                         s.usageReportDeadline,
@@ -99,6 +106,13 @@
     }
     settings.withdrawalBound = secondsOr(reader, "withdrawal_seconds", settings.withdrawalBound);
     settings.endpointLeaveBound = secondsOr(reader, "endpoint_leave_seconds", settings.endpointLeaveBound);
+    settings.evacuationBound = secondsOr(reader, "evacuation_seconds", settings.evacuationBound);
+    settings.regionOfZone = reader.textMapOr("regions", {});
+    settings.warmupTolerance.rateFactor = reader.decimalOr("warmup_rate_factor", settings.warmupTolerance.rateFactor, 0, MaxWarmupRateFactor);
+    settings.warmupTolerance.extraRequests = reader.decimalOr("warmup_extra_requests", settings.warmupTolerance.extraRequests, 0, MaxWarmupExtraRequests);
+    if (settings.role == "gateway") {
+        settings.gatewayCount = static_cast<int>(reader.numberOr("gateways", static_cast<std::uint64_t>(settings.gatewayCount), 1, MaxGateways));
+    }
     settings.gracePeriod = secondsOr(reader, "grace_seconds", settings.gracePeriod);
     settings.usageWindow = secondsOr(reader, "usage_window_seconds", settings.usageWindow);
     settings.usageReportDeadline = secondsOr(reader, "usage_due_seconds", settings.usageReportDeadline);
--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -2,7 +2,10 @@
 
 #include "base/result.h"
 
+#include "forwarding/warmuplimiter.h"
+
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -33,6 +36,13 @@
     Milliseconds withdrawalBound{5000};
     /// Longest time for which a leaving endpoint may still get requests after its registry entry says so.
     Milliseconds endpointLeaveBound{2000};
+    /// Longest time for which endpoints of an availability zone may still get requests after the operator has asked for its evacuation.
+    Milliseconds evacuationBound{5000};
+    /// Region of each availability zone, by the name of the zone.
+    std::map<std::string, std::string> regionOfZone;
+    WarmupTolerance warmupTolerance;
+    /// Gateways only: number of gateways, each of which may send live requests to the same endpoint while it warms up.
+    int gatewayCount = 16;
     /// Longest time from SIGTERM to the end of the process.
     Milliseconds gracePeriod{8000};
     Milliseconds usageWindow{5000};
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -63,7 +63,9 @@
                     m_picker,
                     m_usageCounter,
                     runtime.random(),
-                    runtime.relay().hasPeers()}
+                    runtime.relay().hasPeers(),
+                    AnswerBudget(),
+                    WarmupLimiter(runtime.settings().warmupTolerance, runtime.settings().gatewayCount)}
         , m_service(m_context, freshnessRuleFor(runtime.settings()))
         , m_clientServer(runtime.io(), runtime.settings().clientListenAddress, clientHooks())
         , m_readinessServer(
@@ -79,12 +81,16 @@
             const auto &settings = m_runtime.settings();
             return std::make_unique<FeedFollower>(m_runtime.client(), m_runtime.loop(), m_runtime.log(), otherPeers(settings), settings.node);
         });
+        m_view.setRegions(runtime.settings().regionOfZone);
         m_view.onEndpointGone = [this](const EndpointRecord &endpoint) {
             m_picker.remove(endpoint.id);
             m_runtime.client().closeIdleConnections(parseSocketEndpoint(endpoint.address));
         };
         m_runtime.onStopRequested = [this] { beginDrain(); };
-        m_runtime.onSettingsChanged = [this] { m_service.setFreshness(freshnessRuleFor(m_runtime.settings())); };
+        m_runtime.onSettingsChanged = [this] {
+            m_service.setFreshness(freshnessRuleFor(m_runtime.settings()));
+            m_view.setRegions(m_runtime.settings().regionOfZone);
+        };
         m_runtime.onMetricsRequested = [this] { setGauges(); };
         m_view.setEndpointCoalescingDelay(m_runtime.settings().endpointLeaveBound / EndpointCoalescingDivisor);
         m_view.start();
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -21,7 +21,8 @@
 namespace
 {
 
-constexpr Milliseconds OperatorWatchSpan{4000};
+/// The watch time is half of the bound for evacuations, so that one lost watch does not make the known ones too old.
+constexpr int OperatorWatchDivisor = 2;
 constexpr Milliseconds EndpointWatchSpan{5000};
 constexpr Milliseconds EndpointCoalescingDelay{200};
 constexpr Milliseconds PollInterval{250};
@@ -40,7 +41,8 @@
 public:
     explicit Scheduler(DaemonRuntime &runtime)
         : m_runtime(runtime)
-        , m_view(runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, OperatorWatchSpan, EndpointWatchSpan)
+        , m_view(
+              runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, runtime.settings().evacuationBound / OperatorWatchDivisor, EndpointWatchSpan)
         , m_election(runtime.store(),
                      runtime.loop(),
                      runtime.log(),
@@ -55,6 +57,7 @@
                         m_view,
                         runtime.random(),
                         runtime.settings().zone,
+                        runtime.settings().warmupTolerance,
                         batchRunnerHooks())
         , m_weightUpdater(runtime.loop(), runtime.log(), runtime.metrics(), runtime.client(), m_view, runtime.settings().node, weightUpdaterHooks())
         , m_usageDuty(runtime.store(),
@@ -65,6 +68,7 @@
                       {runtime.settings().node, runtime.settings().reportsAddress, runtime.settings().usageWindow, runtime.settings().usageReportDeadline},
                       {[this] { return m_election.mayAct(); }, [this] { return m_election.term(); }})
     {
+        m_view.setRegions(runtime.settings().regionOfZone);
         m_view.onConfigurationChanged = [this] { m_batchRunner.requestRound(); };
         m_view.onEndpointsChanged = [this] {
             m_batchRunner.requestRound();
@@ -128,9 +132,11 @@
 
     bool mayStart() const
     {
-        const StartRule rule{m_runtime.settings().batchCancelBound};
-        return m_isLeading && m_election.timeSinceLeaseExpiry() < UncertainStartLimit
-            && rule.mayStart(m_batchRunner.batchesConfirmedAt(), m_runtime.loop().now());
+        const auto now = m_runtime.loop().now();
+        const StartRule batchRule{m_runtime.settings().batchCancelBound};
+        const StartRule evacuationRule{m_runtime.settings().evacuationBound};
+        return m_isLeading && m_election.timeSinceLeaseExpiry() < UncertainStartLimit && batchRule.mayStart(m_batchRunner.batchesConfirmedAt(), now)
+            && evacuationRule.mayStart(m_view.configurationVerifiedAt(), now);
     }
 
     WeightUpdaterHooks weightUpdaterHooks()
--- /dev/null
+++ b/src/forwarding/warmupchoice.cpp
@@ -0,0 +1,24 @@
+#include "forwarding/warmupchoice.h"
+
+namespace Basilbend
+{
+
+std::vector<const EndpointRecord *>
+avoidWarmingEndpoints(const std::vector<const EndpointRecord *> &endpoints, const ServiceSpec &service, const WarmupLimiter &limiter, Timestamp now)
+{
+    if (service.warmupRequestsPerSecond <= 0) {
+        return endpoints;
+    }
+    std::vector<const EndpointRecord *> warm;
+    std::vector<const EndpointRecord *> warming;
+    for (const auto *endpoint : endpoints) {
+        if (endpoint->warmupRemaining.count() == 0) {
+            warm.push_back(endpoint);
+        } else if (limiter.requestsLeft(endpoint->id, service, now) > 0) {
+            warming.push_back(endpoint);
+        }
+    }
+    return warm.empty() ? warming : warm;
+}
+
+}
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -5,6 +5,7 @@
 #include "billing/usagecounter.h"
 #include "catalog/systemview.h"
 #include "forwarding/endpointpicker.h"
+#include "forwarding/warmuplimiter.h"
 #include "gateway/answerbudget.h"
 #include "http/webclient.h"
 #include "log/eventlog.h"
@@ -29,6 +30,7 @@
     /// refused or it is idempotent.
     bool hasPeers = false;
     AnswerBudget answerBudget = {};
+    WarmupLimiter warmupLimiter = WarmupLimiter();
 };
 
 }
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -1,6 +1,7 @@
 #include "gateway/livecall.h"
 
 #include "forwarding/servicechoice.h"
+#include "forwarding/warmupchoice.h"
 #include "gateway/rejection.h"
 #include "http/socketoptions.h"
 
@@ -81,7 +82,7 @@
     if (m_isFinished) {
         return;
     }
-    const auto ready = m_context.view.endpoints().readyEndpoints(m_service);
+    const auto ready = usableEndpoints();
     if (ready.empty()) {
         if (m_executedAttempts == 0) {
             reject(503, ResultCode::NoEndpoint, "no endpoint of the service is ready", Milliseconds(300));
@@ -100,6 +101,13 @@
     send(*endpoint);
 }
 
+std::vector<const EndpointRecord *> LiveCall::usableEndpoints() const
+{
+    const auto ready = m_context.view.usableEndpoints(m_service, m_route, m_workspace);
+    const auto *service = m_context.view.routes()->serviceNamed(m_service);
+    return service == nullptr ? ready : avoidWarmingEndpoints(ready, *service, m_context.warmupLimiter, m_context.loop.now());
+}
+
 void LiveCall::waitForCapacity()
 {
     if (attemptsInProgress() > 0 || m_isWaitingForCapacity) {
@@ -131,6 +139,7 @@
     attempt.sentAt = m_context.loop.now();
     m_excludedEndpoints.insert(endpoint.id);
     m_context.picker.recordSent(endpoint.id);
+    m_context.warmupLimiter.recordRequest(endpoint.id, attempt.sentAt);
     m_context.log.info("request_sent",
                        {{"request", m_request.attemptId},
                         {"endpoint", endpoint.id},
@@ -171,7 +180,7 @@
     if (!isWaiting || m_executedAttempts + attemptsInProgress() >= m_route.attempts) {
         return;
     }
-    const auto ready = m_context.view.endpoints().readyEndpoints(m_service);
+    const auto ready = usableEndpoints();
     if (const auto *other = m_context.picker.pick(ready, m_excludedEndpoints, m_context.loop.now())) {
         m_context.log.info("request_hedged", {{"request", m_request.attemptId}, {"slow_endpoint", m_attempts.back()->endpoint.id}});
         send(*other);
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -43,6 +43,8 @@
     };
 
     void startAttempt();
+    /// Endpoints that may receive the request now. Those that warm up are used only when there is no other.
+    std::vector<const EndpointRecord *> usableEndpoints() const;
     void send(const EndpointRecord &endpoint);
     CallHooks makeHooks(std::size_t index);
     void handleHead(std::size_t index, const ResponseHead &head);
--- a/src/platform/configurationcodec.cpp
+++ b/src/platform/configurationcodec.cpp
@@ -44,6 +44,18 @@
     throw Wire::FieldError{"kind is unknown: " + text};
 }
 
+std::vector<std::string> decodeRegions(const json &object)
+{
+    std::vector<std::string> regions;
+    for (const auto &region : Wire::arrayOrEmpty(object, "allowed_regions")) {
+        if (!region.is_string()) {
+            throw Wire::FieldError{"allowed_regions must hold strings"};
+        }
+        regions.push_back(region.get<std::string>());
+    }
+    return regions;
+}
+
 std::vector<TrafficShare> decodeShares(const json &route)
 {
     std::vector<TrafficShare> shares;
@@ -73,6 +85,7 @@
     rule.retention = secondsField(route, "retention_s");
     rule.resultDeadline = millisecondsOr(route, "result_deadline_ms", Milliseconds(0));
     rule.shares = decodeShares(route);
+    rule.allowedRegions = decodeRegions(route);
     return rule;
 }
 
@@ -80,6 +93,7 @@
 {
     ServiceSpec spec;
     spec.name = Wire::requiredString(service, "name");
+    spec.warmupRequestsPerSecond = std::max(0.0, Wire::numberOr(service, "cold_per_s", 0));
     const auto engine = service.find("engine");
     if (engine != service.end() && engine->is_object()) {
         EngineSpec engineSpec;
@@ -115,6 +129,7 @@
             keys.apiKeys.push_back(key.get<std::string>());
         }
     }
+    keys.allowedRegions = decodeRegions(tenant);
     return keys;
 }
 
--- a/src/platform/operatorkeys.cpp
+++ b/src/platform/operatorkeys.cpp
@@ -20,11 +20,6 @@
     return Wire::OperatorPrefix;
 }
 
-std::string configurationPrefix()
-{
-    return Wire::ConfigurationKey;
-}
-
 std::string endpointPrefix()
 {
     return Wire::EndpointPrefix;
@@ -38,6 +33,9 @@
     if (startsWith(key, Wire::VersionPrefix)) {
         return OperatorKeyKind::PublishedVersion;
     }
+    if (startsWith(key, Wire::EvacuationPrefix)) {
+        return OperatorKeyKind::ZoneEvacuation;
+    }
     return startsWith(key, Wire::RetirePrefix) ? OperatorKeyKind::RetiringHost : OperatorKeyKind::Other;
 }
 
@@ -46,6 +44,11 @@
     return std::string(key.substr(std::string_view(Wire::RetirePrefix).size()));
 }
 
+std::string zoneOfEvacuationKey(std::string_view key)
+{
+    return std::string(key.substr(std::string_view(Wire::EvacuationPrefix).size()));
+}
+
 std::string retireStatusKey(const std::string &host)
 {
     return Wire::RetireStatusPrefix + host;
--- a/src/platform/wirenames.h
+++ b/src/platform/wirenames.h
@@ -39,6 +39,8 @@
 inline constexpr const char *ConfigurationKey = "op/config";
 inline constexpr const char *VersionPrefix = "op/version/";
 inline constexpr const char *RetirePrefix = "op/retire/";
+/// Followed by the name of an availability zone; the entry's presence alone requests the evacuation.
+inline constexpr const char *EvacuationPrefix = "op/evacuate/";
 inline constexpr const char *RetireStatusPrefix = "status/retire/";
 inline constexpr const char *EndpointPrefix = "servers/";
 
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t MaxMovesPerTick = 12;
 /// Minimum time between two scheduling rounds. Under load many runs end in this time, and one round handles them all.
 constexpr Milliseconds MinRoundInterval{10};
+/// A leader that does not know of its successor yet may send requests at the same time as the successor.
+constexpr int MaxLeadersSending = 2;
 
 }
 
@@ -28,6 +30,7 @@
                          SystemView &view,
                          Random &random,
                          std::string zone,
+                         WarmupTolerance warmupTolerance,
                          BatchRunnerHooks hooks)
     : m_loop(std::move(loop))
     , m_log(log)
@@ -41,8 +44,9 @@
           m_loop,
           log,
           {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
-    , m_tableBuilder(m_view, m_health, m_runTracker, m_hooks.endpoints)
-    , m_rewardCalls({m_loop, log, metrics, client, view, random, std::move(zone)}, rewardHooks())
+    , m_warmupLimiter(warmupTolerance, MaxLeadersSending)
+    , m_tableBuilder(m_view, m_health, m_runTracker, m_warmupLimiter, m_hooks.endpoints)
+    , m_rewardCalls({m_loop, log, metrics, client, view, random, m_warmupLimiter, std::move(zone)}, rewardHooks())
     , m_resultServer(m_loop, resultHooks())
 {
 }
@@ -293,7 +297,7 @@
     if (!table) {
         table = m_tableBuilder.buildTable(now);
     }
-    m_tableBuilder.setEligibility(*table, *route, state.submission().model);
+    m_tableBuilder.setEligibility(*table, *route, state.index().workspace, state.submission().model);
     std::size_t started = 0;
     if (m_hooks.mayStart() && hasFreeSlot(table->endpoints, state.submission().minimumVersion)) {
         for (const auto &assignment : assignItems(batch.waitingItems(m_runTracker, now), table->endpoints)) {
@@ -349,6 +353,7 @@
                 {"endpoint_version", m_hooks.endpoints.servedVersion(endpoint, state.submission().model)}});
     const RunStart from{progress.text.lastEventId(), m_hooks.endpoints.unreportedVersion(endpoint.id, state.submission().model)};
     openRun.itemRun->start(state.item(item), state.index(), from);
+    m_warmupLimiter.recordRequest(endpoint.id, m_loop.now());
     m_runTracker.addRun(endpoint.id, run, runTokens(state.item(item), progress.text.eventCount()));
     batch.openRuns.emplace(item, std::move(openRun));
     m_metrics.count("basilbend_item_runs_total");
@@ -532,7 +537,7 @@
             continue;
         }
         const auto &submission = batch->state->submission();
-        m_tableBuilder.setEligibility(table, *route, submission.model);
+        m_tableBuilder.setEligibility(table, *route, batch->state->index().workspace, submission.model);
         const auto moves =
             planMoves(batch->movableRuns(m_runTracker, m_health, medianInterval, now), table.endpoints, medianInterval, submission.minimumVersion, movesLeft);
         movesLeft -= moves.size();
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -54,6 +54,7 @@
                 SystemView &view,
                 Random &random,
                 std::string zone,
+                WarmupTolerance warmupTolerance,
                 BatchRunnerHooks hooks);
 
     /// Starts to run the batches that the store holds.
@@ -145,6 +146,7 @@
     RunTracker m_runTracker;
     BatchDemand m_demand;
     EndpointHealth m_health;
+    WarmupLimiter m_warmupLimiter;
     EndpointTableBuilder m_tableBuilder;
     RewardCalls m_rewardCalls;
     ResultServer m_resultServer;
--- a/src/scheduling/endpointtablebuilder.cpp
+++ b/src/scheduling/endpointtablebuilder.cpp
@@ -19,10 +19,12 @@
 
 }
 
-EndpointTableBuilder::EndpointTableBuilder(const SystemView &view, const EndpointHealth &health, const RunTracker &tracker, EndpointTableHooks hooks)
+EndpointTableBuilder::EndpointTableBuilder(
+    const SystemView &view, const EndpointHealth &health, const RunTracker &tracker, const WarmupLimiter &warmupLimiter, EndpointTableHooks hooks)
     : m_view(view)
     , m_health(health)
     , m_runTracker(tracker)
+    , m_warmupLimiter(warmupLimiter)
     , m_hooks(std::move(hooks))
 {
 }
@@ -42,18 +44,21 @@
             }
             table.endpoints.push_back(describe(*record, now, median));
             table.endpoints.back().tokenCapacity = capacity;
+            table.endpoints.back().startsLeft = m_warmupLimiter.requestsLeft(record->id, service, now);
             table.records.push_back(record);
         }
     }
     return table;
 }
 
-void EndpointTableBuilder::setEligibility(EndpointTable &table, const RouteRule &route, const std::string &model) const
+void EndpointTableBuilder::setEligibility(EndpointTable &table, const RouteRule &route, const std::string &workspace, const std::string &model) const
 {
+    const auto *restrictions = m_view.routes()->workspaceNamed(workspace);
     for (std::size_t i = 0; i < table.endpoints.size(); ++i) {
         auto &endpoint = table.endpoints[i];
         const auto &record = *table.records[i];
-        endpoint.isEligible = routesTo(route, record.service) && !m_hooks.isLoading(record.id, model);
+        endpoint.isEligible =
+            routesTo(route, record.service) && m_view.residency().allows(route, restrictions, record.zone) && !m_hooks.isLoading(record.id, model);
         endpoint.version = endpoint.isEligible ? m_hooks.servedVersion(record, model) : 0;
     }
 }
--- a/src/scheduling/endpointtablebuilder.h
+++ b/src/scheduling/endpointtablebuilder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catalog/systemview.h"
+#include "forwarding/warmuplimiter.h"
 #include "scheduling/endpointhealth.h"
 #include "scheduling/placement.h"
 #include "scheduling/runtracker.h"
@@ -34,13 +35,15 @@
 class EndpointTableBuilder
 {
 public:
-    EndpointTableBuilder(const SystemView &view, const EndpointHealth &health, const RunTracker &tracker, EndpointTableHooks hooks);
+    EndpointTableBuilder(
+        const SystemView &view, const EndpointHealth &health, const RunTracker &tracker, const WarmupLimiter &warmupLimiter, EndpointTableHooks hooks);
 
     /// Ready endpoints of all services that run models, except suspended ones.
     EndpointTable buildTable(Timestamp now) const;
 
-    /// Sets which endpoints of the table may take new runs of the model on the route, and their versions of the model.
-    void setEligibility(EndpointTable &table, const RouteRule &route, const std::string &model) const;
+    /// Sets which endpoints of the table may take new runs of the model for the route and the workspace, and their versions of the
+    /// model.
+    void setEligibility(EndpointTable &table, const RouteRule &route, const std::string &workspace, const std::string &model) const;
 
 private:
     PlacementEndpoint describe(const EndpointRecord &record, Timestamp now, double medianIntervalMs) const;
@@ -48,6 +51,7 @@
     const SystemView &m_view;
     const EndpointHealth &m_health;
     const RunTracker &m_runTracker;
+    const WarmupLimiter &m_warmupLimiter;
     EndpointTableHooks m_hooks;
 };
 
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -17,7 +17,7 @@
 
 bool hasFreeSlot(const PlacementEndpoint &endpoint, std::uint64_t minimumVersion)
 {
-    return endpoint.isEligible && endpoint.running < endpoint.slots && endpoint.version >= minimumVersion;
+    return endpoint.isEligible && endpoint.running < endpoint.slots && endpoint.startsLeft > 0 && endpoint.version >= minimumVersion;
 }
 
 PlacementEndpoint *findBest(std::vector<PlacementEndpoint> &endpoints, const PlacementItem &item, bool allowSlow, bool allowAvoided)
@@ -57,6 +57,15 @@
     return endpoint.tokenCapacity == 0 || endpoint.running == 0 || endpoint.forecast.peakWith(item.tokens) <= endpoint.tokenCapacity;
 }
 
+void addRun(PlacementEndpoint &endpoint, const TokenUse &tokens)
+{
+    ++endpoint.running;
+    endpoint.forecast.add(tokens);
+    if (endpoint.startsLeft != WarmupLimiter::Unlimited) {
+        --endpoint.startsLeft;
+    }
+}
+
 double expectedEventTime(const PlacementEndpoint &endpoint)
 {
     return endpoint.relativeEventTime * (1 + LoadWeight * static_cast<double>(endpoint.running) / std::max(endpoint.slots, 1));
@@ -72,7 +81,9 @@
         ++obstacles.eligible;
         const bool isOutdated = endpoint.version < minimumVersion;
         obstacles.outdated += isOutdated ? 1 : 0;
-        obstacles.full += !isOutdated && endpoint.running >= endpoint.slots ? 1 : 0;
+        const bool isFull = endpoint.running >= endpoint.slots;
+        obstacles.full += !isOutdated && isFull ? 1 : 0;
+        obstacles.limited += !isOutdated && !isFull && endpoint.startsLeft == 0 ? 1 : 0;
         obstacles.slow += endpoint.isSlow ? 1 : 0;
     }
     return obstacles;
@@ -100,8 +111,7 @@
         if (endpoint == nullptr) {
             continue;
         }
-        ++endpoint->running;
-        endpoint->forecast.add(item.tokens);
+        addRun(*endpoint, item.tokens);
         assignments.push_back({item.index, endpoint->id});
     }
     return assignments;
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "forwarding/warmuplimiter.h"
 #include "scheduling/tokenforecast.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,6 +22,8 @@
     TokenForecast forecast;
     std::uint64_t tokenCapacity = 0;
     std::uint64_t version = 0;
+    /// Number of requests that it may get now; see WarmupLimiter.
+    std::size_t startsLeft = WarmupLimiter::Unlimited;
     /// Whether it generates at less than about half the usual speed; see EndpointHealth::isSlow().
     bool isSlow = false;
     /// Time per event relative to the median of all endpoints; 1 at the median.
@@ -43,17 +47,20 @@
     std::string endpoint;
 };
 
-/// Whether any endpoint has a free slot and weights of at least minimumVersion. If not, the waiting items need not be
+/// Whether any endpoint has a free slot, may get a request and has weights of at least minimumVersion. If not, the waiting items need not be
 /// examined.
 bool hasFreeSlot(const std::vector<PlacementEndpoint> &endpoints, std::uint64_t minimumVersion);
 
-/// Whether the endpoint has a free slot, enough memory and recent enough weights for the item.
+/// Whether the endpoint may get a request and has a free slot, enough memory and recent enough weights for the item.
 bool hasCapacity(const PlacementEndpoint &endpoint, const PlacementItem &item);
 
+/// Adds a run of the item to the endpoint, so that the next decision of the round sees the remaining capacity.
+void addRun(PlacementEndpoint &endpoint, const TokenUse &tokens);
+
 /// Expected relative time per event of a run that is added to the endpoint.
 double expectedEventTime(const PlacementEndpoint &endpoint);
 
-/// Number of eligible endpoints, and how many of them cannot take an item (outdated or full) or are avoided (slow).
+/// Number of eligible endpoints, and how many of them cannot take an item (outdated, full or limited) or are avoided (slow).
 struct PlacementObstacles {
     /// Endpoints that may run the model and route of the batch.
     int eligible = 0;
@@ -61,6 +68,8 @@
     int outdated = 0;
     /// Eligible endpoints with recent enough weights whose slots are all taken.
     int full = 0;
+    /// Eligible endpoints with recent enough weights and a free slot that may get no request yet, because of the warm-up limit.
+    int limited = 0;
     /// Eligible endpoints that generate at less than about half the usual speed, including those that are outdated or full.
     int slow = 0;
 };
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -115,26 +115,31 @@
         if (busyServices.count(service) > 0) {
             continue;
         }
-        const auto free = freeEndpoints(service);
+        const auto ready = m_context.view.usableEndpoints(service, *route, entry.batch->index().workspace);
+        const auto free = freeEndpoints(ready, service);
         if (free.empty()) {
             busyServices.insert(service);
-        } else if (const auto *endpoint = chooseEndpoint(entry, service, free)) {
+        } else if (const auto *endpoint = chooseEndpoint(entry, ready, free)) {
             send(number, entry, *route, *endpoint);
         }
     }
 }
 
-std::vector<const EndpointRecord *> RewardCalls::freeEndpoints(const std::string &service) const
+std::vector<const EndpointRecord *> RewardCalls::freeEndpoints(std::vector<const EndpointRecord *> ready, const std::string &service) const
 {
-    auto free = m_context.view.endpoints().readyEndpoints(service);
-    const auto isBusy = [this](const EndpointRecord *endpoint) { return m_picker.inFlight(endpoint->id) >= maxRewardCalls(endpoint->slots); };
-    free.erase(std::remove_if(free.begin(), free.end(), isBusy), free.end());
-    return free;
+    const auto now = m_context.loop.now();
+    const auto *spec = m_context.view.routes()->serviceNamed(service);
+    const auto isBusy = [&](const EndpointRecord *endpoint) {
+        const bool isLimited = spec != nullptr && m_context.warmupLimiter.requestsLeft(endpoint->id, *spec, now) == 0;
+        return isLimited || m_picker.inFlight(endpoint->id) >= maxRewardCalls(endpoint->slots);
+    };
+    ready.erase(std::remove_if(ready.begin(), ready.end(), isBusy), ready.end());
+    return ready;
 }
 
-const EndpointRecord *RewardCalls::chooseEndpoint(Entry &entry, const std::string &service, const std::vector<const EndpointRecord *> &free)
+const EndpointRecord *
+RewardCalls::chooseEndpoint(Entry &entry, const std::vector<const EndpointRecord *> &ready, const std::vector<const EndpointRecord *> &free)
 {
-    const auto ready = m_context.view.endpoints().readyEndpoints(service);
     const bool allFailed =
         std::all_of(ready.begin(), ready.end(), [&entry](const EndpointRecord *endpoint) { return entry.failedEndpoints.count(endpoint->id) > 0; });
     if (allFailed) {
@@ -154,6 +159,7 @@
     entry.responseFields = {};
     const int call = ++entry.calls;
     m_picker.recordSent(endpoint.id);
+    m_context.warmupLimiter.recordRequest(endpoint.id, now);
     m_context.metrics.count("basilbend_reward_calls_total");
     m_context.log.info("reward_sent",
                        {{"batch", entry.batch->index().id},
--- a/src/scheduling/rewardcalls.h
+++ b/src/scheduling/rewardcalls.h
@@ -5,6 +5,7 @@
 #include "catalog/systemview.h"
 #include "forwarding/attemptrule.h"
 #include "forwarding/endpointpicker.h"
+#include "forwarding/warmuplimiter.h"
 #include "http/webclient.h"
 #include "log/eventlog.h"
 #include "net/metrics.h"
@@ -30,6 +31,7 @@
     WebClient &client;
     SystemView &view;
     Random &random;
+    WarmupLimiter &warmupLimiter;
     std::string zone;
 };
 
@@ -101,10 +103,10 @@
     std::vector<std::uint64_t> waitingInOrder() const;
     const RouteRule *routeOf(const Entry &entry) const;
     Timestamp dueAt(const Entry &entry) const;
-    /// Ready endpoints of the service that may take another reward call now.
-    std::vector<const EndpointRecord *> freeEndpoints(const std::string &service) const;
+    /// Endpoints of the service that may take another reward call of the entry now. ready: those that may receive its requests.
+    std::vector<const EndpointRecord *> freeEndpoints(std::vector<const EndpointRecord *> ready, const std::string &service) const;
     /// Returns null if the call has to wait for an endpoint that has not failed this text.
-    const EndpointRecord *chooseEndpoint(Entry &entry, const std::string &service, const std::vector<const EndpointRecord *> &free);
+    const EndpointRecord *chooseEndpoint(Entry &entry, const std::vector<const EndpointRecord *> &ready, const std::vector<const EndpointRecord *> &free);
     void send(std::uint64_t number, Entry &entry, const RouteRule &route, const EndpointRecord &endpoint);
     CallHooks callHooks(std::uint64_t number);
     void acceptEnd(std::uint64_t number, CallOutcome end);
--- a/src/scheduling/runmoves.cpp
+++ b/src/scheduling/runmoves.cpp
@@ -46,8 +46,7 @@
         if (run.remainingEvents * (run.relativeEventTime - target->relativeEventTime) * medianIntervalMs < MinMoveGainMs) {
             continue;
         }
-        ++target->running;
-        target->forecast.add(run.tokens);
+        addRun(*target, run.tokens);
         moves.push_back({run.itemIndex, target->id});
     }
     return moves;
--- a/src/scheduling/startrule.h
+++ b/src/scheduling/startrule.h
@@ -7,17 +7,18 @@
 namespace Basilbend
 {
 
-/// Decides whether items of batches may be sent to endpoints, by the age of the known state of the batches. A client may
-/// end a batch at any time, and nothing of it may reach an endpoint later than cancelBound after that. An overloaded
-/// process may hold state that is seconds old, so this is checked at the time of sending.
+/// Decides whether items of batches may be sent to endpoints, by the age of a state that can forbid it: the open batches, which
+/// a client may end at any time, or the evacuated availability zones. Nothing may reach an endpoint later than the bound after such
+/// a change. An overloaded process may hold state that is seconds old, so this is checked at the time of sending.
 struct StartRule {
-    Milliseconds cancelBound{3000};
+    Milliseconds bound{3000};
     /// Time for the transfer to the endpoint and for other runs that are started in the same round.
     Milliseconds margin{800};
 
-    bool mayStart(std::optional<Timestamp> batchesConfirmedAt, Timestamp now) const
+    /// confirmedAt: time at which the known state was last confirmed to be current; empty if it never was.
+    bool mayStart(std::optional<Timestamp> confirmedAt, Timestamp now) const
     {
-        return batchesConfirmedAt && now - *batchesConfirmedAt <= cancelBound - margin;
+        return confirmedAt && now - *confirmedAt <= bound - margin;
     }
 };
 
--- a/src/scheduling/waitlog.cpp
+++ b/src/scheduling/waitlog.cpp
@@ -26,6 +26,7 @@
                 {"endpoints", obstacles.eligible},
                 {"outdated", obstacles.outdated},
                 {"full", obstacles.full},
+                {"limited", obstacles.limited},
                 {"slow", obstacles.slow}});
 }
 
--- a/src/weights/weightupdater.cpp
+++ b/src/weights/weightupdater.cpp
@@ -89,7 +89,7 @@
     }
     std::vector<AssignableEndpoint> endpoints;
     for (const auto *record : m_view.endpoints().all()) {
-        if (record->isDraining || record->models.empty()) {
+        if (!m_view.endpoints().mayReceiveRequests(*record) || record->models.empty()) {
             continue;
         }
         AssignableEndpoint endpoint{record->id, {}};
@@ -140,7 +140,7 @@
     const auto now = m_loop.now();
     std::vector<WeightEndpoint> endpoints;
     for (const auto *record : m_view.endpoints().all()) {
-        if (record->isDraining || record->versionOf(model) == 0 || m_assignment.modelOf(record->id) != model) {
+        if (!m_view.endpoints().mayReceiveRequests(*record) || record->versionOf(model) == 0 || m_assignment.modelOf(record->id) != model) {
             continue;
         }
         const auto paused = m_pausedUntil.find(record->id);
@@ -172,6 +172,10 @@
 void WeightUpdater::sendRequest(const std::string &endpoint, const RequestMessage &message, const std::function<void(CallOutcome)> &onEnd)
 {
     auto &order = m_orders.at(endpoint);
+    if (m_view.endpoints().evacuatedZones().count(order.endpoint.zone) > 0) {
+        abandonOrder(endpoint, "zone_evacuated");
+        return;
+    }
     const auto serial = order.serial;
     order.status = 0;
     order.body.clear();
--- a/src/weights/weightupdater.h
+++ b/src/weights/weightupdater.h
@@ -101,6 +101,7 @@
     void startOrder(const EndpointRecord &endpoint, const std::string &model, std::uint64_t version);
     void requestReport(const std::string &endpoint);
     void sendOrder(const std::string &endpoint);
+    /// Sends a request for the endpoint's order; abandons the order instead if the endpoint's zone is being evacuated.
     void sendRequest(const std::string &endpoint, const RequestMessage &message, const std::function<void(CallOutcome)> &onEnd);
     void handleReport(const std::string &endpoint, CallOutcome outcome);
     void handleOrderAnswer(const std::string &endpoint, CallOutcome outcome);
--- a/tests/catalog/endpointregistry.cpp
+++ b/tests/catalog/endpointregistry.cpp
@@ -72,6 +72,33 @@
     BOOST_TEST(registry.readyEndpoints("s").size() == 1U);
 }
 
+// Guards against requests to a zone that the operator empties, and against endpoints that stay unused after overlapping
+// evacuations have ended.
+BOOST_AUTO_TEST_CASE(endpoints_of_evacuated_zones_get_no_work_until_the_last_evacuation_of_their_zone_has_ended)
+{
+    EndpointRegistry registry;
+    auto record = endpoint("a");
+    record.zone = "z1";
+    registry.put(record);
+    record.id = "b";
+    record.zone = "z2";
+    registry.put(record);
+    registry.setEvacuatedZones({"z1", "no-such-zone"});
+    BOOST_REQUIRE(registry.readyEndpoints("s").size() == 1U);
+    BOOST_TEST(registry.readyEndpoints("s").front()->id == "b");
+    // An endpoint that registers during the evacuation is not used either.
+    record.id = "c";
+    record.zone = "z1";
+    registry.put(record);
+    BOOST_TEST(registry.readyEndpoints("s").size() == 1U);
+    registry.setEvacuatedZones({"z1", "z2"});
+    BOOST_TEST(registry.readyEndpoints("s").empty());
+    registry.setEvacuatedZones({"z2"});
+    BOOST_TEST(registry.readyEndpoints("s").size() == 2U);
+    registry.setEvacuatedZones({});
+    BOOST_TEST(registry.readyEndpoints("s").size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_endpoint_that_expires_in_an_outage_is_removed)
 {
     EndpointRegistry registry;
--- a/tests/daemon/daemonsettings.cpp
+++ b/tests/daemon/daemonsettings.cpp
@@ -46,6 +46,23 @@
     BOOST_TEST(settings.value().gracePeriod.count() == 8500);
     BOOST_TEST(settings.value().peers.size() == 2U);
     BOOST_TEST(settings.value().usageReportDeadline.count() == 10000);
+    BOOST_TEST(settings.value().evacuationBound.count() == 5000);
+    BOOST_TEST(settings.value().regionOfZone.empty());
+}
+
+BOOST_AUTO_TEST_CASE(bounds_of_warm_up_and_evacuation_and_the_regions_are_read)
+{
+    const auto settings = read(std::string(Gateway)
+                                   + "evacuation_seconds: 4000e-3\nwarmup_rate_factor: 1.5\nwarmup_extra_requests: 5\ngateways: 25\n"
+                                     "regions:\n  \"z\": \"north\"\n  \"y\": \"south\"\n",
+                               "gateway");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings.value().evacuationBound.count() == 4000);
+    BOOST_TEST((settings.value().warmupTolerance == WarmupTolerance{1.5, 5}));
+    BOOST_TEST(settings.value().gatewayCount == 25);
+    BOOST_TEST((settings.value().regionOfZone == std::map<std::string, std::string>{{"z", "north"}, {"y", "south"}}));
+    // A platform with a single unnamed region fills in no entry.
+    BOOST_TEST(read(std::string(Gateway) + "regions:\n", "gateway").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(files_of_gateways_and_schedulers_are_recognised_by_their_role)
@@ -66,6 +83,8 @@
                                              std::tuple{"\"10.0.0.2:82\"", "\"peer\"", "peers"},
                                              std::tuple{"role: gateway", "role: scheduler", "role"},
                                              std::tuple{"zone:", "zones:", "zones"},
+                                             std::tuple{"zone:", "regions: north\nzone:", "regions"},
+                                             std::tuple{"zone:", "warmup_rate_factor: -1\nzone:", "warmup_rate_factor"},
                                              std::tuple{"store: \"10.0.0.9:80\"\n", "", "store"}}) {
         std::string text = Gateway;
         text.replace(text.find(from), std::string(from).size(), to);
--- a/tests/gateway/livecall.cpp
+++ b/tests/gateway/livecall.cpp
@@ -354,4 +354,45 @@
     BOOST_TEST(budget.reserve(0, AnswerBudget::MaxResponseBytes));
 }
 
+// Guards against requests to a zone that the operator evacuates, and against clients that wait there for an endpoint until their time
+// is up.
+BOOST_FIXTURE_TEST_CASE(a_request_is_rejected_at_once_as_not_run_while_all_its_endpoints_are_evacuated, LiveFixture)
+{
+    script(respondWhole, respondWhole);
+    store.put("op/evacuate/z", "\xff not readable");
+    time.advance(Milliseconds(50));
+    send("/often/a");
+    run(200);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(status == 503);
+    BOOST_TEST(runs() == 0U);
+    store.erase("op/evacuate/z");
+    time.advance(Milliseconds(50));
+    outcome.reset();
+    send("/often/a");
+    run(200);
+    BOOST_TEST(status == 200);
+    BOOST_TEST(runs() == 1U);
+}
+
+// Guards against a zone that stays unused because the end of its evacuation fell into a lost part of the history.
+BOOST_FIXTURE_TEST_CASE(an_evacuation_that_a_new_listing_does_not_show_has_ended, LiveFixture)
+{
+    script(respondWhole, respondWhole);
+    store.put("op/evacuate/z", "{}");
+    time.advance(Milliseconds(50));
+    BOOST_TEST(gateway->view.endpoints().evacuatedZones().size() == 1U);
+    store.faults.watchesMissChanges = true;
+    store.erase("op/evacuate/z");
+    time.advance(Milliseconds(900));
+    store.put("op/other", "{}");
+    store.faults.compactedRevision = store.peek("op/other")->revision;
+    store.faults.watchesMissChanges = false;
+    time.advance(Milliseconds(6000));
+    BOOST_TEST(gateway->view.endpoints().evacuatedZones().empty());
+    send("/often/a");
+    run(200);
+    BOOST_TEST(status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -14,12 +14,12 @@
 
 constexpr const char *ConfigurationText = R"({"version":7,"routes":[
  {"name":"r1","host":"a.example","path_prefix":"/x/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":150,"priority":2,
-  "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"attempts":2,"public":true},
+  "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"attempts":2,"public":true,"allowed_regions":["north","south"]},
  {"name":"r2","host":"a.example","path_prefix":"/y/","kind":"rollout","timeout_ms":10000,"target_latency_ms":500,"priority":1,"service":"s1",
   "attempts":3,"retention_s":40.5,"result_deadline_ms":7500,"single_version":true,"sticky":true,"resumable":true,"news":{"a":1}}],
- "services":[{"name":"s1","engine":{"slots":16,"kv_cache_tokens":120073,"models":[{"name":"m"}]}},{"name":"s2"}],
+ "services":[{"name":"s1","cold_start_s":3.0,"cold_per_s":7.8,"engine":{"slots":16,"kv_cache_tokens":120073,"models":[{"name":"m"}]}},{"name":"s2"}],
  "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400},
- "tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1}]})";
+ "tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1,"allowed_regions":["north"]}]})";
 
 }
 
@@ -42,6 +42,11 @@
     BOOST_TEST(!value.services.at(1).engine.has_value());
     BOOST_TEST(value.limits.idleTimeout.count() == 400);
     BOOST_TEST(value.workspaces.at(0).apiKeys.at(1) == "k2");
+    BOOST_TEST(value.services.at(0).warmupRequestsPerSecond == 7.8);
+    BOOST_TEST(value.services.at(1).warmupRequestsPerSecond == 0);
+    BOOST_TEST((value.routes.at(0).allowedRegions == std::vector<std::string>{"north", "south"}));
+    BOOST_TEST(value.routes.at(1).allowedRegions.empty());
+    BOOST_TEST((value.workspaces.at(0).allowedRegions == std::vector<std::string>{"north"}));
 }
 
 BOOST_AUTO_TEST_CASE(the_error_for_an_invalid_configuration_names_the_field)
--- a/tests/scheduling/placement.cpp
+++ b/tests/scheduling/placement.cpp
@@ -182,4 +182,20 @@
     BOOST_TEST(assign(waiting(2), {closed, slow}).size() == 2U);
 }
 
+// Guards against a round that sends more requests to a starting endpoint than its limit leaves, and against items that wait for it
+// while other endpoints are free.
+BOOST_AUTO_TEST_CASE(an_endpoint_gets_no_more_items_than_its_warm_up_limit_leaves)
+{
+    auto limited = endpoint("fast", 8, 0.8);
+    limited.startsLeft = 2;
+    auto counts = countByEndpoint(assign(waiting(8), {limited, endpoint("other", 8)}));
+    BOOST_TEST(counts["fast"] == 2);
+    BOOST_TEST(counts["other"] == 6);
+    limited.startsLeft = 0;
+    BOOST_TEST(assign(waiting(3), {limited}).empty());
+    BOOST_TEST(!hasFreeSlot({limited}, 5));
+    BOOST_TEST(countObstacles({limited}, 5).limited == 1);
+    BOOST_TEST(countObstacles({limited}, 5).full == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/weights/loads.cpp
+++ b/tests/weights/loads.cpp
@@ -144,4 +144,23 @@
     BOOST_TEST(makeItemRequest(item, {}, "e", {3, 0}).fields.find("Basilbend-Expect-Version") == nullptr);
 }
 
+// Guards against orders and reports that still go to a zone which the operator evacuates, also for a load that is under way.
+BOOST_FIXTURE_TEST_CASE(an_engine_in_an_evacuated_zone_gets_no_orders_until_the_evacuation_has_ended, LoadFixture)
+{
+    run(200);
+    store.put("op/evacuate/z", "{}");
+    run(300);
+    const auto requestsBefore = engine.requests.size();
+    reported = report(1, 1, false);
+    run(2000);
+    updater->startDueOrders();
+    run(500);
+    BOOST_TEST(engine.requests.size() == requestsBefore);
+    store.erase("op/evacuate/z");
+    run(1000);
+    updater->startDueOrders();
+    run(200);
+    BOOST_TEST(engine.requests.size() > requestsBefore);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
