Let a leader with a fresh lease send up to the whole of an endpoint's warm-up bound

Ruled out: limiting only endpoints that are known to warm up (told a heartbeat late); 11 of 16 requests for a leader and 5 for its successor (no room for a third process that does not know of either). Change: SendShareRule decides the share from the lease, the age of the leadership and of the process. A leader uses the whole while its lease lasts so long that a successor's first request falls into a later window, a third otherwise and while predecessors may still send, nothing in the first window of its process. A leader that is told to stop keeps to its third for one window before it resigns. An endpoint whose entry says that it warms up gets no more than its rate.

--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -8,6 +8,7 @@
 #include "platform/configurationcodec.h"
 #include "platform/operatorkeys.h"
 #include "scheduling/batchrunner.h"
+#include "scheduling/sendshare.h"
 #include "scheduling/startrule.h"
 #include "weights/weightupdater.h"
 
@@ -86,6 +87,7 @@
                                             runtime.settings().internalAddress,
                                             defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) { serveInternalRequest(exchange); }));
         }
+        m_startedAt = m_runtime.loop().now();
         m_runtime.onStopRequested = [this] { stop(); };
         m_runtime.onMetricsRequested = [this] { setGauges(); };
         m_election.start();
@@ -108,6 +110,10 @@
         hooks.term = [this] { return m_election.term(); };
         hooks.isSoleLeader = [this] { return m_election.mayAct(); };
         hooks.mayStart = [this] { return mayStart(); };
+        hooks.sendShare = [this] {
+            return SendShareRule{UncertainStartLimit}.shareOf({m_startedAt, m_electedAt, m_election.leaseValidUntil(), m_isHandingOver},
+                                                              m_runtime.loop().now());
+        };
         hooks.endpoints.servedVersion = [this](const EndpointRecord &endpoint, const std::string &model) {
             return m_weightUpdater.servedVersion(endpoint, model);
         };
@@ -170,6 +176,7 @@
     {
         m_isLeading = true;
         if (!continued) {
+            m_electedAt = m_runtime.loop().now();
             m_batchRunner.deactivate();
             m_weightUpdater.stop();
         }
@@ -215,7 +222,7 @@
     /// empty; a leader on such a host hands over first.
     void retireHosts()
     {
-        if (!m_isLeading || !m_election.mayAct()) {
+        if (!m_isLeading || m_isHandingOver || !m_election.mayAct()) {
             return;
         }
         for (const auto &[host, revision] : m_view.hostsToEmpty()) {
@@ -223,9 +230,7 @@
                 continue;
             }
             if (host == m_runtime.settings().node) {
-                m_runtime.log().info("handing_over", {{"why", "host_to_empty"}});
-                becomeFollower();
-                m_election.resign();
+                handOver("host_to_empty", [] {});
                 return;
             }
             m_reportedHosts.insert({host, revision});
@@ -255,9 +260,30 @@
 
     void stop()
     {
-        becomeFollower();
-        m_election.resign();
-        m_runtime.loop().runAfter(LeaseReleaseTime, [this] { m_runtime.quit(); });
+        handOver("stop", [this] { m_runtime.loop().runAfter(LeaseReleaseTime, [this] { m_runtime.quit(); }); });
+    }
+
+    /// Ends the leadership for good. If endpoints may need a warm-up, this process first keeps to its share of their requests for one
+    /// window, so that the successor may send the rest at once.
+    void handOver(const char *why, const std::function<void()> &onEnded)
+    {
+        const bool mustPrepare = m_isLeading && !m_isHandingOver && hasWarmupRates();
+        m_isHandingOver = true;
+        m_runtime.log().info("handing_over", {{"why", why}, {"prepares", mustPrepare}});
+        m_runtime.loop().runAfter(mustPrepare ? WarmupLimiter::Window : Milliseconds(0), [this, onEnded] {
+            becomeFollower();
+            m_election.resign();
+            onEnded();
+        });
+    }
+
+    bool hasWarmupRates() const
+    {
+        if (m_view.routes() == nullptr) {
+            return false;
+        }
+        const auto &services = m_view.routes()->configuration().services;
+        return std::any_of(services.begin(), services.end(), [](const ServiceSpec &service) { return service.warmupRequestsPerSecond > 0; });
     }
 
     DaemonRuntime &m_runtime;
@@ -269,6 +295,9 @@
     /// Null when no address is set; gateways then read results from the store.
     std::unique_ptr<WebServer> m_internalServer;
     std::set<std::pair<std::string, std::uint64_t>> m_reportedHosts;
+    Timestamp m_startedAt;
+    Timestamp m_electedAt;
+    bool m_isHandingOver = false;
     bool m_isLeading = false;
     bool m_isViewStarted = false;
     bool m_isPolling = false;
--- a/src/election/leaderelection.h
+++ b/src/election/leaderelection.h
@@ -68,6 +68,12 @@
         return m_term;
     }
 
+    /// Time until which no other process can be elected; meaningless if this process does not lead.
+    Timestamp leaseValidUntil() const
+    {
+        return m_leaseValidUntil;
+    }
+
     /// Time since the lease may have expired; zero while it is valid or this process does not lead.
     Milliseconds timeSinceLeaseExpiry() const;
 
--- a/src/forwarding/warmuplimiter.cpp
+++ b/src/forwarding/warmuplimiter.cpp
@@ -6,19 +6,19 @@
 namespace Basilbend
 {
 
-WarmupLimiter::WarmupLimiter(WarmupTolerance tolerance, int senders)
+WarmupLimiter::WarmupLimiter(WarmupTolerance tolerance, double share)
     : m_tolerance(tolerance)
-    , m_senders(std::max(1, senders))
+    , m_share(share)
 {
 }
 
-std::size_t WarmupLimiter::requestsLeft(const std::string &endpoint, const ServiceSpec &service, Timestamp now) const
+std::size_t WarmupLimiter::requestsLeft(const EndpointRecord &endpoint, const ServiceSpec &service, Timestamp now) const
 {
     if (service.warmupRequestsPerSecond <= 0) {
         return Unlimited;
     }
-    const auto limit = limitPerWindow(service);
-    const auto it = m_sentAt.find(endpoint);
+    const auto limit = limitPerWindow(service, endpoint.warmupRemaining.count() > 0);
+    const auto it = m_sentAt.find(endpoint.id);
     if (it == m_sentAt.end()) {
         return limit;
     }
@@ -32,10 +32,14 @@
     m_sentAt[endpoint].push_back(now);
 }
 
-std::size_t WarmupLimiter::limitPerWindow(const ServiceSpec &service) const
+std::size_t WarmupLimiter::limitPerWindow(const ServiceSpec &service, bool isWarmingUp) const
 {
-    const double allowed = service.warmupRequestsPerSecond * m_tolerance.rateFactor + m_tolerance.extraRequests;
-    return static_cast<std::size_t>(std::max(1.0, std::floor(allowed / m_senders)));
+    if (m_share <= 0) {
+        return 0;
+    }
+    const double rate = service.warmupRequestsPerSecond;
+    const double ownPart = std::floor((rate * m_tolerance.rateFactor + m_tolerance.extraRequests) * m_share);
+    return static_cast<std::size_t>(std::max(1.0, isWarmingUp ? std::min(ownPart, std::floor(rate)) : ownPart));
 }
 
 void WarmupLimiter::removeExpired(Timestamp now)
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -17,8 +17,6 @@
 constexpr std::size_t MaxMovesPerTick = 12;
 /// Minimum time between two scheduling rounds. Under load many runs end in this time, and one round handles them all.
 constexpr Milliseconds MinRoundInterval{10};
-/// A leader that does not know of its successor yet may send requests at the same time as the successor.
-constexpr int MaxLeadersSending = 2;
 
 }
 
@@ -44,7 +42,7 @@
           m_loop,
           log,
           {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
-    , m_warmupLimiter(warmupTolerance, MaxLeadersSending)
+    , m_warmupLimiter(warmupTolerance)
     , m_tableBuilder(m_view, m_health, m_runTracker, m_warmupLimiter, m_hooks.endpoints)
     , m_rewardCalls({m_loop, log, metrics, client, view, random, m_warmupLimiter, std::move(zone)}, rewardHooks())
     , m_resultServer(m_loop, resultHooks())
@@ -272,6 +270,7 @@
         return;
     }
     m_lastRoundStartedAt = m_loop.now();
+    m_warmupLimiter.setShare(m_hooks.sendShare());
     std::optional<EndpointTable> table;
     for (auto *batch : batchesByAge()) {
         scheduleBatch(*batch, table);
@@ -529,6 +528,7 @@
     }
     const auto now = m_loop.now();
     const double medianInterval = m_health.medianIntervalMs(now);
+    m_warmupLimiter.setShare(m_hooks.sendShare());
     auto table = m_tableBuilder.buildTable(now);
     std::size_t movesLeft = MaxMovesPerTick;
     for (auto *batch : batchesByAge()) {
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -33,6 +33,8 @@
     std::function<std::uint64_t()> term;
     /// Whether new runs may be started. Checked for each batch of a round, because a round may take long.
     std::function<bool()> mayStart;
+    /// Fraction of the requests to endpoints during warm-up that this process may send; see SendShareRule.
+    std::function<double()> sendShare;
     EndpointTableHooks endpoints;
     /// Called when an endpoint has refused a run.
     std::function<void(const std::string &endpoint)> onRunRefused;
--- a/src/scheduling/endpointtablebuilder.cpp
+++ b/src/scheduling/endpointtablebuilder.cpp
@@ -44,7 +44,7 @@
             }
             table.endpoints.push_back(describe(*record, now, median));
             table.endpoints.back().tokenCapacity = capacity;
-            table.endpoints.back().startsLeft = m_warmupLimiter.requestsLeft(record->id, service, now);
+            table.endpoints.back().startsLeft = m_warmupLimiter.requestsLeft(*record, service, now);
             table.records.push_back(record);
         }
     }
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -130,7 +130,7 @@
     const auto now = m_context.loop.now();
     const auto *spec = m_context.view.routes()->serviceNamed(service);
     const auto isBusy = [&](const EndpointRecord *endpoint) {
-        const bool isLimited = spec != nullptr && m_context.warmupLimiter.requestsLeft(endpoint->id, *spec, now) == 0;
+        const bool isLimited = spec != nullptr && m_context.warmupLimiter.requestsLeft(*endpoint, *spec, now) == 0;
         return isLimited || m_picker.inFlight(endpoint->id) >= maxRewardCalls(endpoint->slots);
     };
     ready.erase(std::remove_if(ready.begin(), ready.end(), isBusy), ready.end());
--- a/tests/scheduling/rewardcalls.cpp
+++ b/tests/scheduling/rewardcalls.cpp
@@ -30,7 +30,7 @@
     WebClient client{io, [this] { return time.now(); }};
     SystemView view{store, virtualLoop(time), log, ViewScope::Serving, Milliseconds(2500), Milliseconds(5000)};
     std::shared_ptr<OpenBatch> batch;
-    WarmupLimiter warmupLimiter{WarmupTolerance(), 2};
+    WarmupLimiter warmupLimiter;
     std::optional<RewardCalls> calls;
     std::vector<std::pair<std::size_t, std::string>> scores;
     int serverErrors = 0;
--- /dev/null
+++ b/tests/scheduling/sendshare.cpp
@@ -0,0 +1,172 @@
+#include "scheduling/sendshare.h"
+
+#include "base/random.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <optional>
+#include <vector>
+
+using namespace Basilbend;
+
+namespace
+{
+
+constexpr WarmupTolerance Tolerance{1.5, 5};
+constexpr double WarmupRate = 7.8;
+constexpr Milliseconds LeaseSpan{1500};
+constexpr Milliseconds RenewInterval{400};
+constexpr Milliseconds Step{5};
+constexpr SendShareRule Rule;
+
+/// A process that leads or has led, and sends as many requests to one endpoint as it may.
+struct Sender {
+    SenderState state;
+    WarmupLimiter limiter{Tolerance};
+    Timestamp renewedAt;
+    /// The store does not answer its renewals.
+    bool isCutOff = false;
+    std::optional<Timestamp> stopsAt;
+};
+
+/// One leader after the other, each lost in a random way, and the times at which their requests reach the endpoint.
+class Succession
+{
+public:
+    explicit Succession(std::uint64_t seed)
+        : m_random(seed)
+    {
+        m_service.warmupRequestsPerSecond = WarmupRate;
+        m_endpoint.id = "a";
+        elect(Timestamp(-10000));
+    }
+
+    std::vector<Timestamp> run(Milliseconds span)
+    {
+        auto nextLoss = m_now + Milliseconds(m_random.below(3000));
+        for (const auto end = m_now + span; m_now < end; m_now = m_now + Step) {
+            if (m_electionAt && m_now >= *m_electionAt) {
+                elect(m_nextStartedAt);
+                nextLoss = m_now + Milliseconds(m_random.below(3000));
+            }
+            if (!m_electionAt && m_now >= nextLoss) {
+                loseLeader();
+            }
+            for (auto &sender : m_senders) {
+                advance(sender);
+            }
+        }
+        std::sort(m_arrivals.begin(), m_arrivals.end(), [](Timestamp a, Timestamp b) { return a < b; });
+        return m_arrivals;
+    }
+
+private:
+    void elect(Timestamp startedAt)
+    {
+        m_electionAt.reset();
+        m_senders.emplace_back();
+        auto &leader = m_senders.back();
+        leader.state.startedAt = startedAt;
+        leader.state.electedAt = m_now;
+        renew(leader);
+    }
+
+    void renew(Sender &sender)
+    {
+        sender.renewedAt = m_now;
+        sender.state.leaseValidUntil = m_now + LeaseSpan - Rule.leaseMargin;
+    }
+
+    void loseLeader()
+    {
+        auto &leader = m_senders.back();
+        m_nextStartedAt = Timestamp(-10000);
+        switch (m_random.below(4)) {
+        case 0:
+            // Killed; another host takes over when the lease has ended.
+            leader.stopsAt = m_now;
+            m_electionAt = leader.renewedAt + LeaseSpan;
+            break;
+        case 1:
+            // Killed and started again on its host, where it leads at once.
+            leader.stopsAt = m_now;
+            m_nextStartedAt = m_now + Milliseconds(m_random.below(50));
+            m_electionAt = m_nextStartedAt + Milliseconds(20);
+            break;
+        case 2:
+            // Cut off from the store; it goes on for a while without knowing of its successor.
+            leader.isCutOff = true;
+            m_electionAt = leader.renewedAt + LeaseSpan;
+            break;
+        default:
+            // Told to stop.
+            leader.state.isHandingOver = true;
+            leader.stopsAt = m_now + WarmupLimiter::Window;
+            m_electionAt = *leader.stopsAt + Milliseconds(5);
+            break;
+        }
+    }
+
+    void advance(Sender &sender)
+    {
+        const bool isUncertainTooLong = m_now - sender.state.leaseValidUntil >= Rule.uncertainSendTime;
+        if ((sender.stopsAt && m_now >= *sender.stopsAt) || isUncertainTooLong) {
+            return;
+        }
+        if (!sender.isCutOff && m_now - sender.renewedAt >= RenewInterval) {
+            renew(sender);
+        }
+        sender.limiter.setShare(Rule.shareOf(sender.state, m_now));
+        const auto left = sender.limiter.requestsLeft(m_endpoint, m_service, m_now);
+        for (auto n = std::min<std::uint64_t>(left, m_random.below(20)); n > 0; --n) {
+            sender.limiter.recordRequest(m_endpoint.id, m_now);
+            m_arrivals.push_back(m_now + Milliseconds(m_random.below(301)));
+        }
+    }
+
+    Random m_random;
+    ServiceSpec m_service;
+    EndpointRecord m_endpoint;
+    Timestamp m_now{1000};
+    std::deque<Sender> m_senders;
+    std::optional<Timestamp> m_electionAt;
+    Timestamp m_nextStartedAt;
+    std::vector<Timestamp> m_arrivals;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(scheduling, *boost::unit_test::label("scheduling"))
+
+// Guards against an endpoint that gets more than it bears in some second because a leader and its successor each send what one of them
+// may send, whatever way the leadership changes, at whatever moment the endpoint becomes cold, and with slow connections.
+BOOST_AUTO_TEST_CASE(no_endpoint_gets_more_than_its_bound_in_any_second_around_changes_of_the_leader)
+{
+    const auto bound = WarmupRate * Tolerance.rateFactor + Tolerance.extraRequests;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        std::deque<Timestamp> second;
+        for (const auto at : Succession(seed).run(Milliseconds(30000))) {
+            second.push_back(at);
+            while (at - second.front() >= Milliseconds(1000)) {
+                second.pop_front();
+            }
+            BOOST_REQUIRE_MESSAGE(static_cast<double>(second.size()) <= bound, "seed " << seed << ": " << second.size() << " requests in one second");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_leader_with_a_fresh_lease_and_no_recent_predecessor_sends_all)
+{
+    constexpr double Part = 1.0 / SendShareRule::MaxSenders;
+    const SenderState state{Timestamp(0), Timestamp(1000), Timestamp(11200), false};
+    BOOST_TEST(Rule.shareOf(state, Timestamp(10000)) == 1);
+    BOOST_TEST(Rule.shareOf({Timestamp(0), Timestamp(1000), Timestamp(11200), true}, Timestamp(10000)) == Part);
+    // The lease may end before the requests are a window old.
+    BOOST_TEST(Rule.shareOf(state, Timestamp(10500)) == Part);
+    // The predecessor may still send.
+    BOOST_TEST(Rule.shareOf({Timestamp(0), Timestamp(7000), Timestamp(11200), false}, Timestamp(10000)) == Part);
+    BOOST_TEST(Rule.shareOf({Timestamp(9000), Timestamp(9100), Timestamp(11200), false}, Timestamp(10000)) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
