Let a leader that runs on through an outage of the store lead again

Cause: when the store is down for longer than the lease, the lease expires with it. Ruled out: a head start for the last leader in every vacancy; it lengthens each loss of a leader by as much. Change: before its candidacy a process asks the last leader past the store (LeaderProbe, at most 120 ms). One that says that it goes on gets 500 ms.

--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -3,6 +3,7 @@
 #include "billing/usagewindowreporter.h"
 #include "catalog/systemview.h"
 #include "election/leaderelection.h"
+#include "election/leaderprobe.h"
 #include "http/socketoptions.h"
 #include "http/webserver.h"
 #include "platform/configurationcodec.h"
@@ -44,12 +45,15 @@
         : m_runtime(runtime)
         , m_view(
               runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, runtime.settings().evacuationBound / OperatorWatchDivisor, EndpointWatchSpan)
+        , m_leaderProbe(runtime.client(), runtime.loop())
         , m_election(runtime.store(),
                      runtime.loop(),
                      runtime.log(),
                      runtime.random(),
                      electionSettings(runtime),
-                     {[this](bool continued) { becomeLeader(continued); }, [this] { becomeFollower(); }})
+                     {[this](bool continued) { becomeLeader(continued); },
+                      [this] { becomeFollower(); },
+                      [this](const std::string &address, std::function<void(bool)> callback) { m_leaderProbe.ask(address, std::move(callback)); }})
         , m_batchRunner(runtime.loop(),
                         runtime.log(),
                         runtime.metrics(),
@@ -111,7 +115,7 @@
         hooks.isSoleLeader = [this] { return m_election.mayAct(); };
         hooks.mayStart = [this] { return mayStart(); };
         hooks.sendShare = [this] {
-            return SendShareRule{UncertainStartLimit}.shareOf({m_startedAt, m_electedAt, m_election.leaseValidUntil(), m_isHandingOver},
+            return SendShareRule{UncertainStartLimit}.shareOf({m_predecessorEndedAt, m_electedAt, m_election.leaseValidUntil(), m_isHandingOver},
                                                               m_runtime.loop().now());
         };
         hooks.endpoints.servedVersion = [this](const EndpointRecord &endpoint, const std::string &model) {
@@ -131,6 +135,8 @@
     {
         if (targetPath(exchange->request().target) == ResultServer::Path) {
             m_batchRunner.serveResults(exchange);
+        } else if (targetPath(exchange->request().target) == LeaderProbe::Path) {
+            LeaderProbe::answer(*exchange, m_election.wantsToContinue() && !m_isHandingOver);
         } else {
             exchange->respond({404, {}, {}});
         }
@@ -177,6 +183,7 @@
         m_isLeading = true;
         if (!continued) {
             m_electedAt = m_runtime.loop().now();
+            m_predecessorEndedAt = m_election.replacedEarlierIncarnation() ? m_startedAt : Timestamp();
             m_batchRunner.deactivate();
             m_weightUpdater.stop();
         }
@@ -288,6 +295,7 @@
 
     DaemonRuntime &m_runtime;
     SystemView m_view;
+    LeaderProbe m_leaderProbe;
     LeaderElection m_election;
     BatchRunner m_batchRunner;
     WeightUpdater m_weightUpdater;
@@ -297,6 +305,7 @@
     std::set<std::pair<std::string, std::uint64_t>> m_reportedHosts;
     Timestamp m_startedAt;
     Timestamp m_electedAt;
+    Timestamp m_predecessorEndedAt;
     bool m_isHandingOver = false;
     bool m_isLeading = false;
     bool m_isViewStarted = false;
--- a/src/election/leaderelection.cpp
+++ b/src/election/leaderelection.cpp
@@ -83,6 +83,15 @@
         m_recentLeadersRevision = item.revision;
     } else if (item.key == HolderKey) {
         m_holder = item.isRemoval ? std::nullopt : std::optional(item);
+        rememberAddress(item);
+    }
+}
+
+void LeaderElection::rememberAddress(const MetadataItem &item)
+{
+    const auto record = item.isRemoval ? std::nullopt : decodeLeaderRecord(item.value);
+    if (record) {
+        m_lastLeaderAddress = record->node == m_settings.node ? std::string() : record->address;
     }
 }
 
@@ -146,25 +155,45 @@
         return;
     }
     m_isCandidate = true;
+    const auto generation = ++m_generation;
     const bool hasNoRival = m_mayContinue || m_holder;
-    const auto wait = hasNoRival ? Milliseconds(0) : Milliseconds(m_random.below(static_cast<std::uint64_t>(m_settings.jitter.count()) + 1));
-    m_loop.runAfter(wait, [this, generation = ++m_generation] {
-        if (generation != m_generation || (m_holder && !isFromEarlierIncarnation(*m_holder))) {
-            m_isCandidate = false;
+    if (hasNoRival) {
+        m_loop.runAfter(Milliseconds(0), [this, generation] { createLease(generation); });
+        return;
+    }
+    const Milliseconds wait(m_random.below(static_cast<std::uint64_t>(m_settings.jitter.count()) + 1));
+    m_loop.runAfter(wait, [this, generation] { runAfterLeaderReturn([this, generation] { createLease(generation); }); });
+}
+
+void LeaderElection::runAfterLeaderReturn(std::function<void()> step)
+{
+    if (!m_hooks.askLeader || m_lastLeaderAddress.empty()) {
+        step();
+        return;
+    }
+    m_hooks.askLeader(m_lastLeaderAddress, [this, step = std::move(step)](bool wantsToContinue) {
+        m_log.info("last_leader_asked", {{"address", m_lastLeaderAddress}, {"continues", wantsToContinue}});
+        m_loop.runAfter(wantsToContinue ? m_settings.leaderReturnTime : Milliseconds(0), step);
+    });
+}
+
+void LeaderElection::createLease(std::uint64_t generation)
+{
+    if (generation != m_generation || (m_holder && !isFromEarlierIncarnation(*m_holder))) {
+        m_isCandidate = false;
+        return;
+    }
+    const auto sentAt = m_loop.now();
+    m_store.createLease(m_settings.leaseSpan, [this, generation, sentAt](const MetadataReply &reply) {
+        if (generation != m_generation) {
             return;
         }
-        const auto sentAt = m_loop.now();
-        m_store.createLease(m_settings.leaseSpan, [this, generation, sentAt](const MetadataReply &reply) {
-            if (generation != m_generation) {
-                return;
-            }
-            if (reply.status == MetadataStatus::Done) {
-                commitCandidacy(reply.lease, sentAt);
-            } else {
-                m_isCandidate = false;
-                scheduleCandidacyRetry();
-            }
-        });
+        if (reply.status == MetadataStatus::Done) {
+            commitCandidacy(reply.lease, sentAt);
+        } else {
+            m_isCandidate = false;
+            scheduleCandidacyRetry();
+        }
     });
 }
 
@@ -178,6 +207,7 @@
     const LeaderRecord record{m_settings.node, m_settings.incarnation, ++m_attempt, m_settings.address};
     MetadataChange change;
     // There is no leader, or the record was left by an earlier process on this host.
+    m_replacedEarlierIncarnation = m_holder.has_value();
     change.preconditions.push_back({HolderKey, m_holder ? m_holder->revision : 0});
     // Fails if another process has led that this one does not know of yet.
     change.preconditions.push_back({RecentKey, m_recentLeadersRevision});
--- a/src/election/leaderelection.h
+++ b/src/election/leaderelection.h
@@ -27,6 +27,9 @@
     Milliseconds leaseMargin{300};
     /// Maximum random delay before a candidacy, so that candidates do not collide.
     Milliseconds jitter{120};
+    /// How long other candidates wait for a leader whose lease has expired but whose process says that it goes on. It learns of the
+    /// end of an outage of the store up to this much later than they do.
+    Milliseconds leaderReturnTime{500};
     Milliseconds watchSpan{5000};
     CandidacyRule rule;
 };
@@ -37,6 +40,9 @@
     std::function<void(bool continued)> onElected;
     /// Called when another process has replaced this one as leader.
     std::function<void()> onDeposed;
+    /// Asks the process at the address whether it led last and wants to go on, see LeaderElection::wantsToContinue(), and passes on
+    /// the answer, or false if there is none soon. May be null.
+    std::function<void(const std::string &address, std::function<void(bool)> callback)> askLeader = nullptr;
 };
 
 /// Elects one leader through a key under a lease in the metadata store. The revision of the key is the fencing token: it
@@ -55,6 +61,12 @@
 
     bool mayAct() const;
 
+    /// Whether this process led last, as far as it knows, and would take the leadership again with its state intact.
+    bool wantsToContinue() const
+    {
+        return m_mayContinue && !m_hasResigned;
+    }
+
     /// Whether this process was elected and does not know of a successor. Stays true while the store is unreachable, although
     /// the lease may have expired and another process may lead by then; mayAct() is false in that case.
     bool isLeader() const
@@ -74,6 +86,12 @@
         return m_leaseValidUntil;
     }
 
+    /// Whether the leadership was taken over from an earlier process on this host, without waiting for the end of its lease.
+    bool replacedEarlierIncarnation() const
+    {
+        return m_replacedEarlierIncarnation;
+    }
+
     /// Time since the lease may have expired; zero while it is valid or this process does not lead.
     Milliseconds timeSinceLeaseExpiry() const;
 
@@ -81,8 +99,12 @@
 
 private:
     void applyItem(const MetadataItem &item);
+    void rememberAddress(const MetadataItem &item);
     void evaluate();
     void startCandidacy();
+    /// Calls step when a leader that may still run has had its chance to take the leadership again.
+    void runAfterLeaderReturn(std::function<void()> step);
+    void createLease(std::uint64_t generation);
     void commitCandidacy(std::uint64_t lease, Timestamp leaseSentAt);
     void verifyCandidacy(std::uint64_t lease, Timestamp leaseSentAt);
     void becomeLeader(std::uint64_t term, std::uint64_t lease, Timestamp leaseSentAt, Milliseconds span);
@@ -107,6 +129,8 @@
     std::vector<std::string> m_recentLeaders;
     std::uint64_t m_recentLeadersRevision = 0;
     std::optional<MetadataItem> m_holder;
+    /// Address of the last known leader; empty if it is unknown or was this process.
+    std::string m_lastLeaderAddress;
     bool m_isStateKnown = false;
     bool m_isCandidate = false;
     bool m_hasResigned = false;
@@ -114,6 +138,7 @@
     std::uint64_t m_term = 0;
     std::uint64_t m_lease = 0;
     Timestamp m_leaseValidUntil;
+    bool m_replacedEarlierIncarnation = false;
     std::uint64_t m_generation = 0;
     /// Set when this process has led and no other process has led since.
     bool m_mayContinue = false;
--- a/src/scheduling/sendshare.h
+++ b/src/scheduling/sendshare.h
@@ -8,8 +8,9 @@
 
 /// What a process knows about other processes that may send requests to the same endpoints.
 struct SenderState {
-    /// Start of this process. An earlier process on this host may have sent requests until then.
-    Timestamp startedAt;
+    /// Start of this process if it took the leadership over from an earlier process on its host, which may have sent requests until
+    /// then; long ago otherwise.
+    Timestamp predecessorEndedAt;
     /// Start of the leadership. Its predecessor may not know of it yet.
     Timestamp electedAt;
     /// Time until which no other process can be elected.
@@ -23,12 +24,16 @@
 /// knowing of their successors, so each of the three then keeps to a third:
 /// - a leader uses the whole only while its lease lasts so long that a successor's first request falls into a later window;
 /// - a successor takes a third while predecessors may still send, and nothing right after its election;
-/// - a process that has just started takes nothing, because an earlier process on its host may have used the whole.
+/// - a process that takes over from an earlier one on its host, whose lease has not ended, sends nothing in the second after its
+///   start, because that process may have used the whole.
 struct SendShareRule {
     /// Longest time for which a leader sends requests after its lease may have expired.
     Milliseconds uncertainSendTime{2500};
     /// Time by which leaseValidUntil precedes the real end of the lease.
     Milliseconds leaseMargin{300};
+    /// Time after the end of an earlier process on this host before which nothing is sent. What that process had handed to new
+    /// connections ended with it.
+    Milliseconds restartDelay{1000};
     /// Time after its election before which a leader sends nothing. Reading the open batches takes about as long.
     Milliseconds firstSendDelay{250};
 
@@ -37,7 +42,7 @@
     double shareOf(const SenderState &state, Timestamp now) const
     {
         const auto window = WarmupLimiter::Window;
-        if (now - state.startedAt < window || now - state.electedAt < firstSendDelay) {
+        if (now - state.predecessorEndedAt < restartDelay || now - state.electedAt < firstSendDelay) {
             return 0;
         }
         const bool mayPredecessorSend = now - state.electedAt < uncertainSendTime + window;
