Check in the soak that no engine gets more items than it bears while it warms up

The stand-in engines have a warm-up rate, say after a crash that they warm up, and count items over a sliding second at any time, because an engine may become cold at any moment. Held-back requests that a healed link lets through together are left out for 1.5 s.

--- a/tests/soak/invariantchecker.cpp
+++ b/tests/soak/invariantchecker.cpp
@@ -171,6 +171,20 @@
     return MinEvents + std::hash<std::string>()(item) % EventSpread;
 }
 
+void InvariantChecker::recordItemArrival(const std::string &endpoint, Timestamp linkHealedAt)
+{
+    const auto now = m_now();
+    auto &arrivals = m_itemArrivals[endpoint];
+    arrivals.push_back(now);
+    while (now - arrivals.front() >= Milliseconds(1000)) {
+        arrivals.pop_front();
+    }
+    const bool isTooMany = static_cast<double>(arrivals.size()) > WarmupRate * WarmupRateFactor + WarmupExtraRequests;
+    if (isTooMany && now - linkHealedAt >= HeldRequestGrace) {
+        recordViolation(endpoint + " got " + std::to_string(arrivals.size()) + " items in one second");
+    }
+}
+
 void InvariantChecker::recordOrder(const std::string &endpoint, const std::string &holder, std::uint64_t token, Timestamp linkHealedAt)
 {
     const auto now = m_now();
--- a/tests/soak/invariantchecker.h
+++ b/tests/soak/invariantchecker.h
@@ -3,6 +3,7 @@
 #include "base/timestamp.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -36,6 +37,13 @@
     /// arrive then.
     static constexpr Milliseconds HealedLinkGrace{400};
 
+    /// Warm-up rate of the model engines in requests per second, and what of it the settings of the processes tolerate.
+    static constexpr double WarmupRate = 3;
+    static constexpr double WarmupRateFactor = 1.5;
+    static constexpr double WarmupExtraRequests = 5;
+    /// For this long after a link has healed, requests that it held back arrive together.
+    static constexpr Milliseconds HeldRequestGrace{1500};
+
     explicit InvariantChecker(NowFunction now);
 
     // Live requests.
@@ -55,6 +63,9 @@
     void recordResults(const std::string &batch, std::size_t position, const std::vector<ReadResult> &results);
     void recordUnknownBatch(const std::string &batch);
     void recordItemExecution(const std::string &item);
+    /// Checks that the items that reach an endpoint in any second are no more than it bears while it warms up, which it may do at any
+    /// moment. linkHealedAt: end of the last fault of the endpoint's link.
+    void recordItemArrival(const std::string &endpoint, Timestamp linkHealedAt);
     static std::string eventData(const std::string &item, std::uint64_t event, std::uint64_t version);
     static std::uint64_t eventCount(const std::string &item);
 
@@ -120,6 +131,8 @@
     std::map<std::string, std::string> m_refusedItems;
     std::map<std::string, std::uint64_t> m_lastTokens;
     std::map<std::string, std::vector<HolderPeriod>> m_holderPeriods;
+    /// Arrivals of the last second, by endpoint.
+    std::map<std::string, std::deque<Timestamp>> m_itemArrivals;
     std::map<std::int64_t, std::string> m_reportedCounts;
     std::vector<std::string> m_violations;
     std::vector<Milliseconds> m_latencies;
--- a/tests/soak/soakendpoint.cpp
+++ b/tests/soak/soakendpoint.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds LoadTime{300};
 constexpr Milliseconds RemovalDelay{400};
 constexpr std::uint64_t MinWorkMs = 5;
+constexpr Milliseconds WarmupTime{2000};
+constexpr const char *ItemPath = "/steps/generate";
 
 }
 
@@ -54,7 +56,14 @@
     m_orders = 0;
     m_running = 0;
     m_startedAtMs = m_loop.now().milliseconds();
+    // The endpoints of the beginning are warm.
+    m_warmUntil = m_loop.now() + (m_incarnation > 1 ? WarmupTime : Milliseconds(0));
     writeRegistryEntry();
+    m_loop.runAfter(WarmupTime, [this, incarnation = m_incarnation] {
+        if (incarnation == m_incarnation) {
+            writeRegistryEntry();
+        }
+    });
 }
 
 void SoakEndpoint::writeRegistryEntry()
@@ -69,7 +78,7 @@
                      {"version", "1"},
                      {"slots", m_settings.slots},
                      {"state", "ready"},
-                     {"cold_remaining_ms", 0},
+                     {"cold_remaining_ms", std::max(Milliseconds(0), m_warmUntil - m_loop.now()).count()},
                      {"sequence", 1},
                      {"stage", "both"},
                      {"models", models},
@@ -106,7 +115,12 @@
     const auto &expected = request.fields.value(Wire::ExpectInstance);
     if (!expected.empty() && expected != m_id) {
         refuse(exchange, 421);
-    } else if (targetPath(request.target) == Wire::ReportPath) {
+        return;
+    }
+    if (targetPath(request.target) == ItemPath) {
+        m_checker.recordItemArrival(m_id, m_proxy.healedAt());
+    }
+    if (targetPath(request.target) == Wire::ReportPath) {
         answerReport(exchange);
     } else if (targetPath(request.target) == Wire::OrderPath) {
         handleOrder(exchange);
--- a/tests/soak/soakendpoint.h
+++ b/tests/soak/soakendpoint.h
@@ -78,6 +78,7 @@
     std::string m_loadingModel;
     std::uint64_t m_orders = 0;
     std::int64_t m_startedAtMs = 0;
+    Timestamp m_warmUntil;
     int m_running = 0;
 };
 
--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -129,7 +129,9 @@
     for (std::size_t i = 0; i < m_peers.size(); ++i) {
         text += (i == 0 ? "\"" : ", \"") + m_peers[i] + "\"";
     }
-    return text + "]\nusage_window_seconds: 2\nusage_due_seconds: 4\ngrace_seconds: 5\n";
+    text += "]\nwarmup_rate_factor: " + std::to_string(InvariantChecker::WarmupRateFactor)
+        + "\nwarmup_extra_requests: " + std::to_string(InvariantChecker::WarmupExtraRequests);
+    return text + "\nusage_window_seconds: 2\nusage_due_seconds: 4\ngrace_seconds: 5\n";
 }
 
 void SoakSystem::start()
@@ -171,7 +173,10 @@
     for (const auto &model : m_settings.models) {
         models.push_back({{"name", model}});
     }
-    const json engine{{"name", "engine"}, {"engine", {{"slots", 8}, {"kv_cache_tokens", 60000}, {"models", models}}}};
+    const json engine{{"name", "engine"},
+                      {"cold_start_s", 2},
+                      {"cold_per_s", InvariantChecker::WarmupRate},
+                      {"engine", {{"slots", 8}, {"kv_cache_tokens", 60000}, {"models", models}}}};
     const json configuration{{"version", ++m_configuration},
                              {"routes",
                               {route("status", "/status/", "idempotent", "desk", m_routeTimeout),
