Ask each peer once for a call to the store, and read ports strictly

Cause: a relayed call counted its retries from the peer that answered last, which other calls change meanwhile; with two peers it asked the one that had refused it twice and the healthy one never, and failed. parseSocketEndpoint() took "80abc", "-1" and " 80" as ports and threw std::out_of_range for long numbers. Change: a call keeps the peer that it asked first. The port must be a whole number. Both tests failed first: first peer 2 calls instead of 1, second 0, status 503; two ports accepted and one wrong exception.

--- a/src/http/socketoptions.cpp
+++ b/src/http/socketoptions.cpp
@@ -1,6 +1,7 @@
 #include "http/socketoptions.h"
 
 #include <asio/ip/address.hpp>
+#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdexcept>
@@ -31,11 +32,13 @@
     if (colon == std::string::npos) {
         throw std::invalid_argument("missing port in address " + text);
     }
-    const auto port = std::stoul(text.substr(colon + 1));
-    if (port > 65535) {
-        throw std::invalid_argument("port above 65535 in address " + text);
+    std::uint16_t port = 0;
+    const auto *end = text.data() + text.size();
+    const auto [parsedEnd, ec] = std::from_chars(text.data() + colon + 1, end, port);
+    if (ec != std::errc{} || parsedEnd != end) {
+        throw std::invalid_argument("port is not a number up to 65535 in address " + text);
     }
-    return {asio::ip::make_address(text.substr(0, colon)), static_cast<std::uint16_t>(port)};
+    return {asio::ip::make_address(text.substr(0, colon)), port};
 }
 
 void resetConnection(asio::ip::tcp::socket &socket)
--- a/src/metadata/relayedtransport.cpp
+++ b/src/metadata/relayedtransport.cpp
@@ -38,6 +38,8 @@
 struct RelayedTransport::OpenCall {
     StoreRequest request;
     Callback callback;
+    /// Index of the first peer that is asked; the others follow in order, whichever peer other calls meanwhile found to answer.
+    std::size_t firstPeerIndex = 0;
     std::size_t triedPeerCount = 0;
     /// The last result, passed to the callback when there is no other peer to try.
     StoreResponse response;
@@ -92,7 +94,10 @@
 
 void RelayedTransport::sendToPeer(const std::shared_ptr<OpenCall> &open)
 {
-    const auto peerIndex = (m_lastPeerIndex + open->triedPeerCount) % m_peers.size();
+    if (open->triedPeerCount == 0) {
+        open->firstPeerIndex = m_lastPeerIndex;
+    }
+    const auto peerIndex = (open->firstPeerIndex + open->triedPeerCount) % m_peers.size();
     ++open->triedPeerCount;
     const auto &call = open->request;
     StoreRequest relayed;
--- a/tests/metadata/relayedtransport.cpp
+++ b/tests/metadata/relayedtransport.cpp
@@ -4,6 +4,8 @@
 #include "metadata/fakemetadatastore.h"
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
 #include <optional>
 
 using namespace Basilbend;
@@ -127,14 +129,22 @@
     EventLog log{EventLogSettings(), [this] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); }};
     WebClient client{io, [this] { return time.now(); }};
     ScriptedTransport direct{time};
-    WebServer first{io, "127.0.0.1:0", hooks()};
-    WebServer second{io, "127.0.0.1:0", hooks()};
+    /// Handles a relayed call with its target; the same answer as at the other peer if empty.
+    using Handler = std::function<void(const std::shared_ptr<ServerExchange> &, const std::string &target)>;
+    Handler onFirst;
+    Handler onSecond;
+    WebServer first{io, "127.0.0.1:0", hooks(onFirst)};
+    WebServer second{io, "127.0.0.1:0", hooks(onSecond)};
     RelayedTransport transport{direct, client, virtualLoop(time), log, {address(first), address(second)}, 0};
 
-    ServerHooks hooks()
+    ServerHooks hooks(const Handler &handler)
     {
-        return defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
+        return defaultServerHooks([this, &handler](const std::shared_ptr<ServerExchange> &exchange) {
             ++relayedCalls;
+            if (handler) {
+                handler(exchange, std::string(exchange->request().fields.value("Relay-Target")));
+                return;
+            }
             exchange->respond({status, {{RelayStatusField, "404"}}, "body"});
         });
     }
@@ -146,12 +156,16 @@
     {
         std::optional<StoreResponse> result;
         transport.send({{"GET", "/-/x", {}, {}}, Milliseconds(1000), isIdempotent}, [&result](StoreResponse response) { result = std::move(response); });
+        run();
+        return result;
+    }
+    void run()
+    {
         for (int i = 0; i < 100; ++i) {
             time.advance(Milliseconds(5));
             io.restart();
             io.poll();
         }
-        return result;
     }
 };
 
@@ -176,6 +190,41 @@
     BOOST_TEST(relayedCalls == 1);
 }
 
+// Guards against a call that asks one peer twice and another one never, because other calls meanwhile found the peer that answers.
+BOOST_FIXTURE_TEST_CASE(a_call_asks_each_peer_even_if_other_calls_are_answered_meanwhile, PeerFixture)
+{
+    direct.response = {CallOutcome::Complete, 503, {}, 0};
+    std::map<std::string, int> callsOfFirst;
+    std::map<std::string, int> callsOfSecond;
+    std::shared_ptr<ServerExchange> held;
+    // Two failures of direct calls, so that the next calls go to the peers at once. No peer answers them either.
+    send(true);
+    send(true);
+    onFirst = [&](const std::shared_ptr<ServerExchange> &exchange, const std::string &target) {
+        ++callsOfFirst[target];
+        if (target == "/-/slow") {
+            held = exchange;
+        } else {
+            exchange->respond({503, {}, {}});
+        }
+    };
+    onSecond = [&](const std::shared_ptr<ServerExchange> &exchange, const std::string &target) {
+        ++callsOfSecond[target];
+        exchange->respond({200, {{RelayStatusField, "200"}}, "body"});
+    };
+    std::optional<StoreResponse> slow;
+    transport.send({{"GET", "/-/slow", {}, {}}, Milliseconds(1000), true}, [&slow](StoreResponse response) { slow = std::move(response); });
+    run();
+    BOOST_REQUIRE((held != nullptr));
+    send(true);
+    held->respond({503, {}, {}});
+    run();
+    BOOST_REQUIRE(slow.has_value());
+    BOOST_TEST(slow->status == 200);
+    BOOST_TEST(callsOfFirst["/-/slow"] == 1);
+    BOOST_TEST(callsOfSecond["/-/slow"] == 1);
+}
+
 // Guards against a write that is executed twice: a peer that got no answer does not know whether the call was executed.
 BOOST_FIXTURE_TEST_CASE(a_write_that_a_peer_may_have_executed_is_not_retried, PeerFixture)
 {
