Remove unused members and reword comments that a reader could not understand

AssignableEndpoint::versions and Step::isAccepted were written and never read; the assignment of models takes ids now. Comments in limits, spread and replay that kept private words say what the code does.

--- a/src/limits/allowanceallocator.h
+++ b/src/limits/allowanceallocator.h
@@ -26,7 +26,7 @@
     /// The entries that serve callers; each one without a grant is assumed to use its even part.
     void setEntries(const std::vector<std::string> &entries);
 
-    /// Answers one entry's demand; nothing while the predecessor's grants may be live.
+    /// Returns the grant for one entry's demand. Grants nothing until all grants of the predecessor have expired.
     std::optional<AllowanceGrant> grant(const AllowanceDemand &demand, Timestamp now);
 
 private:
--- a/src/replay/replayattempts.cpp
+++ b/src/replay/replayattempts.cpp
@@ -83,7 +83,7 @@
     return id;
 }
 
-/// Goes on with a request whose attempt ended; StepTracker does this for samples.
+/// Starts the next attempt of a request whose attempt ended. Retries of samples are up to StepTracker.
 void ReplayRun::sendAgain(std::size_t jobIndex, const std::string &avoid, bool counts)
 {
     const auto &job = m_jobs[jobIndex];
--- a/src/replay/replayfleet.h
+++ b/src/replay/replayfleet.h
@@ -23,7 +23,7 @@
     /// New weights are published: at most a fifth of the pool swaps at once.
     void publish(const std::string &policy, std::uint64_t version);
 
-    /// Goes on with swaps; every tick.
+    /// Starts the next swaps of weights that are due. Called once per tick.
     void swapNext(Timestamp now);
 
     /// Once a second: tokens per second asked for, by policy and zone.
--- a/src/spread/freshnessmonitor.h
+++ b/src/spread/freshnessmonitor.h
@@ -69,7 +69,8 @@
     /// Stamps of a reached store by revision, the youngest of each; older ones of lower revisions are dropped.
     std::map<std::uint64_t, std::pair<std::string, Timestamp>> m_reached;
     std::map<std::string, Seen> m_down;
-    /// The highest revision that any stamp named. Below it, "store down" does not count: some process knows more.
+    /// The highest revision that any stamp named. A stamp of an unreachable store with a lower revision proves nothing, because some
+    /// process has seen a newer configuration.
     std::uint64_t m_highestRevision = 0;
 };
 
--- a/src/weights/modelassignment.cpp
+++ b/src/weights/modelassignment.cpp
@@ -59,12 +59,9 @@
     return targets;
 }
 
-void ModelAssignment::update(const std::vector<AssignableEndpoint> &endpoints, const ModelDemand &demand)
+void ModelAssignment::update(const std::vector<std::string> &endpoints, const ModelDemand &demand)
 {
-    std::set<std::string> present;
-    for (const auto &endpoint : endpoints) {
-        present.insert(endpoint.id);
-    }
+    const std::set<std::string> present(endpoints.begin(), endpoints.end());
     for (auto it = m_modelByEndpoint.begin(); it != m_modelByEndpoint.end();) {
         it = present.count(it->first) == 0 || demand.count(it->second) == 0 ? m_modelByEndpoint.erase(it) : std::next(it);
     }
@@ -83,16 +80,16 @@
         return best;
     };
     for (const auto &endpoint : endpoints) {
-        if (m_modelByEndpoint.count(endpoint.id) == 0) {
-            m_modelByEndpoint[endpoint.id] = modelWithLargestDeficit();
+        if (m_modelByEndpoint.count(endpoint) == 0) {
+            m_modelByEndpoint[endpoint] = modelWithLargestDeficit();
         }
     }
     for (const auto &endpoint : endpoints) {
-        const auto currentModel = m_modelByEndpoint.at(endpoint.id);
+        const auto currentModel = m_modelByEndpoint.at(endpoint);
         const auto newModel = modelWithLargestDeficit();
         const bool hasSurplus = deficitOf(currentModel) < -static_cast<std::ptrdiff_t>(SurplusTolerance);
         if (hasSurplus && deficitOf(newModel) > 0) {
-            m_modelByEndpoint[endpoint.id] = newModel;
+            m_modelByEndpoint[endpoint] = newModel;
         }
     }
 }
--- a/src/weights/modelassignment.h
+++ b/src/weights/modelassignment.h
@@ -8,12 +8,6 @@
 namespace Basilbend
 {
 
-/// An endpoint that can serve several models, with the versions of their weights.
-struct AssignableEndpoint {
-    std::string id;
-    std::map<std::string, std::uint64_t> versions;
-};
-
 /// Amount of work by model, for example the tokens of its last steps. Only the ratios between models matter.
 using ModelDemand = std::map<std::string, double>;
 
@@ -22,9 +16,9 @@
 class ModelAssignment
 {
 public:
-    /// Updates the assignment. Shares follow the demand, but no model gets less than half of an equal share. An endpoint moves
-    /// to another model only when its model has at least two endpoints more than its share.
-    void update(const std::vector<AssignableEndpoint> &endpoints, const ModelDemand &demand);
+    /// Updates the assignment of the endpoints, given by their ids. Shares follow the demand, but no model gets less than half of an equal share. An endpoint
+    /// moves to another model only when its model has at least two endpoints more than its share.
+    void update(const std::vector<std::string> &endpoints, const ModelDemand &demand);
 
     /// The model that the endpoint is assigned to, or an empty string.
     std::string modelOf(const std::string &endpoint) const;
--- a/src/weights/weightupdater.cpp
+++ b/src/weights/weightupdater.cpp
@@ -87,16 +87,12 @@
     for (const auto &[model, published] : m_view.publishedVersions()) {
         demand.emplace(model, 0);
     }
-    std::vector<AssignableEndpoint> endpoints;
+    std::vector<std::string> endpoints;
     for (const auto *record : m_view.endpoints().all()) {
         if (!m_view.endpoints().mayReceiveRequests(*record) || record->models.empty()) {
             continue;
         }
-        AssignableEndpoint endpoint{record->id, {}};
-        for (const auto &model : record->models) {
-            endpoint.versions[model.name] = servedVersion(*record, model.name);
-        }
-        endpoints.push_back(std::move(endpoint));
+        endpoints.push_back(record->id);
     }
     m_assignment.update(endpoints, demand);
 }
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -56,7 +56,6 @@
         std::uint64_t version = 1;
         std::vector<std::string> items;
         std::string body;
-        bool isAccepted = false;
         bool wasUnanswered = false;
         std::size_t position = 0;
     };
--- a/tests/weights/orders.cpp
+++ b/tests/weights/orders.cpp
@@ -20,11 +20,11 @@
     return result;
 }
 
-std::vector<AssignableEndpoint> fleet(std::size_t n)
+std::vector<std::string> fleet(std::size_t n)
 {
-    std::vector<AssignableEndpoint> result;
+    std::vector<std::string> result;
     for (std::size_t i = 0; i < n; ++i) {
-        result.push_back({"e" + std::to_string(100 + i), {}});
+        result.push_back("e" + std::to_string(100 + i));
     }
     return result;
 }
@@ -120,16 +120,16 @@
     assignment.update(fleet(12), {{"a", 1}, {"b", 1}, {"c", 1}});
     BOOST_TEST(assignment.endpointCount("b") >= 3U);
     BOOST_TEST(assignment.endpointCount("c") >= 3U);
-    std::vector<AssignableEndpoint> left;
+    std::vector<std::string> left;
     for (const auto &endpoint : fleet(12)) {
-        if (assignment.modelOf(endpoint.id) != "b") {
+        if (assignment.modelOf(endpoint) != "b") {
             left.push_back(endpoint);
         }
     }
     assignment.update(left, {{"a", 1}, {"b", 1}, {"c", 1}});
     BOOST_TEST(assignment.endpointCount("b") >= 1U);
     assignment.update(left, {});
-    BOOST_TEST(assignment.modelOf(left.front().id).empty());
+    BOOST_TEST(assignment.modelOf(left.front()).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
