--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -22,6 +22,8 @@
 {
 
 constexpr Milliseconds LogFlushInterval{250};
+/// Delays of the event loop from this on are logged.
+constexpr Milliseconds LongLoopDelay{100};
 /// Upper bound of the random number that selects the first peer of a process, so that one peer does not relay for all.
 constexpr std::uint64_t FirstPeerBound = 64;
 /// The settings file is checked periodically, because the platform may change it without a signal.
@@ -68,7 +70,7 @@
     m_log.info("process_started", {{"role", m_settings.role}, {"zone", m_settings.zone}, {"settings_digest", std::hash<std::string>()(m_settingsText)}});
     serveMetrics();
     waitForSignal();
-    startHousekeeping();
+    scheduleHousekeeping();
 }
 
 DaemonRuntime::~DaemonRuntime() = default;
@@ -121,21 +123,39 @@
     });
 }
 
-void DaemonRuntime::startHousekeeping()
+void DaemonRuntime::scheduleHousekeeping()
 {
-    auto flushes = std::make_shared<int>(0);
-    auto step = std::make_shared<std::function<void()>>();
-    *step = [this, flushes, step] {
-        m_log.flush();
-        if (++*flushes % FlushesPerSettingsCheck == 0) {
-            reload("changed");
+    const auto dueAt = m_loop.now() + LogFlushInterval;
+    m_loop.runAfter(LogFlushInterval, [this, dueAt] {
+        if (const auto delay = m_loopDelay.record(dueAt, m_loop.now())) {
+            recordLoopDelay(*delay);
         }
-        if (*flushes % FlushesPerStoreCallsLine == 0) {
-            logStoreCalls();
-        }
-        m_loop.runAfter(LogFlushInterval, *step);
-    };
-    m_loop.runAfter(LogFlushInterval, *step);
+        runHousekeeping();
+        scheduleHousekeeping();
+    });
+}
+
+void DaemonRuntime::runHousekeeping()
+{
+    m_log.flush();
+    ++m_housekeepingRuns;
+    if (m_housekeepingRuns % FlushesPerSettingsCheck == 0) {
+        reload("changed");
+    }
+    if (m_housekeepingRuns % FlushesPerStoreCallsLine == 0) {
+        logStoreCalls();
+    }
+}
+
+void DaemonRuntime::recordLoopDelay(const LoopDelay &delay)
+{
+    m_metrics.observe("basilbend_event_loop_delay_seconds", static_cast<double>(delay.longest.count()) / 1000);
+    if (delay.longest >= LongLoopDelay) {
+        m_log.warning("event_loop_delayed", {{"longest_ms", delay.longest}, {"mean_ms", delay.mean}});
+    }
+    if (onLoopDelayMeasured) {
+        onLoopDelayMeasured(delay);
+    }
 }
 
 void DaemonRuntime::logStoreCalls()
--- a/src/daemon/daemonruntime.h
+++ b/src/daemon/daemonruntime.h
@@ -3,6 +3,7 @@
 #include "base/eventloop.h"
 #include "base/random.h"
 #include "daemon/daemonsettings.h"
+#include "daemon/loopdelaymonitor.h"
 #include "http/webclient.h"
 #include "http/webserver.h"
 #include "log/eventlog.h"
@@ -82,10 +83,14 @@
     std::function<void()> onSettingsChanged;
     /// Called before the metrics are served, to update gauges.
     std::function<void()> onMetricsRequested;
+    /// Called about once a second with the delay of the event loop.
+    std::function<void(const LoopDelay &)> onLoopDelayMeasured;
 
 private:
     void waitForSignal();
-    void startHousekeeping();
+    void scheduleHousekeeping();
+    void runHousekeeping();
+    void recordLoopDelay(const LoopDelay &delay);
     void logStoreCalls();
     void reload(const char *why);
     void serveMetrics();
@@ -107,6 +112,8 @@
     asio::signal_set m_signals;
     std::unique_ptr<WebServer> m_metricsServer;
     PlatformStoreCounts m_loggedCounts;
+    LoopDelayMonitor m_loopDelay;
+    int m_housekeepingRuns = 0;
     bool m_isStopping = false;
 };
 
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -94,6 +94,7 @@
         m_startedAt = m_runtime.loop().now();
         m_runtime.onStopRequested = [this] { stop(); };
         m_runtime.onMetricsRequested = [this] { setGauges(); };
+        m_runtime.onLoopDelayMeasured = [this](const LoopDelay &delay) { logLoad(delay); };
         m_election.start();
     }
 
@@ -265,6 +266,28 @@
         metrics.setGauge("basilbend_endpoints", static_cast<double>(m_view.endpoints().size()));
     }
 
+    /// Logs what this process has done since the last line, so that a lack of processor time can be told from other delays.
+    void logLoad(const LoopDelay &delay)
+    {
+        const auto counts = m_batchRunner.counts();
+        const auto calls = m_runtime.client().counts();
+        if (m_isLeading) {
+            m_runtime.log().info("leader_load",
+                                 {{"delay_ms", delay.longest},
+                                  {"batches", m_batchRunner.openBatchCount()},
+                                  {"runs", m_batchRunner.openRunCount()},
+                                  {"started", counts.startedRuns - m_loggedCounts.startedRuns},
+                                  {"cancelled", counts.cancelledRuns - m_loggedCounts.cancelledRuns},
+                                  {"events", counts.events - m_loggedCounts.events},
+                                  {"rounds", counts.rounds - m_loggedCounts.rounds},
+                                  {"examined", counts.examinedItems - m_loggedCounts.examinedItems},
+                                  {"calls", calls.calls - m_loggedCalls.calls},
+                                  {"connects", calls.connects - m_loggedCalls.connects}});
+        }
+        m_loggedCounts = counts;
+        m_loggedCalls = calls;
+    }
+
     void stop()
     {
         handOver("stop", [this] { m_runtime.loop().runAfter(LeaseReleaseTime, [this] { m_runtime.quit(); }); });
@@ -306,6 +329,8 @@
     Timestamp m_startedAt;
     Timestamp m_electedAt;
     Timestamp m_predecessorEndedAt;
+    RunnerCounts m_loggedCounts;
+    WebClientCounts m_loggedCalls;
     bool m_isHandingOver = false;
     bool m_isLeading = false;
     bool m_isViewStarted = false;
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -226,6 +226,15 @@
     return loads;
 }
 
+std::size_t BatchRunner::openRunCount() const
+{
+    std::size_t n = 0;
+    for (const auto &[id, batch] : m_batches) {
+        n += batch->openRuns.size();
+    }
+    return n;
+}
+
 void BatchRunner::requestRound()
 {
     if (m_active) {
@@ -270,6 +279,7 @@
         return;
     }
     m_lastRoundStartedAt = m_loop.now();
+    ++m_counts.rounds;
     m_warmupLimiter.setShare(m_hooks.sendShare());
     std::optional<EndpointTable> table;
     for (auto *batch : batchesByAge()) {
@@ -299,7 +309,9 @@
     m_tableBuilder.setEligibility(*table, *route, state.index().workspace, state.submission().model);
     std::size_t started = 0;
     if (m_hooks.mayStart() && hasFreeSlot(table->endpoints, state.submission().minimumVersion)) {
-        for (const auto &assignment : assignItems(batch.waitingItems(m_runTracker, now), table->endpoints)) {
+        const auto items = batch.waitingItems(m_runTracker, now);
+        m_counts.examinedItems += items.size();
+        for (const auto &assignment : assignItems(items, table->endpoints)) {
             if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
                 startRun(batch, assignment.item, *endpoint);
                 ++started;
@@ -356,6 +368,7 @@
     m_runTracker.addRun(endpoint.id, run, runTokens(state.item(item), progress.text.eventCount()));
     batch.openRuns.emplace(item, std::move(openRun));
     m_metrics.count("basilbend_item_runs_total");
+    ++m_counts.startedRuns;
 }
 
 bool BatchRunner::acceptEvent(const std::string &id, std::size_t item, std::uint64_t run, std::uint64_t event, std::string data, std::uint64_t version)
@@ -364,6 +377,7 @@
     if (batch == nullptr || batch->state->progress(item).runNumber != run || batch->state->progress(item).phase != ItemPhase::Running) {
         return false;
     }
+    ++m_counts.events;
     const auto *route = routeOf(*batch->state);
     auto &openRun = batch->openRuns.at(item);
     const auto now = m_loop.now();
@@ -466,6 +480,7 @@
                    {"silent_ms", m_loop.now() - openRun->itemRun->lastProgressAt()}});
     batch.state->requeue(item, endpoint, Timestamp());
     m_metrics.count("basilbend_item_runs_cancelled_total", {{"why", why}});
+    ++m_counts.cancelledRuns;
     scheduleRound();
 }
 
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -42,6 +42,16 @@
     std::function<void()> onDemandChanged;
 };
 
+/// Amount of work that a runner has done since its process started.
+struct RunnerCounts {
+    std::uint64_t rounds = 0;
+    /// Waiting items that the rounds have examined.
+    std::uint64_t examinedItems = 0;
+    std::uint64_t startedRuns = 0;
+    std::uint64_t cancelledRuns = 0;
+    std::uint64_t events = 0;
+};
+
 /// Runs all open batches while this process leads: loads them from the store, assigns items to endpoints, resumes
 /// interrupted runs and lists the results.
 class BatchRunner
@@ -98,6 +108,13 @@
         return m_batches.size();
     }
 
+    std::size_t openRunCount() const;
+
+    const RunnerCounts &counts() const
+    {
+        return m_counts;
+    }
+
 private:
     void open(const std::string &id, LoadedBatch loaded);
     void close(const std::string &id);
@@ -152,6 +169,7 @@
     EndpointTableBuilder m_tableBuilder;
     RewardCalls m_rewardCalls;
     ResultServer m_resultServer;
+    RunnerCounts m_counts;
     bool m_active = false;
     bool m_isRoundScheduled = false;
     Timestamp m_lastRoundStartedAt;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -27,18 +27,14 @@
 /// Grace period of the settings plus one second.
 constexpr Milliseconds StopTime{6000};
 
-struct SoakLoad {
-    /// Time between two requests of the callers.
-    Milliseconds liveInterval{25};
-    bool hasFaults = true;
-};
-
 /// One soak run: a phase with faults, recovery, a phase in which requests have to be served, a read of all batches, and shutdown.
 class SoakRun
 {
 public:
-    SoakRun(std::uint64_t seed, Milliseconds faultTime, SoakLoad load, const SoakSystemSettings &settings)
+    /// faultTime: how long faults are injected; without faults, how long the load lasts.
+    SoakRun(std::uint64_t seed, Milliseconds faultTime, bool hasFaults, const SoakLoad &load, const SoakSystemSettings &settings)
         : m_faultTime(faultTime)
+        , m_hasFaults(hasFaults)
         , m_load(load)
         , m_models(settings.models)
         , m_loop(asioEventLoop(m_io))
@@ -56,8 +52,8 @@
     {
         m_system.start();
         m_loop.runAfter(Milliseconds(1500), [this] {
-            m_clients.start(m_models, m_load.liveInterval);
-            if (m_load.hasFaults) {
+            m_clients.start(m_models, m_load);
+            if (m_hasFaults) {
                 m_faults.start();
             }
             m_loop.runAfter(m_faultTime, [this] { stopFaults(); });
@@ -150,6 +146,7 @@
 
     asio::io_context m_io{1};
     Milliseconds m_faultTime;
+    bool m_hasFaults;
     SoakLoad m_load;
     std::vector<std::string> m_models;
     EventLoop m_loop;
@@ -172,6 +169,8 @@
     bool keepsLogs = false;
     SoakLoad load;
     int liveIntervalMs = 25;
+    int eventIntervalMs = 25;
+    int modelCount = 2;
     bool hasNoFaults = false;
     app.add_option("--program", settings.program, "the basilbend program")->required()->check(CLI::ExistingFile);
     app.add_option("--seed", seed, "seed of the faults and of the load");
@@ -181,9 +180,19 @@
     app.add_option("--gateways", settings.gateways);
     app.add_option("--schedulers", settings.schedulers);
     app.add_option("--live-interval", liveIntervalMs, "milliseconds between two requests of callers")->check(CLI::Range(1, 1000));
+    app.add_option("--engines", settings.engines, "number of model engines")->check(CLI::Range(1, 1000));
+    app.add_option("--engine-slots", settings.engineSlots, "runs at once of an engine")->check(CLI::Range(1, 256));
+    app.add_option("--event-interval", eventIntervalMs, "milliseconds between two events of a run")->check(CLI::Range(1, 10000));
+    app.add_option("--models", modelCount, "number of models, each with a trainer of its own")->check(CLI::Range(2, 64));
+    app.add_option("--groups", load.groupsPerStep, "groups in a step")->check(CLI::Range(1, 1000));
+    app.add_option("--group-items", load.itemsPerGroup, "items in a group")->check(CLI::Range(1, 100));
     app.add_flag("--no-faults", hasNoFaults, "only load, to measure the processor time of the processes");
     CLI11_PARSE(app, argc, argv);
-    load = {Milliseconds(liveIntervalMs), !hasNoFaults};
+    load.liveInterval = Milliseconds(liveIntervalMs);
+    settings.eventInterval = Milliseconds(eventIntervalMs);
+    for (int i = static_cast<int>(settings.models.size()); i < modelCount; ++i) {
+        settings.models.push_back("model" + std::to_string(i));
+    }
     std::signal(SIGPIPE, SIG_IGN);
     if (settings.directory.empty()) {
         auto pattern = (std::filesystem::temp_directory_path() / "basilbend-soak-XXXXXX").string();
@@ -191,7 +200,7 @@
     }
     std::filesystem::create_directories(settings.directory);
     settings.leavesOutputUnread = seed % SeedsPerUnreadOutput == 0;
-    SoakRun run(seed, Milliseconds(static_cast<std::int64_t>(seconds * 1000)), load, settings);
+    SoakRun run(seed, Milliseconds(static_cast<std::int64_t>(seconds * 1000)), !hasNoFaults, load, settings);
     const bool passed = run.execute();
     run.report(std::cout, seed);
     if (passed && !keepsLogs) {
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -22,8 +22,6 @@
 constexpr Milliseconds ReadPause{250};
 constexpr Milliseconds TrainTime{200};
 constexpr Milliseconds RandomReadInterval{300};
-constexpr int GroupsPerStep = 3;
-constexpr int ItemsPerGroup = 4;
 
 }
 
@@ -37,9 +35,9 @@
 {
 }
 
-void SoakClients::start(const std::vector<std::string> &models, Milliseconds liveInterval)
+void SoakClients::start(const std::vector<std::string> &models, const SoakLoad &load)
 {
-    m_liveInterval = liveInterval;
+    m_load = load;
     sendLiveRequest();
     sendStream();
     readRandomBatch();
@@ -112,7 +110,7 @@
     request.fields.set(Wire::DeadlineMs, std::to_string(LiveTimeout.count()));
     m_checker.recordRequest(attempt, isIdempotent, key);
     sendToRandomGateway(request, LiveTimeout, [this, attempt](int status, const std::string &body) { m_checker.recordAnswer(attempt, status, body); });
-    m_loop.runAfter(m_liveInterval, [this] { sendLiveRequest(); });
+    m_loop.runAfter(m_load.liveInterval, [this] { sendLiveRequest(); });
 }
 
 void SoakClients::sendStream()
@@ -142,17 +140,18 @@
     step->model = model;
     step->version = m_system.publishedVersion(model);
     auto items = json::array();
-    for (int i = 0; i < GroupsPerStep * ItemsPerGroup; ++i) {
+    for (std::size_t i = 0; i < m_load.itemsPerStep(); ++i) {
         step->items.push_back(newId("item"));
         items.push_back({{"id", step->items.back()},
                          {"path", "/steps/generate"},
                          {"headers", {{"Basilbend-Model", model}, {Wire::TokenCounts, "100,2000"}, {Wire::LengthHint, "500"}}},
                          {"body", "cHJvbXB0"},
                          {"tokens", 2100},
-                         {"group", step->id + "-" + std::to_string(i / ItemsPerGroup)}});
+                         {"group", step->id + "-" + std::to_string(i / m_load.itemsPerGroup)}});
     }
     const auto minimum = step->version > 1 ? step->version - 1 : 1;
-    step->body = json{{"step", m_doneStepCount}, {"model", model}, {"minimum_version", minimum}, {"desired_count", GroupsPerStep}, {"items", items}}.dump();
+    step->body =
+        json{{"step", m_doneStepCount}, {"model", model}, {"minimum_version", minimum}, {"desired_count", m_load.groupsPerStep}, {"items", items}}.dump();
     m_openSteps.insert(step->id);
     submit(step);
 }
@@ -194,7 +193,7 @@
                            result.value("versions", std::vector<std::uint64_t>())});
     }
     m_checker.recordResults(batch, position, results);
-    m_checker.expect(page.at("total").get<int>() == GroupsPerStep * ItemsPerGroup, "batch " + batch + " has a wrong total");
+    m_checker.expect(page.at("total").get<std::size_t>() == m_load.itemsPerStep(), "batch " + batch + " has a wrong total");
     return page.at("next").get<std::size_t>();
 }
 
@@ -269,7 +268,7 @@
             m_unreadBatches.erase(batch);
         } else if (status != 200) {
             m_loop.runAfter(RetryPause, [this, batch, position] { rereadBatch(batch, position); });
-        } else if (const auto next = recordPage(batch, position, body); next > position && next < GroupsPerStep * ItemsPerGroup) {
+        } else if (const auto next = recordPage(batch, position, body); next > position && next < m_load.itemsPerStep()) {
             rereadBatch(batch, next);
         } else {
             m_unreadBatches.erase(batch);
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -15,6 +15,19 @@
 namespace Basilbend
 {
 
+/// Requests that the clients send.
+struct SoakLoad {
+    /// Time between two requests of the callers.
+    Milliseconds liveInterval{25};
+    std::size_t groupsPerStep = 3;
+    std::size_t itemsPerGroup = 4;
+
+    std::size_t itemsPerStep() const
+    {
+        return groupsPerStep * itemsPerGroup;
+    }
+};
+
 /// The clients of the system: callers of the plain service and of streams, one trainer per model, and readers of batches. They
 /// report what they observe to the checker.
 class SoakClients
@@ -22,8 +35,8 @@
 public:
     SoakClients(asio::io_context &io, const EventLoop &loop, Random &random, InvariantChecker &checker, SoakSystem &system);
 
-    /// Starts all clients. Callers send one request per liveInterval.
-    void start(const std::vector<std::string> &models, Milliseconds liveInterval);
+    /// Starts all clients.
+    void start(const std::vector<std::string> &models, const SoakLoad &load);
 
     /// Starts no new requests and steps; open steps continue.
     void stop();
@@ -84,7 +97,7 @@
     WebClient m_client;
     std::vector<std::string> m_gateways;
     std::map<std::uint64_t, ClientCall> m_calls;
-    Milliseconds m_liveInterval{0};
+    SoakLoad m_load;
     std::uint64_t m_lastCallNumber = 0;
     std::uint64_t m_lastId = 0;
     std::set<std::string> m_openSteps;
--- a/tests/soak/soakendpoint.cpp
+++ b/tests/soak/soakendpoint.cpp
@@ -12,7 +12,6 @@
 
 using nlohmann::json;
 
-constexpr Milliseconds EventInterval{25};
 constexpr Milliseconds LoadTime{300};
 constexpr Milliseconds RemovalDelay{400};
 constexpr std::uint64_t MinWorkMs = 5;
@@ -234,7 +233,7 @@
     const auto number = ++run->lastEvent;
     event += "id: " + std::to_string(number) + "\ndata: " + InvariantChecker::eventData(run->item, number, version) + "\n\n";
     run->exchange->sendChunk(event);
-    m_loop.runAfter(EventInterval, [this, run] { sendEvent(run); });
+    m_loop.runAfter(m_settings.eventInterval, [this, run] { sendEvent(run); });
 }
 
 }
--- a/tests/soak/soakendpoint.h
+++ b/tests/soak/soakendpoint.h
@@ -22,6 +22,8 @@
     int slots = 8;
     /// A plain request takes 5 ms and a random time below this, in ms.
     std::uint64_t workSpreadMs = 60;
+    /// Time between two events of a run at an engine.
+    Milliseconds eventInterval{25};
 };
 
 /// A simulated endpoint behind a fault proxy: a plain service that answers requests after a random time, or a model engine that
--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -63,7 +63,8 @@
         }
     };
     for (int i = 0; i < m_settings.engines; ++i) {
-        const SoakEndpointSettings engine{"engine", "e" + std::to_string(i), m_settings.models, 8};
+        SoakEndpointSettings engine{"engine", "e" + std::to_string(i), m_settings.models, m_settings.engineSlots};
+        engine.eventInterval = m_settings.eventInterval;
         m_endpoints.push_back(std::make_unique<SoakEndpoint>(io, loop, random, checker, engine, writeKey));
     }
     for (int i = 0; i < m_settings.services; ++i) {
@@ -176,7 +177,7 @@
     const json engine{{"name", "engine"},
                       {"cold_start_s", 2},
                       {"cold_per_s", InvariantChecker::WarmupRate},
-                      {"engine", {{"slots", 8}, {"kv_cache_tokens", 60000}, {"models", models}}}};
+                      {"engine", {{"slots", m_settings.engineSlots}, {"kv_cache_tokens", 60000}, {"models", models}}}};
     const json configuration{{"version", ++m_configuration},
                              {"routes",
                               {route("status", "/status/", "idempotent", "desk", m_routeTimeout),
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -24,6 +24,9 @@
     int gateways = 3;
     int schedulers = 3;
     int engines = 5;
+    int engineSlots = 8;
+    /// Time between two events of a run at an engine.
+    Milliseconds eventInterval{25};
     int services = 2;
     std::vector<std::string> models = {"alpha", "beta"};
     /// The output of the first gateway is never read; the gateway has to serve requests nevertheless.
