Assign endpoints to models in time linear in the endpoints

Cause: after each change of an endpoint, each confirmed load and each opened or closed batch the leader brings the division of the endpoints among the models up to date, and for each endpoint and model it counted all endpoints again.

Behaviour is the same: the first of the models with the largest deficit is chosen in the same order.

--- a/src/weights/modelassignment.cpp
+++ b/src/weights/modelassignment.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <string_view>
 
 namespace Basilbend
 {
@@ -13,7 +14,14 @@
 /// Smallest share of a model, as a fraction of an equal share.
 constexpr double MinShare = 0.5;
 /// A model gives up endpoints only when it has more than this many above its share.
-constexpr std::size_t SurplusTolerance = 1;
+constexpr std::ptrdiff_t SurplusTolerance = 1;
+
+/// The first of the entries with the largest value.
+template <typename Map>
+typename Map::value_type &largestOf(Map &map)
+{
+    return *std::max_element(map.begin(), map.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+}
 
 }
 
@@ -61,37 +69,50 @@
 
 void ModelAssignment::update(const std::vector<std::string> &endpoints, const ModelDemand &demand)
 {
-    const std::set<std::string> present(endpoints.begin(), endpoints.end());
-    for (auto it = m_modelByEndpoint.begin(); it != m_modelByEndpoint.end();) {
-        it = present.count(it->first) == 0 || demand.count(it->second) == 0 ? m_modelByEndpoint.erase(it) : std::next(it);
-    }
+    removeStale(endpoints, demand);
     if (demand.empty()) {
         return;
     }
-    const auto target = targets(endpoints.size(), demand);
-    const auto deficitOf = [this, &target](const std::string &model) {
-        return static_cast<std::ptrdiff_t>(target.at(model)) - static_cast<std::ptrdiff_t>(endpointCount(model));
-    };
-    const auto modelWithLargestDeficit = [&target, &deficitOf] {
-        auto best = target.begin()->first;
-        for (const auto &[model, count] : target) {
-            best = deficitOf(model) > deficitOf(best) ? model : best;
-        }
-        return best;
-    };
+    auto deficits = deficitsOf(targets(endpoints.size(), demand));
     for (const auto &endpoint : endpoints) {
         if (m_modelByEndpoint.count(endpoint) == 0) {
-            m_modelByEndpoint[endpoint] = modelWithLargestDeficit();
+            assign(endpoint, largestOf(deficits));
         }
     }
     for (const auto &endpoint : endpoints) {
-        const auto currentModel = m_modelByEndpoint.at(endpoint);
-        const auto newModel = modelWithLargestDeficit();
-        const bool hasSurplus = deficitOf(currentModel) < -static_cast<std::ptrdiff_t>(SurplusTolerance);
-        if (hasSurplus && deficitOf(newModel) > 0) {
-            m_modelByEndpoint[endpoint] = newModel;
+        auto &current = deficits.at(m_modelByEndpoint.at(endpoint));
+        auto &neediest = largestOf(deficits);
+        if (current < -SurplusTolerance && neediest.second > 0) {
+            ++current;
+            assign(endpoint, neediest);
         }
     }
 }
 
+void ModelAssignment::removeStale(const std::vector<std::string> &endpoints, const ModelDemand &demand)
+{
+    const std::set<std::string_view> present(endpoints.begin(), endpoints.end());
+    for (auto it = m_modelByEndpoint.begin(); it != m_modelByEndpoint.end();) {
+        it = present.count(it->first) == 0 || demand.count(it->second) == 0 ? m_modelByEndpoint.erase(it) : std::next(it);
+    }
+}
+
+ModelAssignment::Deficits ModelAssignment::deficitsOf(const std::map<std::string, std::size_t> &targets) const
+{
+    Deficits deficits;
+    for (const auto &[model, count] : targets) {
+        deficits[model] = static_cast<std::ptrdiff_t>(count);
+    }
+    for (const auto &[endpoint, model] : m_modelByEndpoint) {
+        --deficits.at(model);
+    }
+    return deficits;
+}
+
+void ModelAssignment::assign(const std::string &endpoint, Deficits::value_type &model)
+{
+    m_modelByEndpoint[endpoint] = model.first;
+    --model.second;
+}
+
 }
--- a/src/weights/modelassignment.h
+++ b/src/weights/modelassignment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -17,7 +18,8 @@
 {
 public:
     /// Updates the assignment of the endpoints, given by their ids. Shares follow the demand, but no model gets less than half of an equal share. An endpoint
-    /// moves to another model only when its model has at least two endpoints more than its share.
+    /// moves to another model only when its model has at least two endpoints more than its share. The time is proportional to
+    /// endpoints times models: the leader updates the assignment after each change of an endpoint.
     void update(const std::vector<std::string> &endpoints, const ModelDemand &demand);
 
     /// The model that the endpoint is assigned to, or an empty string.
@@ -26,7 +28,14 @@
     std::size_t endpointCount(const std::string &model) const;
 
 private:
+    /// How many endpoints each model lacks; negative for a surplus.
+    using Deficits = std::map<std::string, std::ptrdiff_t>;
+
     std::map<std::string, std::size_t> targets(std::size_t endpoints, const ModelDemand &demand) const;
+    /// Removes the assignments of endpoints that are gone and to models without demand.
+    void removeStale(const std::vector<std::string> &endpoints, const ModelDemand &demand);
+    Deficits deficitsOf(const std::map<std::string, std::size_t> &targets) const;
+    void assign(const std::string &endpoint, Deficits::value_type &model);
 
     std::map<std::string, std::string> m_modelByEndpoint;
 };
--- a/tests/weights/orders.cpp
+++ b/tests/weights/orders.cpp
@@ -2,12 +2,16 @@
 #include "weights/orderplanner.h"
 
 #include <boost/test/unit_test.hpp>
+#include <ctime>
 
 using namespace Basilbend;
 
 namespace
 {
 
+/// A quarter of the time between two ticks of the leader.
+constexpr double MaxDecisionMs = 25;
+
 std::vector<WeightEndpoint> endpoints(std::initializer_list<std::uint64_t> versions)
 {
     std::vector<WeightEndpoint> result;
@@ -132,4 +136,24 @@
     BOOST_TEST(assignment.modelOf(left.front()).empty());
 }
 
+// Guards against a leader that spends its processor time on this decision: it is made after each change of an endpoint, on the
+// thread that renews the lease. Its time grew with the square of the endpoints.
+BOOST_AUTO_TEST_CASE(the_assignment_of_three_thousand_endpoints_does_not_hold_up_the_event_loop)
+{
+    const auto endpoints = fleet(3000);
+    ModelDemand demand;
+    for (int i = 0; i < 8; ++i) {
+        demand["m" + std::to_string(i)] = 100 + i;
+    }
+    ModelAssignment assignment;
+    assignment.update(endpoints, demand);
+    constexpr int Updates = 5;
+    const auto start = std::clock();
+    for (int i = 0; i < Updates; ++i) {
+        assignment.update(endpoints, demand);
+    }
+    const double msPerUpdate = 1000.0 * static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC / Updates;
+    BOOST_TEST(msPerUpdate < MaxDecisionMs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
