Plan loads of weights once for many changes

Same class as the assignment of endpoints: the leader planned the loads of the whole fleet, for each model twice over all endpoints, after each confirmed load, changed endpoint, opened or closed batch. Plans are now at least 50 ms apart (a load takes 900 ms), and one pass over the endpoints serves all models.

The test saw 100 plans for 100 changes before. It is kept for larger fleets, where a plan costs more.

--- a/src/weights/weightupdater.cpp
+++ b/src/weights/weightupdater.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds OrderRepeatDelay{900};
 /// Time limit of an order from its start. An order that exceeds it is abandoned and may be planned again.
 constexpr Milliseconds LoadTimeout{6000};
+/// Minimum time between two plans. Under load many endpoints change in this time, and one plan handles them all.
+constexpr Milliseconds MinPlanInterval{50};
 /// Pause before an endpoint whose order failed gets another one.
 constexpr Milliseconds FailurePause{600};
 
@@ -104,17 +106,39 @@
 }
 
 void WeightUpdater::startDueOrders()
+{
+    if (m_isPlanScheduled) {
+        return;
+    }
+    const auto sinceLastPlan = m_loop.now() - m_lastPlanAt;
+    if (sinceLastPlan >= MinPlanInterval) {
+        planAllModels();
+        return;
+    }
+    m_isPlanScheduled = true;
+    m_loop.runAfter(MinPlanInterval - sinceLastPlan, [this] {
+        m_isPlanScheduled = false;
+        planAllModels();
+    });
+}
+
+void WeightUpdater::planAllModels()
 {
     if (!m_hooks.maySendOrders() || m_view.routes() == nullptr) {
         return;
     }
+    m_lastPlanAt = m_loop.now();
     const auto workloads = m_hooks.workloads();
     assignEndpoints(workloads);
+    auto endpoints = endpointsByModel();
+    int loadsLeft = freeLoads();
     // Urgent endpoints of all models go before the others of any model.
     for (const bool urgentOnly : {true, false}) {
         for (const auto &[model, published] : m_view.publishedVersions()) {
             const auto it = workloads.find(model);
-            startDueOrdersOf(model, published, it == workloads.end() ? ModelWorkload() : it->second, urgentOnly);
+            const auto workload = it == workloads.end() ? ModelWorkload() : it->second;
+            const ModelWeightState state{published, workload.requiredVersion, workload.hasWaitingItems, workload.isShortOfSlots};
+            loadsLeft -= startOrders(model, state, endpoints[model], loadsLeft, urgentOnly);
         }
     }
 }
@@ -131,27 +155,37 @@
     return maxConcurrentLoads(static_cast<std::size_t>(engines)) - static_cast<int>(loading);
 }
 
-void WeightUpdater::startDueOrdersOf(const std::string &model, std::uint64_t published, const ModelWorkload &workload, bool urgentOnly)
+std::map<std::string, std::vector<WeightEndpoint>> WeightUpdater::endpointsByModel() const
 {
     const auto now = m_loop.now();
-    std::vector<WeightEndpoint> endpoints;
+    std::map<std::string, std::vector<WeightEndpoint>> endpoints;
     for (const auto *record : m_view.endpoints().all()) {
-        if (!m_view.endpoints().mayReceiveRequests(*record) || record->versionOf(model) == 0 || m_assignment.modelOf(record->id) != model) {
+        const auto model = m_assignment.modelOf(record->id);
+        if (!m_view.endpoints().mayReceiveRequests(*record) || record->versionOf(model) == 0) {
             continue;
         }
         const auto paused = m_pausedUntil.find(record->id);
-        endpoints.push_back({record->id,
-                             servedVersion(*record, model),
-                             m_hooks.runningItemCount(record->id),
-                             m_orders.count(record->id) > 0,
-                             paused != m_pausedUntil.end() && now < paused->second});
+        endpoints[model].push_back({record->id,
+                                    servedVersion(*record, model),
+                                    m_hooks.runningItemCount(record->id),
+                                    m_orders.count(record->id) > 0,
+                                    paused != m_pausedUntil.end() && now < paused->second});
     }
-    for (const auto &id :
-         planOrders(endpoints, {published, workload.requiredVersion, workload.hasWaitingItems, workload.isShortOfSlots}, freeLoads(), urgentOnly)) {
+    return endpoints;
+}
+
+int WeightUpdater::startOrders(const std::string &model, const ModelWeightState &state, std::vector<WeightEndpoint> &endpoints, int maxOrders, bool urgentOnly)
+{
+    const auto ids = planOrders(endpoints, state, maxOrders, urgentOnly);
+    for (const auto &id : ids) {
         if (const auto *record = m_view.endpoints().find(id)) {
-            startOrder(*record, model, published);
+            startOrder(*record, model, state.published);
         }
     }
+    for (auto &endpoint : endpoints) {
+        endpoint.isLoading = endpoint.isLoading || std::count(ids.begin(), ids.end(), endpoint.id) > 0;
+    }
+    return static_cast<int>(ids.size());
 }
 
 void WeightUpdater::startOrder(const EndpointRecord &endpoint, const std::string &model, std::uint64_t version)
--- a/src/weights/weightupdater.h
+++ b/src/weights/weightupdater.h
@@ -41,7 +41,8 @@
 public:
     WeightUpdater(EventLoop loop, EventLog &log, Metrics &metrics, WebClient &client, SystemView &view, std::string holder, WeightUpdaterHooks hooks);
 
-    /// Starts the orders that are due. To be called periodically and after each change of versions, endpoints or batches.
+    /// Starts the orders that are due, at once or a little later. To be called periodically and after each change of versions,
+    /// endpoints or batches.
     void startDueOrders();
 
     /// Drops all pending orders. Endpoints still carry out what they have accepted.
@@ -96,7 +97,11 @@
     };
 
     void assignEndpoints(const std::map<std::string, ModelWorkload> &workloads);
-    void startDueOrdersOf(const std::string &model, std::uint64_t published, const ModelWorkload &workload, bool urgentOnly);
+    void planAllModels();
+    /// The endpoints that may get orders, by the model that they are assigned to.
+    std::map<std::string, std::vector<WeightEndpoint>> endpointsByModel() const;
+    /// Starts at most maxOrders orders and marks their endpoints as loading. Returns the number of orders.
+    int startOrders(const std::string &model, const ModelWeightState &state, std::vector<WeightEndpoint> &endpoints, int maxOrders, bool urgentOnly);
     int freeLoads() const;
     void startOrder(const EndpointRecord &endpoint, const std::string &model, std::uint64_t version);
     void requestReport(const std::string &endpoint);
@@ -121,6 +126,8 @@
     std::map<std::string, Order> m_orders;
     std::map<std::string, ConfirmedVersion> m_confirmed;
     std::map<std::string, Timestamp> m_pausedUntil;
+    Timestamp m_lastPlanAt;
+    bool m_isPlanScheduled = false;
     std::uint64_t m_lastSerial = 0;
 };
 
--- a/tests/weights/loads.cpp
+++ b/tests/weights/loads.cpp
@@ -27,6 +27,7 @@
     SystemView view{store, virtualLoop(time), log, ViewScope::Control, Milliseconds(2500), Milliseconds(5000)};
     std::optional<WeightUpdater> updater;
     bool answersOrders = true;
+    int plans = 0;
     std::string reported = report(1, 0, false);
     Timestamp orderedAt;
 
@@ -42,7 +43,10 @@
         WeightUpdaterHooks hooks;
         hooks.maySendOrders = [] { return true; };
         hooks.fencingToken = [] { return 7U; };
-        hooks.workloads = [] { return std::map<std::string, ModelWorkload>{{Model, {2, 1, true, false}}}; };
+        hooks.workloads = [this] {
+            ++plans;
+            return std::map<std::string, ModelWorkload>{{Model, {2, 1, true, false}}};
+        };
         hooks.runningItemCount = [](const std::string &) { return 0; };
         hooks.needsSingleVersion = [](const std::string &) { return false; };
         hooks.onEndpointChanged = [] {};
@@ -163,4 +167,16 @@
     BOOST_TEST(engine.requests.size() > requestsBefore);
 }
 
+// Guards against a leader that plans the loads of the whole fleet anew for each of many endpoints that change at the same time.
+BOOST_FIXTURE_TEST_CASE(changes_that_come_close_together_are_planned_once, LoadFixture)
+{
+    run(500);
+    plans = 0;
+    for (int i = 0; i < 100; ++i) {
+        updater->startDueOrders();
+    }
+    run(200);
+    BOOST_TEST(plans == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
