--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -2,7 +2,7 @@
 
 #include "base/result.h"
 
-#include "forwarding/warmuplimiter.h"
+#include "forwarding/requestlimiter.h"
 
 #include <cstdint>
 #include <map>
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -65,7 +65,7 @@
                     runtime.random(),
                     runtime.relay().hasPeers(),
                     AnswerBudget(),
-                    WarmupLimiter(runtime.settings().warmupTolerance, 1.0 / runtime.settings().gatewayCount)}
+                    RequestLimiter(runtime.settings().warmupTolerance, 1.0 / runtime.settings().gatewayCount)}
         , m_service(m_context, freshnessRuleFor(runtime.settings()))
         , m_clientServer(runtime.io(), runtime.settings().clientListenAddress, clientHooks())
         , m_readinessServer(
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -300,7 +300,7 @@
         const bool mustPrepare = m_isLeading && !m_isHandingOver && hasWarmupRates();
         m_isHandingOver = true;
         m_runtime.log().info("handing_over", {{"why", why}, {"prepares", mustPrepare}});
-        m_runtime.loop().runAfter(mustPrepare ? WarmupLimiter::Window : Milliseconds(0), [this, onEnded] {
+        m_runtime.loop().runAfter(mustPrepare ? RequestLimiter::Window : Milliseconds(0), [this, onEnded] {
             becomeFollower();
             m_election.resign();
             onEnded();
--- a/src/forwarding/warmuplimiter.cpp
+++ b/src/forwarding/requestlimiter.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/warmuplimiter.h"
+#include "forwarding/requestlimiter.h"
 
 #include <algorithm>
 #include <cmath>
@@ -6,13 +6,13 @@
 namespace Basilbend
 {
 
-WarmupLimiter::WarmupLimiter(WarmupTolerance tolerance, double share)
+RequestLimiter::RequestLimiter(WarmupTolerance tolerance, double share)
     : m_tolerance(tolerance)
     , m_share(share)
 {
 }
 
-std::size_t WarmupLimiter::requestsLeft(const EndpointRecord &endpoint, const ServiceSpec &service, Timestamp now) const
+std::size_t RequestLimiter::requestsLeft(const EndpointRecord &endpoint, const ServiceSpec &service, Timestamp now) const
 {
     if (service.warmupRequestsPerSecond <= 0) {
         return Unlimited;
@@ -26,13 +26,13 @@
     return limit - std::min(limit, static_cast<std::size_t>(recent));
 }
 
-void WarmupLimiter::recordRequest(const std::string &endpoint, Timestamp now)
+void RequestLimiter::recordRequest(const std::string &endpoint, Timestamp now)
 {
     removeExpired(now);
     m_sentAt[endpoint].push_back(now);
 }
 
-std::size_t WarmupLimiter::limitPerWindow(const ServiceSpec &service, bool isWarmingUp) const
+std::size_t RequestLimiter::limitPerWindow(const ServiceSpec &service, bool isWarmingUp) const
 {
     if (m_share <= 0) {
         return 0;
@@ -42,7 +42,7 @@
     return static_cast<std::size_t>(std::max(1.0, isWarmingUp ? std::min(ownPart, std::floor(rate)) : ownPart));
 }
 
-void WarmupLimiter::removeExpired(Timestamp now)
+void RequestLimiter::removeExpired(Timestamp now)
 {
     if (now - m_expiredRemovedAt < Window) {
         return;
--- a/src/forwarding/warmuplimiter.h
+++ b/src/forwarding/requestlimiter.h
@@ -28,11 +28,11 @@
 /// warms up crashes when it gets more, and its registry entry says so only a heartbeat later. So no endpoint of such a service gets
 /// more in a second than one that warms up may get at most, and one whose entry says that it warms up gets no more than the warm-up
 /// rate.
-class WarmupLimiter
+class RequestLimiter
 {
 public:
     /// share: see setShare().
-    explicit WarmupLimiter(WarmupTolerance tolerance = {}, double share = 1);
+    explicit RequestLimiter(WarmupTolerance tolerance = {}, double share = 1);
 
     /// Sets the fraction of the requests that all processes together may send which this process may use, from 0 to 1. A share above
     /// zero allows at least one request.
--- a/src/forwarding/warmupchoice.cpp
+++ b/src/forwarding/warmupchoice.cpp
@@ -4,7 +4,7 @@
 {
 
 std::vector<const EndpointRecord *>
-avoidWarmingEndpoints(const std::vector<const EndpointRecord *> &endpoints, const ServiceSpec &service, const WarmupLimiter &limiter, Timestamp now)
+avoidWarmingEndpoints(const std::vector<const EndpointRecord *> &endpoints, const ServiceSpec &service, const RequestLimiter &limiter, Timestamp now)
 {
     if (service.warmupRequestsPerSecond <= 0) {
         return endpoints;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -5,7 +5,7 @@
 #include "billing/usagecounter.h"
 #include "catalog/systemview.h"
 #include "forwarding/endpointpicker.h"
-#include "forwarding/warmuplimiter.h"
+#include "forwarding/requestlimiter.h"
 #include "gateway/answerbudget.h"
 #include "http/webclient.h"
 #include "log/eventlog.h"
@@ -30,7 +30,7 @@
     /// refused or it is idempotent.
     bool hasPeers = false;
     AnswerBudget answerBudget = {};
-    WarmupLimiter warmupLimiter = WarmupLimiter();
+    RequestLimiter requestLimiter = RequestLimiter();
 };
 
 }
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -105,7 +105,7 @@
 {
     const auto ready = m_context.view.usableEndpoints(m_service, m_route, m_workspace);
     const auto *service = m_context.view.routes()->serviceNamed(m_service);
-    return service == nullptr ? ready : avoidWarmingEndpoints(ready, *service, m_context.warmupLimiter, m_context.loop.now());
+    return service == nullptr ? ready : avoidWarmingEndpoints(ready, *service, m_context.requestLimiter, m_context.loop.now());
 }
 
 void LiveCall::waitForCapacity()
@@ -139,7 +139,7 @@
     attempt.sentAt = m_context.loop.now();
     m_excludedEndpoints.insert(endpoint.id);
     m_context.picker.recordSent(endpoint.id);
-    m_context.warmupLimiter.recordRequest(endpoint.id, attempt.sentAt);
+    m_context.requestLimiter.recordRequest(endpoint.id, attempt.sentAt);
     m_context.log.info("request_sent",
                        {{"request", m_request.attemptId},
                         {"endpoint", endpoint.id},
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -42,9 +42,9 @@
           m_loop,
           log,
           {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
-    , m_warmupLimiter(warmupTolerance)
-    , m_tableBuilder(m_view, m_health, m_runTracker, m_warmupLimiter, m_hooks.endpoints)
-    , m_rewardCalls({m_loop, log, metrics, client, view, random, m_warmupLimiter, std::move(zone)}, rewardHooks())
+    , m_requestLimiter(warmupTolerance)
+    , m_tableBuilder(m_view, m_health, m_runTracker, m_requestLimiter, m_hooks.endpoints)
+    , m_rewardCalls({m_loop, log, metrics, client, view, random, m_requestLimiter, std::move(zone)}, rewardHooks())
     , m_resultServer(m_loop, resultHooks())
 {
 }
@@ -280,7 +280,7 @@
     }
     m_lastRoundStartedAt = m_loop.now();
     ++m_counts.rounds;
-    m_warmupLimiter.setShare(m_hooks.sendShare());
+    m_requestLimiter.setShare(m_hooks.sendShare());
     std::optional<EndpointTable> table;
     for (auto *batch : batchesByAge()) {
         scheduleBatch(*batch, table);
@@ -364,7 +364,7 @@
                 {"endpoint_version", m_hooks.endpoints.servedVersion(endpoint, state.submission().model)}});
     const RunStart from{progress.text.lastEventId(), m_hooks.endpoints.unreportedVersion(endpoint.id, state.submission().model)};
     openRun.itemRun->start(state.item(item), state.index(), from);
-    m_warmupLimiter.recordRequest(endpoint.id, m_loop.now());
+    m_requestLimiter.recordRequest(endpoint.id, m_loop.now());
     m_runTracker.addRun(endpoint.id, run, runTokens(state.item(item), progress.text.eventCount()));
     batch.openRuns.emplace(item, std::move(openRun));
     m_metrics.count("basilbend_item_runs_total");
@@ -543,7 +543,7 @@
     }
     const auto now = m_loop.now();
     const double medianInterval = m_health.medianIntervalMs(now);
-    m_warmupLimiter.setShare(m_hooks.sendShare());
+    m_requestLimiter.setShare(m_hooks.sendShare());
     auto table = m_tableBuilder.buildTable(now);
     std::size_t movesLeft = MaxMovesPerTick;
     for (auto *batch : batchesByAge()) {
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -165,7 +165,7 @@
     RunTracker m_runTracker;
     BatchDemand m_demand;
     EndpointHealth m_health;
-    WarmupLimiter m_warmupLimiter;
+    RequestLimiter m_requestLimiter;
     EndpointTableBuilder m_tableBuilder;
     RewardCalls m_rewardCalls;
     ResultServer m_resultServer;
--- a/src/scheduling/endpointtablebuilder.cpp
+++ b/src/scheduling/endpointtablebuilder.cpp
@@ -20,11 +20,11 @@
 }
 
 EndpointTableBuilder::EndpointTableBuilder(
-    const SystemView &view, const EndpointHealth &health, const RunTracker &tracker, const WarmupLimiter &warmupLimiter, EndpointTableHooks hooks)
+    const SystemView &view, const EndpointHealth &health, const RunTracker &tracker, const RequestLimiter &requestLimiter, EndpointTableHooks hooks)
     : m_view(view)
     , m_health(health)
     , m_runTracker(tracker)
-    , m_warmupLimiter(warmupLimiter)
+    , m_requestLimiter(requestLimiter)
     , m_hooks(std::move(hooks))
 {
 }
@@ -44,7 +44,7 @@
             }
             table.endpoints.push_back(describe(*record, now, median));
             table.endpoints.back().tokenCapacity = capacity;
-            table.endpoints.back().startsLeft = m_warmupLimiter.requestsLeft(*record, service, now);
+            table.endpoints.back().startsLeft = m_requestLimiter.requestsLeft(*record, service, now);
             table.records.push_back(record);
         }
     }
--- a/src/scheduling/endpointtablebuilder.h
+++ b/src/scheduling/endpointtablebuilder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "catalog/systemview.h"
-#include "forwarding/warmuplimiter.h"
+#include "forwarding/requestlimiter.h"
 #include "scheduling/endpointhealth.h"
 #include "scheduling/placement.h"
 #include "scheduling/runtracker.h"
@@ -36,7 +36,7 @@
 {
 public:
     EndpointTableBuilder(
-        const SystemView &view, const EndpointHealth &health, const RunTracker &tracker, const WarmupLimiter &warmupLimiter, EndpointTableHooks hooks);
+        const SystemView &view, const EndpointHealth &health, const RunTracker &tracker, const RequestLimiter &requestLimiter, EndpointTableHooks hooks);
 
     /// Ready endpoints of all services that run models, except suspended ones.
     EndpointTable buildTable(Timestamp now) const;
@@ -51,7 +51,7 @@
     const SystemView &m_view;
     const EndpointHealth &m_health;
     const RunTracker &m_runTracker;
-    const WarmupLimiter &m_warmupLimiter;
+    const RequestLimiter &m_requestLimiter;
     EndpointTableHooks m_hooks;
 };
 
--- a/src/scheduling/placement.cpp
+++ b/src/scheduling/placement.cpp
@@ -61,7 +61,7 @@
 {
     ++endpoint.running;
     endpoint.forecast.add(tokens);
-    if (endpoint.startsLeft != WarmupLimiter::Unlimited) {
+    if (endpoint.startsLeft != RequestLimiter::Unlimited) {
         --endpoint.startsLeft;
     }
 }
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "forwarding/warmuplimiter.h"
+#include "forwarding/requestlimiter.h"
 #include "scheduling/tokenforecast.h"
 
 #include <cstddef>
@@ -22,8 +22,8 @@
     TokenForecast forecast;
     std::uint64_t tokenCapacity = 0;
     std::uint64_t version = 0;
-    /// Number of requests that it may get now; see WarmupLimiter.
-    std::size_t startsLeft = WarmupLimiter::Unlimited;
+    /// Number of requests that it may get now; see RequestLimiter.
+    std::size_t startsLeft = RequestLimiter::Unlimited;
     /// Whether it generates at less than about half the usual speed; see EndpointHealth::isSlow().
     bool isSlow = false;
     /// Time per event relative to the median of all endpoints; 1 at the median.
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -130,7 +130,7 @@
     const auto now = m_context.loop.now();
     const auto *spec = m_context.view.routes()->serviceNamed(service);
     const auto isBusy = [&](const EndpointRecord *endpoint) {
-        const bool isLimited = spec != nullptr && m_context.warmupLimiter.requestsLeft(*endpoint, *spec, now) == 0;
+        const bool isLimited = spec != nullptr && m_context.requestLimiter.requestsLeft(*endpoint, *spec, now) == 0;
         return isLimited || m_picker.inFlight(endpoint->id) >= maxRewardCalls(endpoint->slots);
     };
     ready.erase(std::remove_if(ready.begin(), ready.end(), isBusy), ready.end());
@@ -159,7 +159,7 @@
     entry.responseFields = {};
     const int call = ++entry.calls;
     m_picker.recordSent(endpoint.id);
-    m_context.warmupLimiter.recordRequest(endpoint.id, now);
+    m_context.requestLimiter.recordRequest(endpoint.id, now);
     m_context.metrics.count("basilbend_reward_calls_total");
     m_context.log.info("reward_sent",
                        {{"batch", entry.batch->index().id},
--- a/src/scheduling/rewardcalls.h
+++ b/src/scheduling/rewardcalls.h
@@ -5,7 +5,7 @@
 #include "catalog/systemview.h"
 #include "forwarding/attemptrule.h"
 #include "forwarding/endpointpicker.h"
-#include "forwarding/warmuplimiter.h"
+#include "forwarding/requestlimiter.h"
 #include "http/webclient.h"
 #include "log/eventlog.h"
 #include "net/metrics.h"
@@ -31,7 +31,7 @@
     WebClient &client;
     SystemView &view;
     Random &random;
-    WarmupLimiter &warmupLimiter;
+    RequestLimiter &requestLimiter;
     std::string zone;
 };
 
--- a/tests/scheduling/rewardcalls.cpp
+++ b/tests/scheduling/rewardcalls.cpp
@@ -30,7 +30,7 @@
     WebClient client{io, [this] { return time.now(); }};
     SystemView view{store, virtualLoop(time), log, ViewScope::Serving, Milliseconds(2500), Milliseconds(5000)};
     std::shared_ptr<OpenBatch> batch;
-    WarmupLimiter warmupLimiter;
+    RequestLimiter requestLimiter;
     std::optional<RewardCalls> calls;
     std::vector<std::pair<std::size_t, std::string>> scores;
     int serverErrors = 0;
@@ -50,7 +50,7 @@
             batch->recordRewardError(item, attempts);
         };
         hooks.onRetryDue = [this] { calls->poll(); };
-        calls.emplace(RewardContext{virtualLoop(time), log, metrics, client, view, random, warmupLimiter, "z"}, std::move(hooks));
+        calls.emplace(RewardContext{virtualLoop(time), log, metrics, client, view, random, requestLimiter, "z"}, std::move(hooks));
         answer([](const ExchangePtr &exchange) { score(exchange); });
     }
 
--- a/tests/scheduling/sendshare.cpp
+++ b/tests/scheduling/sendshare.cpp
@@ -25,7 +25,7 @@
 /// A process that leads or has led, and sends as many requests to one endpoint as it may.
 struct Sender {
     SenderState state;
-    WarmupLimiter limiter{Tolerance};
+    RequestLimiter limiter{Tolerance};
     Timestamp renewedAt;
     /// The store does not answer its renewals.
     bool isCutOff = false;
@@ -121,7 +121,7 @@
         default:
             // Told to stop.
             leader.state.isHandingOver = true;
-            leader.stopsAt = m_now + WarmupLimiter::Window;
+            leader.stopsAt = m_now + RequestLimiter::Window;
             m_electionAt = *leader.stopsAt + Milliseconds(5);
             break;
         }
