Keep all processes together to the limits that endpoints name

Endpoints in need name in their answers the requests a second that they take from all processes together. Cause: no process read the field, and nobody keeps a bound that is a sum over all processes.

The leader spends the limits now, for its own runs and reward calls and for requests that it grants to gateways (RequestLimiter, GrantServer, GrantClient). Gateways take endpoints without limit first, ask for each request to a limited one, and reject at once, as not run, what is denied, with the time at which an endpoint can take more.

An older leader answers 404 to the new call: gateways then reject what only limited endpoints could take.

--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -114,6 +114,7 @@
         BatchRunnerHooks hooks;
         hooks.term = [this] { return m_election.term(); };
         hooks.isSoleLeader = [this] { return m_election.mayAct(); };
+        hooks.mayGrant = [this] { return m_isLeading && m_election.timeSinceLeaseExpiry() < UncertainStartLimit; };
         hooks.mayStart = [this] { return mayStart(); };
         hooks.sendShare = [this] {
             return SendShareRule{UncertainStartLimit}.shareOf({m_predecessorEndedAt, m_electedAt, m_election.leaseValidUntil(), m_isHandingOver},
@@ -136,6 +137,8 @@
     {
         if (targetPath(exchange->request().target) == ResultServer::Path) {
             m_batchRunner.serveResults(exchange);
+        } else if (targetPath(exchange->request().target) == GrantServer::Path) {
+            m_batchRunner.serveGrantRequest(exchange);
         } else if (targetPath(exchange->request().target) == LeaderProbe::Path) {
             LeaderProbe::answer(*exchange, m_election.wantsToContinue() && !m_isHandingOver);
         } else {
--- /dev/null
+++ b/src/forwarding/announcedlimits.cpp
@@ -0,0 +1,70 @@
+#include "forwarding/announcedlimits.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace Basilbend
+{
+
+void AnnouncedLimits::record(const EndpointStart &endpoint, const RateStatement &statement, Timestamp sentAt, Timestamp now)
+{
+    switch (statement.kind) {
+    case RateStatement::Kind::Limited:
+        removeExpired(now);
+        m_states[endpoint.id] = {{statement.requestsPerSecond, now, endpoint.startedAtMs}, std::nullopt, now};
+        break;
+    case RateStatement::Kind::Unlimited:
+        // A response to an earlier request may have been made before the limit began.
+        end(endpoint.id, sentAt);
+        break;
+    case RateStatement::Kind::Unreadable:
+        break;
+    }
+}
+
+void AnnouncedLimits::adopt(const std::string &endpoint, const AnnouncedLimit &limit)
+{
+    const auto it = m_states.find(endpoint);
+    const bool isNewer = it == m_states.end() || it->second.endedAt.value_or(it->second.limit.namedAt) < limit.namedAt;
+    if (isNewer) {
+        m_states[endpoint] = {limit, std::nullopt, limit.namedAt};
+    }
+}
+
+void AnnouncedLimits::end(const std::string &endpoint, Timestamp endedAt)
+{
+    const auto it = m_states.find(endpoint);
+    if (it != m_states.end() && !it->second.endedAt && it->second.limit.namedAt < endedAt) {
+        it->second.endedAt = endedAt;
+    }
+}
+
+std::optional<AnnouncedLimit> AnnouncedLimits::limitOf(const EndpointRecord &endpoint) const
+{
+    const auto it = m_states.find(endpoint.id);
+    if (it == m_states.end() || it->second.endedAt || it->second.limit.endpointStartedAtMs != endpoint.startedAtMs) {
+        return std::nullopt;
+    }
+    return it->second.limit;
+}
+
+bool AnnouncedLimits::takeRecheck(const EndpointRecord &endpoint, Timestamp now)
+{
+    const auto limit = limitOf(endpoint);
+    if (!limit) {
+        return false;
+    }
+    auto &state = m_states.at(endpoint.id);
+    const bool isDue = now - std::max(limit->namedAt, state.recheckedAt) >= RecheckInterval;
+    state.recheckedAt = isDue ? now : state.recheckedAt;
+    return isDue;
+}
+
+void AnnouncedLimits::removeExpired(Timestamp now)
+{
+    for (auto it = m_states.begin(); it != m_states.end();) {
+        it = now - it->second.limit.namedAt >= Retention ? m_states.erase(it) : std::next(it);
+    }
+}
+
+}
--- a/src/forwarding/requestlimiter.cpp
+++ b/src/forwarding/requestlimiter.cpp
@@ -6,6 +6,19 @@
 namespace Basilbend
 {
 
+namespace
+{
+
+/// Limit on the requests that a large limit allows at once, so that their number can be counted.
+constexpr double MaxTokens = 1'000'000;
+
+double rateOf(const AnnouncedLimit &limit)
+{
+    return std::max(limit.requestsPerSecond, RequestLimiter::MinRate);
+}
+
+}
+
 RequestLimiter::RequestLimiter(WarmupTolerance tolerance, double share)
     : m_tolerance(tolerance)
     , m_share(share)
@@ -13,6 +26,11 @@
 }
 
 std::size_t RequestLimiter::requestsLeft(const EndpointRecord &endpoint, const ServiceSpec &service, Timestamp now) const
+{
+    return std::min(warmupRequestsLeft(endpoint, service, now), announcedRequestsLeft(endpoint, now));
+}
+
+std::size_t RequestLimiter::warmupRequestsLeft(const EndpointRecord &endpoint, const ServiceSpec &service, Timestamp now) const
 {
     if (service.warmupRequestsPerSecond <= 0) {
         return Unlimited;
@@ -26,10 +44,45 @@
     return limit - std::min(limit, static_cast<std::size_t>(recent));
 }
 
-void RequestLimiter::recordRequest(const std::string &endpoint, Timestamp now)
+std::size_t RequestLimiter::announcedRequestsLeft(const EndpointRecord &endpoint, Timestamp now) const
+{
+    const auto limit = m_announcedLimits.limitOf(endpoint);
+    if (!limit) {
+        return Unlimited;
+    }
+    return static_cast<std::size_t>(std::clamp(tokensOf(endpoint.id, *limit, now), 0.0, MaxTokens));
+}
+
+Timestamp RequestLimiter::nextAnnouncedRequestAt(const EndpointRecord &endpoint, Timestamp now) const
+{
+    const auto limit = m_announcedLimits.limitOf(endpoint);
+    const double missing = limit ? 1 - tokensOf(endpoint.id, *limit, now) : 0;
+    if (missing <= 0) {
+        return now;
+    }
+    return now + Milliseconds(static_cast<std::int64_t>(std::ceil(1000 * missing / rateOf(*limit))));
+}
+
+double RequestLimiter::tokensOf(const std::string &endpoint, const AnnouncedLimit &limit, Timestamp now) const
+{
+    const double capacity = rateOf(limit) + ExtraBurst;
+    const auto it = m_tokens.find(endpoint);
+    if (it == m_tokens.end()) {
+        return capacity;
+    }
+    const double seconds = static_cast<double>((now - it->second.updatedAt).count()) / 1000;
+    return std::min(capacity, it->second.tokens + seconds * rateOf(limit));
+}
+
+void RequestLimiter::recordRequest(const EndpointRecord &endpoint, Timestamp now)
 {
     removeExpired(now);
-    m_sentAt[endpoint].push_back(now);
+    m_sentAt[endpoint.id].push_back(now);
+    if (const auto limit = m_announcedLimits.limitOf(endpoint)) {
+        m_tokens[endpoint.id] = {tokensOf(endpoint.id, *limit, now) - 1, now};
+    } else if (!m_tokens.empty()) {
+        m_tokens.erase(endpoint.id);
+    }
 }
 
 std::size_t RequestLimiter::limitPerWindow(const ServiceSpec &service, bool isWarmingUp) const
--- a/src/forwarding/warmupchoice.cpp
+++ b/src/forwarding/warmupchoice.cpp
@@ -14,7 +14,7 @@
     for (const auto *endpoint : endpoints) {
         if (endpoint->warmupRemaining.count() == 0) {
             warm.push_back(endpoint);
-        } else if (limiter.requestsLeft(*endpoint, service, now) > 0) {
+        } else if (limiter.warmupRequestsLeft(*endpoint, service, now) > 0) {
             warming.push_back(endpoint);
         }
     }
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -7,6 +7,8 @@
 #include "forwarding/endpointpicker.h"
 #include "forwarding/requestlimiter.h"
 #include "gateway/answerbudget.h"
+#include "gateway/grantclient.h"
+#include "gateway/leaderdirectory.h"
 #include "http/webclient.h"
 #include "log/eventlog.h"
 #include "metadata/metadatastore.h"
@@ -31,6 +33,8 @@
     bool hasPeers = false;
     AnswerBudget answerBudget = {};
     RequestLimiter requestLimiter = RequestLimiter();
+    LeaderDirectory leaders = LeaderDirectory(store, loop, log);
+    GrantClient grants = GrantClient(client, loop, log, leaders);
 };
 
 }
--- /dev/null
+++ b/src/gateway/grantclient.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/eventloop.h"
+#include "catalog/endpointrecord.h"
+#include "forwarding/announcedlimits.h"
+#include "forwarding/requestgrant.h"
+#include "gateway/leaderdirectory.h"
+#include "http/webclient.h"
+#include "log/eventlog.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Basilbend
+{
+
+/// Asks the leading scheduler for requests to endpoints that name a limit. See GrantServer.
+class GrantClient
+{
+public:
+    /// Receives nullopt if the leader is unknown, does not respond in time or does not lead.
+    using Callback = std::function<void(std::optional<GrantReply>)>;
+
+    GrantClient(WebClient &client, EventLoop loop, EventLog &log, LeaderDirectory &leaders);
+
+    /// Asks for one request to one of the endpoints, the preferred one first. Limits that the leader knows to be over are removed from
+    /// the known ones before the callback is called. The callback may be called before ask() returns.
+    void ask(const std::vector<const EndpointRecord *> &endpoints, AnnouncedLimits &known, Callback callback);
+
+    /// Tells the leader that an endpoint no longer names its limit. sentAt: when the request was sent whose response named none.
+    void reportEnd(const EndpointStart &endpoint, Timestamp sentAt);
+
+    /// Time after which a leader that has not responded is dropped. A leader responds within milliseconds.
+    static constexpr Milliseconds ResponseTimeout{250};
+
+private:
+    struct Call;
+
+    void send(const GrantRequest &request, Callback callback);
+    void handleEnd(const std::shared_ptr<Call> &call, CallOutcome outcome);
+    void complete(const std::shared_ptr<Call> &call, std::optional<GrantReply> reply);
+
+    WebClient &m_client;
+    EventLoop m_loop;
+    EventLog &m_log;
+    LeaderDirectory &m_leaders;
+};
+
+}
--- a/src/gateway/leaderresultreader.cpp
+++ b/src/gateway/leaderresultreader.cpp
@@ -1,6 +1,5 @@
 #include "gateway/leaderresultreader.h"
 
-#include "election/leaderelection.h"
 #include "http/socketoptions.h"
 #include "scheduling/resultserver.h"
 
@@ -31,17 +30,17 @@
 
 void LeaderResultReader::read(const std::string &batch, std::size_t position, Milliseconds wait, Callback callback)
 {
-    if (m_leaderAddress.empty()) {
-        lookUp();
+    const auto address = m_context.leaders.address();
+    if (address.empty()) {
         callback(std::nullopt);
         return;
     }
     const auto call = std::make_shared<Call>();
-    call->address = m_leaderAddress;
+    call->address = address;
     call->callback = std::move(callback);
     const RequestMessage request{"GET",
                                  ResultServer::Path,
-                                 {{"Host", m_leaderAddress},
+                                 {{"Host", address},
                                   {ResultServer::BatchField, batch},
                                   {ResultServer::AfterField, std::to_string(position)},
                                   {ResultServer::WaitField, std::to_string(wait.count())}},
@@ -51,11 +50,11 @@
     hooks.onBody = [call](std::string_view data) { call->body.append(data); };
     hooks.maxBodyBytes = MaxResponseBytes;
     hooks.onEnd = [this, call](CallOutcome outcome) { handleEnd(call, outcome); };
-    call->call = m_context.client.send(parseSocketEndpoint(m_leaderAddress), request, std::move(hooks), ConnectTimeout);
+    call->call = m_context.client.send(parseSocketEndpoint(address), request, std::move(hooks), ConnectTimeout);
     m_context.loop.runAfter(wait + ResponseMargin, [this, call] {
         if (call->callback) {
             call->call.cancel();
-            dropLeader(call->address, "silent");
+            m_context.leaders.drop(call->address, "silent");
             complete(call, std::nullopt);
         }
     });
@@ -67,12 +66,12 @@
         return;
     }
     if (outcome != CallOutcome::Complete) {
-        dropLeader(call->address, "unreachable");
+        m_context.leaders.drop(call->address, "unreachable");
         complete(call, std::nullopt);
         return;
     }
     if (call->status == ResultServer::NotLeadingStatus) {
-        dropLeader(call->address, "not leading");
+        m_context.leaders.drop(call->address, "not leading");
     }
     if (call->status != 200) {
         complete(call, std::nullopt);
@@ -94,34 +93,4 @@
     callback(std::move(chunk));
 }
 
-void LeaderResultReader::dropLeader(const std::string &address, const char *why)
-{
-    if (m_leaderAddress == address) {
-        m_context.log.info("leader_forgotten", {{"leader", address}, {"why", why}});
-        m_leaderAddress.clear();
-        m_suspectAddress = address;
-        m_suspectedAt = m_context.loop.now();
-        lookUp();
-    }
-}
-
-void LeaderResultReader::lookUp()
-{
-    const auto now = m_context.loop.now();
-    if (m_isLookingUp || (m_lastLookUpAt && now - *m_lastLookUpAt < LookUpInterval)) {
-        return;
-    }
-    m_isLookingUp = true;
-    m_lastLookUpAt = now;
-    m_context.store.get(LeaderElection::holderKey(), [this](const MetadataReply &reply) {
-        m_isLookingUp = false;
-        const bool hasItem = reply.status == MetadataStatus::Done && !reply.items.empty();
-        const auto record = hasItem ? decodeLeaderRecord(reply.items.front().value) : std::nullopt;
-        const bool isSuspect = record && record->address == m_suspectAddress && m_context.loop.now() - m_suspectedAt < SuspectCooldown;
-        if (record && !isSuspect) {
-            m_leaderAddress = record->address;
-        }
-    });
-}
-
 }
--- a/src/gateway/leaderresultreader.h
+++ b/src/gateway/leaderresultreader.h
@@ -25,31 +25,16 @@
     /// The callback may be called before read() returns.
     void read(const std::string &batch, std::size_t position, Milliseconds wait, Callback callback);
 
-    /// Minimum time between two look-ups of the leader in the metadata store.
-    static constexpr Milliseconds LookUpInterval{1000};
     /// Time beyond the wait after which a leader that has not responded is dropped and the read continues at the store.
     static constexpr Milliseconds ResponseMargin{300};
 
-    /// Time for which a leader that did not respond is not used again, although the store still names it: about the time in which
-    /// a lease expires.
-    static constexpr Milliseconds SuspectCooldown{2000};
-
 private:
     struct Call;
 
-    void lookUp();
     void complete(const std::shared_ptr<Call> &call, std::optional<BatchRecords::ResultChunk> chunk);
     void handleEnd(const std::shared_ptr<Call> &call, CallOutcome outcome);
-    /// Drops the leader at this address and starts a new look-up. The reason is logged.
-    void dropLeader(const std::string &address, const char *why);
 
     GatewayContext &m_context;
-    std::string m_leaderAddress;
-    bool m_isLookingUp = false;
-    std::optional<Timestamp> m_lastLookUpAt;
-    /// Address of the leader that was dropped last.
-    std::string m_suspectAddress;
-    Timestamp m_suspectedAt;
 };
 
 }
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -24,6 +24,8 @@
 /// as progress. Clients abandon a stream after a gap of two seconds.
 constexpr Milliseconds StreamStallTimeout{1000};
 constexpr Milliseconds StallCheckInterval{100};
+/// Retry-After of a rejection when the leader that grants requests to limited endpoints does not respond.
+constexpr Milliseconds NoGrantRetryAfter{500};
 /// Limit of unsent bytes above which the stream of a slow client is aborted.
 constexpr std::size_t MaxPendingBytes = 1024 * 1024;
 
@@ -79,11 +81,12 @@
 
 void LiveCall::startAttempt()
 {
-    if (m_isFinished) {
+    if (m_isFinished || m_isWaitingForGrant) {
         return;
     }
-    const auto ready = usableEndpoints();
-    if (ready.empty()) {
+    const auto now = m_context.loop.now();
+    const auto ready = candidates();
+    if (ready.unlimited.empty() && ready.limited.empty()) {
         if (m_executedAttempts == 0) {
             reject(503, ResultCode::NoEndpoint, "no endpoint of the service is ready", Milliseconds(300));
         } else if (attemptsInProgress() == 0) {
@@ -91,21 +94,95 @@
         }
         return;
     }
-    const auto now = m_context.loop.now();
-    const auto *endpoint = m_context.picker.pick(ready, m_excludedEndpoints, now);
-    if (endpoint == nullptr) {
+    if (!m_grantDenial && !ready.unlimited.empty()) {
+        if (const auto *endpoint = dueForRecheck(ready.limited)) {
+            askForGrant({endpoint});
+            return;
+        }
+    }
+    if (const auto *endpoint = m_context.picker.pick(ready.unlimited, m_excludedEndpoints, now)) {
+        send(*endpoint);
+        return;
+    }
+    if (m_context.picker.pick(ready.limited, m_excludedEndpoints, now) == nullptr) {
         // Every endpoint has been tried or is full. Endpoints that rejected the request may have free capacity after a delay.
         waitForCapacity();
-        return;
+    } else if (m_grantDenial) {
+        rejectLimited(*m_grantDenial);
+    } else {
+        askForGrant(ready.limited);
     }
-    send(*endpoint);
 }
 
-std::vector<const EndpointRecord *> LiveCall::usableEndpoints() const
+const EndpointRecord *LiveCall::dueForRecheck(const std::vector<const EndpointRecord *> &limited) const
+{
+    auto &limits = m_context.requestLimiter.announcedLimits();
+    const auto now = m_context.loop.now();
+    const auto it = std::find_if(limited.begin(), limited.end(), [&](const EndpointRecord *endpoint) {
+        return m_excludedEndpoints.count(endpoint->id) == 0 && limits.takeRecheck(*endpoint, now);
+    });
+    return it == limited.end() ? nullptr : *it;
+}
+
+LiveCall::Candidates LiveCall::candidates() const
 {
     const auto ready = m_context.view.usableEndpoints(m_service, m_route, m_workspace);
     const auto *service = m_context.view.routes()->serviceNamed(m_service);
-    return service == nullptr ? ready : avoidWarmingEndpoints(ready, *service, m_context.requestLimiter, m_context.loop.now());
+    const auto usable = service == nullptr ? ready : avoidWarmingEndpoints(ready, *service, m_context.requestLimiter, m_context.loop.now());
+    Candidates result;
+    for (const auto *endpoint : usable) {
+        const bool isLimited = m_context.requestLimiter.announcedLimits().limitOf(*endpoint).has_value();
+        (isLimited ? result.limited : result.unlimited).push_back(endpoint);
+    }
+    return result;
+}
+
+void LiveCall::askForGrant(std::vector<const EndpointRecord *> limited)
+{
+    const auto isExcluded = [this](const EndpointRecord *endpoint) { return m_excludedEndpoints.count(endpoint->id) > 0; };
+    limited.erase(std::remove_if(limited.begin(), limited.end(), isExcluded), limited.end());
+    std::vector<const EndpointRecord *> ordered;
+    std::set<std::string> chosen = m_excludedEndpoints;
+    while (const auto *endpoint = m_context.picker.pick(limited, chosen, m_context.loop.now())) {
+        ordered.push_back(endpoint);
+        chosen.insert(endpoint->id);
+    }
+    m_isWaitingForGrant = true;
+    m_context.grants.ask(ordered, m_context.requestLimiter.announcedLimits(), [self = shared_from_this()](const std::optional<GrantReply> &reply) {
+        self->m_isWaitingForGrant = false;
+        self->acceptGrantReply(reply);
+    });
+}
+
+void LiveCall::acceptGrantReply(const std::optional<GrantReply> &reply)
+{
+    if (m_isFinished) {
+        return;
+    }
+    if (reply && !reply->granted.empty()) {
+        const auto *endpoint = m_context.view.endpoints().find(reply->granted);
+        if (endpoint != nullptr && m_context.view.endpoints().mayReceiveRequests(*endpoint)) {
+            send(*endpoint);
+            return;
+        }
+    }
+    const bool isDenied = !reply || reply->unlimited.empty();
+    if (isDenied) {
+        m_grantDenial = reply && reply->retryAfter.count() > 0 ? reply->retryAfter : NoGrantRetryAfter;
+    }
+    startAttempt();
+}
+
+void LiveCall::rejectLimited(Milliseconds retryAfter)
+{
+    if (attemptsInProgress() > 0) {
+        return;
+    }
+    if (m_executedAttempts == 0) {
+        reject(503, ResultCode::RateLimited, "the endpoints of the service take no more requests now", retryAfter);
+    } else {
+        reject(502, ResultCode::EndpointFailed, "the endpoint failed and the others take no more requests now", Milliseconds(0));
+    }
 }
 
 void LiveCall::waitForCapacity()
@@ -138,8 +215,9 @@
     attempt.endpoint = endpoint;
     attempt.sentAt = m_context.loop.now();
     m_excludedEndpoints.insert(endpoint.id);
+    m_grantDenial.reset();
     m_context.picker.recordSent(endpoint.id);
-    m_context.requestLimiter.recordRequest(endpoint.id, attempt.sentAt);
+    m_context.requestLimiter.recordRequest(endpoint, attempt.sentAt);
     m_context.log.info("request_sent",
                        {{"request", m_request.attemptId},
                         {"endpoint", endpoint.id},
@@ -180,8 +258,7 @@
     if (!isWaiting || m_executedAttempts + attemptsInProgress() >= m_route.attempts) {
         return;
     }
-    const auto ready = usableEndpoints();
-    if (const auto *other = m_context.picker.pick(ready, m_excludedEndpoints, m_context.loop.now())) {
+    if (const auto *other = m_context.picker.pick(candidates().unlimited, m_excludedEndpoints, m_context.loop.now())) {
         m_context.log.info("request_hedged", {{"request", m_request.attemptId}, {"slow_endpoint", m_attempts.back()->endpoint.id}});
         send(*other);
     }
@@ -196,6 +273,7 @@
     if (attempt.responseFields.isLeaving) {
         m_context.view.markEndpointLeaving(attempt.endpoint.id, attempt.endpoint.startedAtMs);
     }
+    recordRate(attempt);
     if (attempt.responseFields.load) {
         m_context.picker.recordQueueLength(attempt.endpoint.id, attempt.responseFields.load->waiting, m_context.loop.now());
     }
@@ -204,6 +282,26 @@
     }
 }
 
+void LiveCall::recordRate(const Attempt &attempt)
+{
+    if (!attempt.responseFields.rate) {
+        return;
+    }
+    auto &limits = m_context.requestLimiter.announcedLimits();
+    const bool wasLimited = limits.limitOf(attempt.endpoint).has_value();
+    const EndpointStart start{attempt.endpoint.id, attempt.endpoint.startedAtMs};
+    limits.record(start, *attempt.responseFields.rate, attempt.sentAt, m_context.loop.now());
+    const bool isLimited = limits.limitOf(attempt.endpoint).has_value();
+    if (wasLimited != isLimited) {
+        m_context.log.info(
+            "endpoint_limit_changed",
+            {{"endpoint", attempt.endpoint.id}, {"limited", isLimited}, {"requests_per_second", attempt.responseFields.rate->requestsPerSecond}});
+    }
+    if (wasLimited && !isLimited) {
+        m_context.grants.reportEnd(start, attempt.sentAt);
+    }
+}
+
 void LiveCall::handleStreamHead(std::size_t index)
 {
     countUsage(m_context.loop.now());
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -42,9 +42,23 @@
         bool ended = false;
     };
 
+    /// Endpoints that may receive the request now.
+    struct Candidates {
+        std::vector<const EndpointRecord *> unlimited;
+        /// Endpoints that name a limit: they may get the request only if the leader grants it.
+        std::vector<const EndpointRecord *> limited;
+    };
+
     void startAttempt();
-    /// Endpoints that may receive the request now. Those that warm up are used only when there is no other.
-    std::vector<const EndpointRecord *> usableEndpoints() const;
+    /// Endpoints that warm up are among the candidates only when there is no other.
+    Candidates candidates() const;
+    /// Asks the leader for a request to one of the limited endpoints.
+    void askForGrant(std::vector<const EndpointRecord *> limited);
+    /// A limited endpoint that should get a request to learn whether its limit still holds; null if there is none.
+    const EndpointRecord *dueForRecheck(const std::vector<const EndpointRecord *> &limited) const;
+    void acceptGrantReply(const std::optional<GrantReply> &reply);
+    void rejectLimited(Milliseconds retryAfter);
+    void recordRate(const Attempt &attempt);
     void send(const EndpointRecord &endpoint);
     CallHooks makeHooks(std::size_t index);
     void handleHead(std::size_t index, const ResponseHead &head);
@@ -93,6 +107,9 @@
     bool m_isFinished = false;
     bool m_isUsageCounted = false;
     bool m_isWaitingForCapacity = false;
+    bool m_isWaitingForGrant = false;
+    /// Retry-After of the leader's denial, until the next attempt is sent.
+    std::optional<Milliseconds> m_grantDenial;
     /// Streaming routes: the response head has been sent to the client.
     bool m_streamStarted = false;
     std::uint64_t m_lastEventId = 0;
--- a/src/platform/endpointcalls.cpp
+++ b/src/platform/endpointcalls.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace Basilbend
 {
@@ -42,6 +43,48 @@
     return EndpointLoad{numbers[0], numbers[1], numbers[2]};
 }
 
+/// Parses one value of the limit field. Returns nothing for a value that is no number, negative or out of range.
+std::optional<double> decodeRate(std::string_view text)
+{
+    while (!text.empty() && text.front() == ' ') {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && text.back() == ' ') {
+        text.remove_suffix(1);
+    }
+    double rate = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), rate, std::chars_format::fixed);
+    const bool isNumber = ec == std::errc{} && end == text.data() + text.size() && std::isfinite(rate) && rate >= 0;
+    return isNumber ? std::optional(rate) : std::nullopt;
+}
+
+/// Reads the limit fields of a response. The smallest of several readable values holds.
+RateStatement decodeRateStatement(const HttpFields &fields)
+{
+    RateStatement statement;
+    for (const auto &field : fields) {
+        if (!isSameFieldName(field.name, Wire::ServerLimit)) {
+            continue;
+        }
+        std::string_view values = field.value;
+        while (true) {
+            const auto comma = values.find(',');
+            const auto rate = decodeRate(values.substr(0, comma));
+            if (rate) {
+                const bool isFirst = statement.kind != RateStatement::Kind::Limited;
+                statement = {RateStatement::Kind::Limited, isFirst ? *rate : std::min(*rate, statement.requestsPerSecond)};
+            } else if (statement.kind == RateStatement::Kind::Unlimited) {
+                statement.kind = RateStatement::Kind::Unreadable;
+            }
+            if (comma == std::string_view::npos) {
+                break;
+            }
+            values.remove_prefix(comma + 1);
+        }
+    }
+    return statement;
+}
+
 EndpointState decodeStateObject(const json &object)
 {
     EndpointState state;
@@ -66,6 +109,11 @@
     responseFields.weightVersion = unsignedOrZero(head.fields.value(Wire::WeightVersions));
     responseFields.load = decodeLoad(head.fields.value(Wire::ServerLoad));
     responseFields.isLeaving = isEndpointLeaving(head);
+    const auto rate = decodeRateStatement(head.fields);
+    const bool isFromEndpoint = responseFields.isSigned() || responseFields.notExecuted || rate.kind != RateStatement::Kind::Unlimited;
+    if (isFromEndpoint && head.status != WrongEndpointStatus) {
+        responseFields.rate = rate;
+    }
     return responseFields;
 }
 
--- a/src/platform/endpointcalls.h
+++ b/src/platform/endpointcalls.h
@@ -4,6 +4,7 @@
 #include "base/timestamp.h"
 #include "batches/batch.h"
 #include "catalog/endpointrecord.h"
+#include "forwarding/announcedlimits.h"
 #include "http/clientcall.h"
 #include "http/httpmessage.h"
 
@@ -36,6 +37,8 @@
     std::optional<EndpointLoad> load;
     /// See isEndpointLeaving().
     bool isLeaving = false;
+    /// What the endpoint says about its limit; empty if the response need not come from it.
+    std::optional<RateStatement> rate = std::nullopt;
 
     bool isSigned() const
     {
--- a/src/platform/wirenames.h
+++ b/src/platform/wirenames.h
@@ -13,6 +13,8 @@
 inline constexpr const char *ServerLoad = "Basilbend-Server-Load";
 /// Set by an endpoint that is about to leave, in every response.
 inline constexpr const char *Leaving = "Server-Leaving";
+/// Requests per second that an endpoint takes from all processes together.
+inline constexpr const char *ServerLimit = "Server-Limit";
 inline constexpr const char *NotExecuted = "Basilbend-Not-Executed";
 inline constexpr const char *WaitMs = "Basilbend-Wait-Ms";
 inline constexpr const char *WeightVersions = "Basilbend-Weight-Versions";
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -43,6 +43,7 @@
           log,
           {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
     , m_requestLimiter(warmupTolerance)
+    , m_grantServer(m_loop, metrics, m_requestLimiter, m_hooks.mayGrant)
     , m_tableBuilder(m_view, m_health, m_runTracker, m_requestLimiter, m_hooks.endpoints)
     , m_rewardCalls({m_loop, log, metrics, client, view, random, m_requestLimiter, std::move(zone)}, rewardHooks())
     , m_resultServer(m_loop, resultHooks())
@@ -349,6 +350,9 @@
         return acceptEvent(id, item, run, event, std::move(data), version);
     };
     hooks.onEnd = [this, id, item, run](RunEnd end, int status) { acceptEnd(id, item, run, end, status); };
+    hooks.onRateStated = [this, start = EndpointStart{endpoint.id, endpoint.startedAtMs}, sentAt = m_loop.now()](const RateStatement &rate) {
+        m_requestLimiter.announcedLimits().record(start, rate, sentAt, m_loop.now());
+    };
     hooks.onEndpointLeaving = [this, id = endpoint.id, startedAtMs = endpoint.startedAtMs] { m_view.markEndpointLeaving(id, startedAtMs); };
     OpenRun openRun;
     openRun.endpoint = endpoint.id;
@@ -364,7 +368,7 @@
                 {"endpoint_version", m_hooks.endpoints.servedVersion(endpoint, state.submission().model)}});
     const RunStart from{progress.text.lastEventId(), m_hooks.endpoints.unreportedVersion(endpoint.id, state.submission().model)};
     openRun.itemRun->start(state.item(item), state.index(), from);
-    m_requestLimiter.recordRequest(endpoint.id, m_loop.now());
+    m_requestLimiter.recordRequest(endpoint, m_loop.now());
     m_runTracker.addRun(endpoint.id, run, runTokens(state.item(item), progress.text.eventCount()));
     batch.openRuns.emplace(item, std::move(openRun));
     m_metrics.count("basilbend_item_runs_total");
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -10,6 +10,7 @@
 #include "scheduling/batchwatch.h"
 #include "scheduling/endpointhealth.h"
 #include "scheduling/endpointtablebuilder.h"
+#include "scheduling/grantserver.h"
 #include "scheduling/resultserver.h"
 #include "scheduling/resumabletextcache.h"
 #include "scheduling/rewardcalls.h"
@@ -31,6 +32,8 @@
     std::function<bool()> isSoleLeader;
     /// Fencing token of the leadership; zero if this process does not lead.
     std::function<std::uint64_t()> term;
+    /// Whether requests to limited endpoints may be granted to gateways.
+    std::function<bool()> mayGrant;
     /// Whether new runs may be started. Checked for each batch of a round, because a round may take long.
     std::function<bool()> mayStart;
     /// Fraction of the requests to endpoints during warm-up that this process may send; see SendShareRule.
@@ -84,6 +87,12 @@
         m_resultServer.serve(exchange);
     }
 
+    /// Handles a gateway's request for a request to a limited endpoint.
+    void serveGrantRequest(const std::shared_ptr<ServerExchange> &exchange)
+    {
+        m_grantServer.serve(exchange);
+    }
+
     /// Discards the recorded performance of an endpoint that is gone or about to leave; its runs continue until the
     /// endpoint ends them.
     void forgetEndpoint(const std::string &id);
@@ -166,6 +175,7 @@
     BatchDemand m_demand;
     EndpointHealth m_health;
     RequestLimiter m_requestLimiter;
+    GrantServer m_grantServer;
     EndpointTableBuilder m_tableBuilder;
     RewardCalls m_rewardCalls;
     ResultServer m_resultServer;
--- /dev/null
+++ b/src/scheduling/grantserver.cpp
@@ -0,0 +1,95 @@
+#include "scheduling/grantserver.h"
+
+#include <algorithm>
+
+namespace Basilbend
+{
+
+namespace
+{
+
+/// Endpoint record with the properties that the limiter needs.
+EndpointRecord recordOf(const GrantCandidate &candidate)
+{
+    EndpointRecord record;
+    record.id = candidate.endpoint.id;
+    record.startedAtMs = candidate.endpoint.startedAtMs;
+    return record;
+}
+
+}
+
+GrantServer::GrantServer(EventLoop loop, Metrics &metrics, RequestLimiter &limiter, std::function<bool()> mayGrant)
+    : m_loop(std::move(loop))
+    , m_metrics(metrics)
+    , m_limiter(limiter)
+    , m_mayGrant(std::move(mayGrant))
+{
+}
+
+void GrantServer::serve(const std::shared_ptr<ServerExchange> &exchange)
+{
+    if (!m_mayGrant()) {
+        exchange->respond({NotLeadingStatus, {}, {}});
+        return;
+    }
+    const auto request = decodeGrantRequest(exchange->request().body);
+    if (!request) {
+        exchange->respond({400, {{"Content-Type", "text/plain"}}, request.error().message});
+        return;
+    }
+    exchange->respond({200, {{"Content-Type", "application/json"}}, encodeGrantReply(decide(request.value()))});
+}
+
+GrantReply GrantServer::decide(const GrantRequest &request)
+{
+    const auto now = m_loop.now();
+    learn(request, now);
+    GrantReply reply;
+    for (const auto &candidate : request.candidates) {
+        const auto record = recordOf(candidate);
+        if (!m_limiter.announcedLimits().limitOf(record)) {
+            reply.unlimited.push_back(record.id);
+        } else if (reply.granted.empty() && m_limiter.announcedRequestsLeft(record, now) > 0) {
+            m_limiter.recordRequest(record, now);
+            reply.granted = record.id;
+        }
+    }
+    const bool isDenied = reply.granted.empty() && reply.unlimited.empty() && !request.candidates.empty();
+    reply.retryAfter = isDenied ? promise(request, now) : Milliseconds(0);
+    m_metrics.count("basilbend_request_grants_total", {{"outcome", isDenied ? "denied" : "granted"}});
+    return reply;
+}
+
+void GrantServer::learn(const GrantRequest &request, Timestamp now)
+{
+    auto &limits = m_limiter.announcedLimits();
+    for (const auto &candidate : request.candidates) {
+        limits.adopt(candidate.endpoint.id, {candidate.requestsPerSecond, now - candidate.age, candidate.endpoint.startedAtMs});
+    }
+    for (const auto &candidate : request.ended) {
+        limits.end(candidate.endpoint.id, now - candidate.age);
+    }
+}
+
+Milliseconds GrantServer::promise(const GrantRequest &request, Timestamp now)
+{
+    std::string soonest;
+    auto soonestAt = now + MaxRetryAfter;
+    for (const auto &candidate : request.candidates) {
+        const auto record = recordOf(candidate);
+        const auto limit = m_limiter.announcedLimits().limitOf(record);
+        const Milliseconds interval(static_cast<std::int64_t>(1000 / std::max(limit ? limit->requestsPerSecond : 0, RequestLimiter::MinRate)));
+        const auto at = std::max(m_limiter.nextAnnouncedRequestAt(record, now), m_promisedAt[record.id] + interval);
+        if (at < soonestAt) {
+            soonest = record.id;
+            soonestAt = at;
+        }
+    }
+    if (!soonest.empty()) {
+        m_promisedAt[soonest] = soonestAt;
+    }
+    return soonestAt - now;
+}
+
+}
--- /dev/null
+++ b/src/scheduling/grantserver.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/eventloop.h"
+#include "forwarding/requestgrant.h"
+#include "forwarding/requestlimiter.h"
+#include "http/serverexchange.h"
+#include "net/metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Basilbend
+{
+
+/// Grants gateways requests to endpoints that name a limit, as part of the leader. The leader's own requests spend the same limits.
+class GrantServer
+{
+public:
+    /// mayGrant: whether this process leads.
+    GrantServer(EventLoop loop, Metrics &metrics, RequestLimiter &limiter, std::function<bool()> mayGrant);
+
+    /// Handles a gateway's request.
+    void serve(const std::shared_ptr<ServerExchange> &exchange);
+
+    /// Decides on a request. A denial names a time after which an endpoint can take a further request; those of several denials are as
+    /// far apart as the limits demand, so that the clients do not all come back at the same time.
+    GrantReply decide(const GrantRequest &request);
+
+    static constexpr const char *Path = "/requestgrants";
+    static constexpr int NotLeadingStatus = 409;
+    /// Limit of the time that a denial names.
+    static constexpr Milliseconds MaxRetryAfter{5000};
+
+private:
+    void learn(const GrantRequest &request, Timestamp now);
+    Milliseconds promise(const GrantRequest &request, Timestamp now);
+
+    EventLoop m_loop;
+    Metrics &m_metrics;
+    RequestLimiter &m_limiter;
+    std::function<bool()> m_mayGrant;
+    /// Time of the last request that was promised for an endpoint by a denial.
+    std::map<std::string, Timestamp> m_promisedAt;
+};
+
+}
--- a/src/scheduling/itemrun.cpp
+++ b/src/scheduling/itemrun.cpp
@@ -51,6 +51,9 @@
     if (m_responseFields.isLeaving && m_hooks.onEndpointLeaving) {
         m_hooks.onEndpointLeaving();
     }
+    if (m_responseFields.rate && m_hooks.onRateStated) {
+        m_hooks.onRateStated(*m_responseFields.rate);
+    }
     if (m_responseFields.weightVersion > 0) {
         m_weightVersion = m_responseFields.weightVersion;
     }
--- a/src/scheduling/itemrun.h
+++ b/src/scheduling/itemrun.h
@@ -22,6 +22,8 @@
     std::function<void(RunEnd, int status)> onEnd;
     /// Called when the endpoint announces that it is about to leave. May be null.
     std::function<void()> onEndpointLeaving = nullptr;
+    /// Called with what the endpoint says about its limit. May be null.
+    std::function<void(const RateStatement &)> onRateStated = nullptr;
 };
 
 /// A run of one item at one endpoint. Destroying it cancels the run: the connection closes and the endpoint stops
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -159,7 +159,7 @@
     entry.responseFields = {};
     const int call = ++entry.calls;
     m_picker.recordSent(endpoint.id);
-    m_context.requestLimiter.recordRequest(endpoint.id, now);
+    m_context.requestLimiter.recordRequest(endpoint, now);
     m_context.metrics.count("basilbend_reward_calls_total");
     m_context.log.info("reward_sent",
                        {{"batch", entry.batch->index().id},
@@ -191,6 +191,10 @@
         if (entry.responseFields.isLeaving) {
             m_context.view.markEndpointLeaving(entry.endpoint, entry.endpointStartedAtMs);
         }
+        if (entry.responseFields.rate) {
+            const EndpointStart start{entry.endpoint, entry.endpointStartedAtMs};
+            m_context.requestLimiter.announcedLimits().record(start, *entry.responseFields.rate, entry.sentAt, m_context.loop.now());
+        }
     };
     // Only the signature in the response head is used.
     hooks.onBody = [](std::string_view) {};
--- a/tests/forwarding/requestlimiter.cpp
+++ b/tests/forwarding/requestlimiter.cpp
@@ -37,7 +37,7 @@
 {
     RequestLimiter limiter(Tolerance, 0.5);
     for (int i = 0; i < 100; ++i) {
-        limiter.recordRequest("a", Timestamp(1000));
+        limiter.recordRequest(endpoint("a"), Timestamp(1000));
     }
     BOOST_TEST(limiter.requestsLeft(endpoint("a"), serviceWith(0), Timestamp(1000)) == RequestLimiter::Unlimited);
 }
@@ -50,14 +50,14 @@
     RequestLimiter limiter(Tolerance, 0.5);
     BOOST_TEST(limiter.requestsLeft(a, service, Timestamp(1000)) == 8U);
     for (int i = 0; i < 8; ++i) {
-        limiter.recordRequest("a", Timestamp(1900 + i));
+        limiter.recordRequest(a, Timestamp(1900 + i));
     }
     BOOST_TEST(limiter.requestsLeft(a, service, Timestamp(2100)) == 0U);
     BOOST_TEST(limiter.requestsLeft(endpoint("b"), service, Timestamp(2100)) == 8U);
     const auto firstLeaves = Timestamp(1900) + RequestLimiter::Window;
     BOOST_TEST(limiter.requestsLeft(a, service, firstLeaves - Milliseconds(1)) == 0U);
     BOOST_TEST(limiter.requestsLeft(a, service, firstLeaves) == 1U);
-    limiter.recordRequest("a", firstLeaves);
+    limiter.recordRequest(a, firstLeaves);
     BOOST_TEST(limiter.requestsLeft(a, service, firstLeaves) == 0U);
 }
 
@@ -88,7 +88,7 @@
     using Endpoints = std::vector<const EndpointRecord *>;
     BOOST_TEST((avoidWarmingEndpoints({&warming, &warm}, service, limiter, now) == Endpoints{&warm}));
     BOOST_TEST((avoidWarmingEndpoints({&warming}, service, limiter, now) == Endpoints{&warming}));
-    limiter.recordRequest("warming", now);
+    limiter.recordRequest(warming, now);
     BOOST_TEST(avoidWarmingEndpoints({&warming}, service, limiter, now).empty());
     // A service that needs no warm-up uses all of its endpoints.
     BOOST_TEST(avoidWarmingEndpoints({&warming, &warm}, serviceWith(0), limiter, now).size() == 2U);
--- a/tests/scheduling/sendshare.cpp
+++ b/tests/scheduling/sendshare.cpp
@@ -139,7 +139,7 @@
         sender.limiter.setShare(Rule.shareOf(sender.state, m_now));
         const auto left = sender.limiter.requestsLeft(m_endpoint, m_service, m_now);
         for (auto n = std::min<std::uint64_t>(left, m_random.below(20)); n > 0; --n) {
-            sender.limiter.recordRequest(m_endpoint.id, m_now);
+            sender.limiter.recordRequest(m_endpoint, m_now);
             sender.departures.push_back(m_now + Milliseconds(m_random.below(301)));
         }
     }
