Show that a response cut within its head is no answer

An operator of a similar system saw replicas that stopped in the middle of their answer's head, and clients that got a 200 with an empty body. It can't happen here: the call ends as unanswered and is retried or fails, for heads cut at four places and for a chunked body without its end.

--- a/tests/http/clientserver.cpp
+++ b/tests/http/clientserver.cpp
@@ -229,6 +229,12 @@
         CallOutcome end;
     };
     for (const auto &row : {Row{"", CallOutcome::ClosedUnanswered},
+                            // An endpoint that stops within the head of its response has not answered.
+                            Row{"HTTP/1.1 200", CallOutcome::ClosedUnanswered},
+                            Row{"HTTP/1.1 200 OK\r\nBasilbend-Server-Sig", CallOutcome::ClosedUnanswered},
+                            Row{"HTTP/1.1 200 OK\r\nBasilbend-Server-Signature: s\r\n", CallOutcome::ClosedUnanswered},
+                            Row{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", CallOutcome::ClosedUnanswered},
+                            Row{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", CallOutcome::Broken},
                             Row{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", CallOutcome::Broken},
                             Row{"garbage garbage\r\n\r\n", CallOutcome::Broken},
                             Row{"HTTP/1.1 200 OK\r\n\r\nuntil the end", CallOutcome::Complete},
