Show that an error of a second endpoint does not enter a stream

An operator of a similar system saw streams that broke off and went on with the text of the next replica's error, or ended as if they were complete. It can't happen here: an error of the endpoint at which a stream should resume, signed or not, leaves the stream without its end. A test only; it passed on the code before.

--- a/tests/gateway/livecall.cpp
+++ b/tests/gateway/livecall.cpp
@@ -173,6 +173,29 @@
     BOOST_TEST(body == event(1) + event(2));
 }
 
+// Guards against the text or the head of an error in the middle of a stream, and against a stream that then ends as if it were complete.
+BOOST_FIXTURE_TEST_CASE(an_error_of_the_endpoint_at_which_a_stream_should_resume_does_not_enter_the_stream, LiveFixture)
+{
+    for (const bool isSigned : {false, true}) {
+        LiveFixture fixture;
+        fixture.script(
+            [&fixture](const ExchangePtr &exchange) {
+                beginEvents(exchange, 1, 2);
+                fixture.abortSoon(exchange);
+            },
+            [isSigned](const ExchangePtr &exchange) {
+                const HttpFields fields = isSigned ? HttpFields{{"Basilbend-Server-Signature", "s"}} : HttpFields();
+                exchange->respond({500, fields, "id: 3\ndata: an error of the endpoint\n\n"});
+            });
+        fixture.send("/kept/a");
+        fixture.run(9500);
+        BOOST_REQUIRE(fixture.outcome.has_value());
+        BOOST_TEST((*fixture.outcome == CallOutcome::Broken));
+        BOOST_TEST(fixture.status == 200);
+        BOOST_TEST(fixture.body == event(1) + event(2));
+    }
+}
+
 // Guards against a client that waits for the rest of a stream whose endpoint has stalled.
 BOOST_FIXTURE_TEST_CASE(a_stalled_stream_is_resumed_at_another_endpoint, LiveFixture)
 {
