Answer requests that a stopping gateway can't finish, and take no late ones that it can't

An operator of a similar system saw requests that came late in the grace period of a planned stop taken, passed on and cut without an answer at its end, among them requests that may not be repeated. It can happen here: connections that were kept or half-read after the listener closes are served until the process ends, whatever the time limit of the request, and the process then closes them as they are.

Evidence: four tests at a gateway (late and long, late and short, open at the end, a stream open at the end). Before, a drain only closed the listener and changed the readiness; no code ended open calls.

--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -25,8 +25,13 @@
 constexpr Milliseconds HousekeepingInterval{500};
 /// Time from SIGTERM until the listener closes. The platform checks readiness once a second and counts two failures.
 constexpr Milliseconds ListenerCloseDelay{3200};
+/// Time from SIGTERM after which requests are accepted only if they end in time. Clients that were told of the stop before have had time to
+/// move on.
+constexpr Milliseconds LateRequestDelay{2800};
 /// Part of the grace period that is reserved for the process to exit by itself.
 constexpr Milliseconds ExitMargin{700};
+/// Time before the exit in which the responses to requests that are still open are sent.
+constexpr Milliseconds FinalResponseTime{200};
 constexpr Milliseconds DrainCheckInterval{50};
 
 ResultCode resultCodeForStatus(int status)
@@ -161,8 +166,8 @@
 
     void beginDrain()
     {
-        m_service.beginDrain();
         m_drainStartedAt = m_runtime.loop().now();
+        m_service.beginDrain(m_drainStartedAt + LateRequestDelay, m_drainStartedAt + m_runtime.settings().gracePeriod - ExitMargin - FinalResponseTime);
         m_runtime.loop().runAfter(ListenerCloseDelay, [this] {
             m_clientServer.stopAccepting();
             m_clientServer.closeIdleSessions();
@@ -174,7 +179,11 @@
     {
         const auto now = m_runtime.loop().now();
         const auto elapsed = now - m_drainStartedAt;
-        const bool isGracePeriodOver = elapsed >= m_runtime.settings().gracePeriod - ExitMargin;
+        const auto exitAfter = m_runtime.settings().gracePeriod - ExitMargin;
+        const bool isGracePeriodOver = elapsed >= exitAfter;
+        if (elapsed >= exitAfter - FinalResponseTime) {
+            m_service.endOpenCalls();
+        }
         if (elapsed >= ListenerCloseDelay && m_clientServer.busySessionCount() == 0 && !m_isFlushing) {
             m_isFlushing = true;
             m_clientServer.closeIdleSessions();
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -1,8 +1,10 @@
 #include "gateway/gatewayservice.h"
 
-#include "gateway/livecall.h"
 #include "gateway/rejection.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace Basilbend
 {
 
@@ -57,9 +59,20 @@
     return {isReady() ? 200 : 503, {}, {}};
 }
 
-void GatewayService::beginDrain()
+void GatewayService::beginDrain(Timestamp lateAfter, Timestamp end)
 {
     m_draining = true;
+    m_lateAfter = lateAfter;
+    m_drainEnd = end;
+}
+
+void GatewayService::endOpenCalls()
+{
+    for (const auto &weak : std::exchange(m_calls, {})) {
+        if (const auto call = weak.lock()) {
+            call->endForShutdown();
+        }
+    }
 }
 
 ServerLimits GatewayService::limits() const
@@ -115,8 +128,27 @@
     if (route->kind == RouteKind::Batch) {
         m_batchApi.submit(exchange, request, *route, workspace);
     } else {
-        std::make_shared<LiveCall>(m_context, exchange, request, *route, workspace)->start();
+        startLiveCall(exchange, request, *route, workspace);
+    }
+}
+
+void GatewayService::startLiveCall(const std::shared_ptr<ServerExchange> &exchange,
+                                   const ClientRequest &request,
+                                   const RouteRule &route,
+                                   const std::string &workspace)
+{
+    const auto now = m_context.loop.now();
+    if (m_draining && now >= m_lateAfter && now + LiveCall::timeLimit(route, request) > m_drainEnd) {
+        reject(*exchange, request, Error{ResultCode::Draining, "the gateway stops before the time limit of the request", Execution::NotRun});
+        return;
+    }
+    if (m_calls.size() >= m_callsBeforeCleanUp) {
+        m_calls.erase(std::remove_if(m_calls.begin(), m_calls.end(), [](const std::weak_ptr<LiveCall> &call) { return call.expired(); }), m_calls.end());
+        m_callsBeforeCleanUp = std::max(MinCallsBeforeCleanUp, 2 * m_calls.size());
     }
+    const auto call = std::make_shared<LiveCall>(m_context, exchange, request, route, workspace);
+    m_calls.push_back(call);
+    call->start();
 }
 
 void GatewayService::handleBatchCall(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request)
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -3,10 +3,12 @@
 #include "forwarding/admission.h"
 #include "gateway/batchapi.h"
 #include "gateway/gatewaycontext.h"
+#include "gateway/livecall.h"
 #include "http/webserver.h"
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Basilbend
 {
@@ -25,8 +27,12 @@
 
     bool isReady() const;
 
-    /// Reports the process as not ready from now on. Requests are still served.
-    void beginDrain();
+    /// Reports the process as not ready from now on. Requests are still served, but one that arrives lateAfter or later only if its time
+    /// limit ends before the given end.
+    void beginDrain(Timestamp lateAfter, Timestamp end);
+
+    /// Gives every open live request its final response: its client would otherwise see a closed connection when the process ends.
+    void endOpenCalls();
 
     bool isDraining() const
     {
@@ -40,6 +46,7 @@
 private:
     bool isFresh() const;
     void submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, Timestamp waitDeadline);
+    void startLiveCall(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const RouteRule &route, const std::string &workspace);
     void handleBatchCall(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request);
     void reject(ServerExchange &exchange, const ClientRequest &request, const Error &error);
 
@@ -47,6 +54,13 @@
     FreshnessRule m_freshness;
     BatchApi m_batchApi;
     bool m_draining = false;
+    Timestamp m_lateAfter;
+    Timestamp m_drainEnd;
+    /// Calls that may be open; those that have ended are removed from time to time.
+    std::vector<std::weak_ptr<LiveCall>> m_calls;
+    std::size_t m_callsBeforeCleanUp = MinCallsBeforeCleanUp;
+
+    static constexpr std::size_t MinCallsBeforeCleanUp = 256;
 };
 
 }
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -39,7 +39,7 @@
     , m_workspace(std::move(workspace))
     , m_arrivedAt(context.loop.now())
 {
-    m_deadline = m_arrivedAt + std::min(m_route.timeout, m_request.deadline.value_or(DefaultDeadline));
+    m_deadline = m_arrivedAt + timeLimit(m_route, m_request);
 }
 
 LiveCall::~LiveCall()
@@ -47,6 +47,11 @@
     m_context.answerBudget.release(m_bufferedBytes);
 }
 
+Milliseconds LiveCall::timeLimit(const RouteRule &route, const ClientRequest &request)
+{
+    return std::min(route.timeout, request.deadline.value_or(DefaultDeadline));
+}
+
 bool LiveCall::isStreamingRoute() const
 {
     return m_route.kind == RouteKind::Streaming;
@@ -495,20 +500,49 @@
         finish("stream_timeout", 0);
         return;
     }
-    const bool mayHaveRun = m_executedAttempts > 0 || attemptsInProgress() > 0;
-    if (mayHaveRun) {
+    if (mayHaveRun()) {
         for (const auto &attempt : m_attempts) {
             if (!attempt->ended) {
                 m_context.picker.recordTimeout(attempt->endpoint.id, m_context.loop.now());
-                countUsage(attempt->sentAt);
             }
         }
+        countOpenAttempts();
         reject(504, ResultCode::DeadlineExceeded, "no answer within the time limit", Milliseconds(0));
     } else {
         reject(503, ResultCode::NotRun, "no endpoint had room within the time limit", m_route.latencyTarget);
     }
 }
 
+bool LiveCall::mayHaveRun() const
+{
+    return m_executedAttempts > 0 || attemptsInProgress() > 0;
+}
+
+void LiveCall::countOpenAttempts()
+{
+    for (const auto &attempt : m_attempts) {
+        if (!attempt->ended) {
+            countUsage(attempt->sentAt);
+        }
+    }
+}
+
+void LiveCall::endForShutdown()
+{
+    if (m_isFinished) {
+        return;
+    }
+    if (m_streamStarted) {
+        m_exchange->abort();
+        finish("stream_cut_by_shutdown", 0);
+    } else if (mayHaveRun()) {
+        countOpenAttempts();
+        reject(502, ResultCode::ExecutionUnknown, "the gateway stops before the endpoint's answer", Milliseconds(0));
+    } else {
+        reject(503, ResultCode::Draining, "the gateway stops", Milliseconds(0));
+    }
+}
+
 void LiveCall::forwardResponse(Attempt &attempt)
 {
     ResponseMessage response{attempt.head.status, attempt.head.fields, std::move(attempt.body)};
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -29,6 +29,12 @@
 
     void start();
 
+    /// Ends the call because the process stops: with a response that says whether the request may have run, or by aborting its stream.
+    void endForShutdown();
+
+    /// The time that a request may take: the client's or the route's limit, whichever is shorter.
+    static Milliseconds timeLimit(const RouteRule &route, const ClientRequest &request);
+
 private:
     /// One attempt at one endpoint.
     struct Attempt {
@@ -74,6 +80,10 @@
     /// attemptCount: number of attempts when the timer was set.
     void hedge(std::size_t attemptCount);
     void onTimeout();
+    /// Whether an endpoint may have started the request.
+    bool mayHaveRun() const;
+    /// Counts the requests at endpoints that have not answered as usage, since they may have begun.
+    void countOpenAttempts();
     void countUsage(Timestamp at);
 
     void forwardResponse(Attempt &attempt);
--- a/tests/gateway/livecall.cpp
+++ b/tests/gateway/livecall.cpp
@@ -418,4 +418,53 @@
     BOOST_TEST(status == 200);
 }
 
+// Guards against requests that come late in the grace period and are cut without an answer at its end (LOST).
+BOOST_FIXTURE_TEST_CASE(a_stopping_gateway_takes_late_requests_only_if_their_time_limit_ends_before_it_does, LiveFixture)
+{
+    script(respondWhole, respondWhole);
+    gateway->service.beginDrain(time.now() + Milliseconds(2800), time.now() + Milliseconds(5500));
+    send("/once/a");
+    run(1000);
+    BOOST_TEST(status == 200);
+    time.advance(Milliseconds(3000));
+    outcome.reset();
+    send("/once/a");
+    run(500);
+    BOOST_TEST(status == 503);
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stopping_gateway_takes_a_late_request_with_a_short_time_limit, LiveFixture)
+{
+    script(respondWhole, respondWhole);
+    gateway->service.beginDrain(time.now(), time.now() + Milliseconds(3500));
+    send("/once/a");
+    run(500);
+    BOOST_TEST(status == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_is_open_at_the_end_of_the_grace_period_gets_an_answer, LiveFixture)
+{
+    script([](const ExchangePtr &) {}, respondWhole);
+    send("/once/a");
+    run(300);
+    BOOST_REQUIRE(!outcome.has_value());
+    gateway->service.endOpenCalls();
+    run(300);
+    // The endpoint may have run it.
+    BOOST_TEST(status == 502);
+    BOOST_TEST((outcome == CallOutcome::Complete));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_that_is_open_at_the_end_of_the_grace_period_does_not_end_as_complete, LiveFixture)
+{
+    script([](const ExchangePtr &exchange) { beginEvents(exchange, 1, 2); }, respondWhole);
+    send("/stream/a");
+    run(300);
+    gateway->service.endOpenCalls();
+    run(300);
+    BOOST_TEST((outcome == CallOutcome::Broken));
+    BOOST_TEST(body == event(1) + event(2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
