Compare only runs that can gain from a move with each endpoint

They are now left out by the fastest endpoint with a free slot; the moves are the same.

Evidence: profile of a leader in a soak load of 300 engines, 15% of its time in moveToFasterEndpoints, 9% in planMoves.

--- a/src/scheduling/runmoves.cpp
+++ b/src/scheduling/runmoves.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/runmoves.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Basilbend
 {
@@ -23,6 +24,25 @@
     return best;
 }
 
+/// Whether a move to an endpoint with this relative time per event is worth its cost.
+bool isWorthMoving(const MovableRun &run, double targetEventTime, double medianIntervalMs)
+{
+    const double gainMs = run.remainingEvents * (run.relativeEventTime - targetEventTime) * medianIntervalMs;
+    return run.relativeEventTime >= MinSpeedup * targetEventTime && gainMs >= MinMoveGainMs;
+}
+
+/// The shortest relative time per event of all endpoints that may take a run; infinite if there is none.
+double shortestEventTime(const std::vector<PlacementEndpoint> &endpoints)
+{
+    double shortest = std::numeric_limits<double>::infinity();
+    for (const auto &endpoint : endpoints) {
+        if (endpoint.isEligible && endpoint.running < endpoint.slots) {
+            shortest = std::min(shortest, endpoint.relativeEventTime);
+        }
+    }
+    return shortest;
+}
+
 }
 
 std::vector<RunMove>
@@ -31,19 +51,19 @@
     std::stable_sort(runs.begin(), runs.end(), [](const MovableRun &a, const MovableRun &b) {
         return a.remainingEvents * a.relativeEventTime > b.remainingEvents * b.relativeEventTime;
     });
+    // Most runs can't gain enough anywhere, and need not be compared with each endpoint.
+    const double shortest = shortestEventTime(endpoints);
     std::vector<RunMove> moves;
     for (const auto &run : runs) {
         if (moves.size() == maxMoves) {
             break;
         }
-        if (run.hasMoved && run.relativeEventTime < SlowRelativeTime) {
+        const bool mustStay = run.hasMoved && run.relativeEventTime < SlowRelativeTime;
+        if (mustStay || !isWorthMoving(run, shortest, medianIntervalMs)) {
             continue;
         }
         auto *target = fastestWithCapacity(endpoints, run, minimumVersion);
-        if (target == nullptr || run.relativeEventTime < MinSpeedup * target->relativeEventTime) {
-            continue;
-        }
-        if (run.remainingEvents * (run.relativeEventTime - target->relativeEventTime) * medianIntervalMs < MinMoveGainMs) {
+        if (target == nullptr || !isWorthMoving(run, target->relativeEventTime, medianIntervalMs)) {
             continue;
         }
         addRun(*target, run.tokens);
