--- a/src/scheduling/grantserver.cpp
+++ b/src/scheduling/grantserver.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/grantserver.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Basilbend
 {
@@ -74,13 +75,16 @@
 
 Milliseconds GrantServer::promise(const GrantRequest &request, Timestamp now)
 {
+    removeOldPromises(now);
     std::string soonest;
     auto soonestAt = now + MaxRetryAfter;
     for (const auto &candidate : request.candidates) {
         const auto record = recordOf(candidate);
         const auto limit = m_limiter.announcedLimits().limitOf(record);
         const Milliseconds interval(static_cast<std::int64_t>(1000 / std::max(limit ? limit->requestsPerSecond : 0, RequestLimiter::MinRate)));
-        const auto at = std::max(m_limiter.nextAnnouncedRequestAt(record, now), m_promisedAt[record.id] + interval);
+        const auto promised = m_promisedAt.find(record.id);
+        const auto nextAt = m_limiter.nextAnnouncedRequestAt(record, now);
+        const auto at = promised == m_promisedAt.end() ? nextAt : std::max(nextAt, promised->second + interval);
         if (at < soonestAt) {
             soonest = record.id;
             soonestAt = at;
@@ -92,4 +96,11 @@
     return soonestAt - now;
 }
 
+void GrantServer::removeOldPromises(Timestamp now)
+{
+    for (auto it = m_promisedAt.begin(); it != m_promisedAt.end();) {
+        it = now - it->second >= MaxRetryAfter ? m_promisedAt.erase(it) : std::next(it);
+    }
+}
+
 }
--- a/src/scheduling/grantserver.h
+++ b/src/scheduling/grantserver.h
@@ -35,7 +35,9 @@
 
 private:
     void learn(const GrantRequest &request, Timestamp now);
+    /// Time until the next request that one of the candidates can take and that was not named in another denial.
     Milliseconds promise(const GrantRequest &request, Timestamp now);
+    void removeOldPromises(Timestamp now);
 
     EventLoop m_loop;
     Metrics &m_metrics;
