Look the leader up before a grant is denied

Callers of a service whose endpoints all name limits saw a 503 on the first request through each gateway, although the endpoints could take it: the gateway had not had to know the leader before, and a grant was denied while the look-up, one call to the store, was on its way. With 88 gateways that is up to 88 needless rejections, and again after each change of the leader.

A grant request now waits for a look-up in progress, for 150 ms at most. Reads of results are unchanged; they go to the store instead, which takes as long as the look-up.

--- a/src/gateway/grantclient.cpp
+++ b/src/gateway/grantclient.cpp
@@ -37,7 +37,7 @@
 void GrantClient::send(const GrantRequest &request, Callback callback)
 {
     const RequestMessage message{"POST", GrantServer::Path, {{"Content-Type", "application/json"}}, encodeGrantRequest(request)};
-    m_leader.send(message, ResponseTimeout, [this, callback = std::move(callback)](const std::optional<LeaderResponse> &response) {
+    m_leader.sendAfterLookUp(message, ResponseTimeout, [this, callback = std::move(callback)](const std::optional<LeaderResponse> &response) {
         callback(response ? decode(*response) : std::nullopt);
     });
 }
--- a/src/gateway/leaderclient.cpp
+++ b/src/gateway/leaderclient.cpp
@@ -3,6 +3,8 @@
 #include "http/socketoptions.h"
 #include "scheduling/resultserver.h"
 
+#include <utility>
+
 namespace Basilbend
 {
 
@@ -56,6 +58,20 @@
     });
 }
 
+void LeaderClient::sendAfterLookUp(RequestMessage request, Milliseconds timeout, Callback callback)
+{
+    const auto isSent = std::make_shared<bool>(false);
+    const auto step = [this, isSent, request = std::move(request), timeout, callback = std::move(callback)] {
+        if (!std::exchange(*isSent, true)) {
+            send(request, timeout, callback);
+        }
+    };
+    m_leaders.runAfterLookUp(step);
+    if (!*isSent) {
+        m_loop.runAfter(MaxLookUpWait, step);
+    }
+}
+
 void LeaderClient::handleEnd(const std::shared_ptr<Call> &call, CallOutcome outcome)
 {
     if (!call->callback) {
--- a/src/gateway/leaderclient.h
+++ b/src/gateway/leaderclient.h
@@ -32,6 +32,12 @@
     /// Sends a request; its Host field is added. The callback may be called before send() returns.
     void send(RequestMessage request, Milliseconds timeout, Callback callback);
 
+    /// Like send(), but if the leader is unknown, first waits for its look-up for up to MaxLookUpWait.
+    void sendAfterLookUp(RequestMessage request, Milliseconds timeout, Callback callback);
+
+    /// A look-up is one call to the metadata store, which takes some milliseconds.
+    static constexpr Milliseconds MaxLookUpWait{150};
+
 private:
     struct Call;
 
--- a/src/gateway/leaderdirectory.cpp
+++ b/src/gateway/leaderdirectory.cpp
@@ -2,6 +2,8 @@
 
 #include "election/leaderelection.h"
 
+#include <utility>
+
 namespace Basilbend
 {
 
@@ -20,6 +22,15 @@
     return m_address;
 }
 
+void LeaderDirectory::runAfterLookUp(std::function<void()> step)
+{
+    if (address().empty() && m_isLookingUp) {
+        m_waiting.push_back(std::move(step));
+    } else {
+        step();
+    }
+}
+
 void LeaderDirectory::drop(const std::string &address, const char *why)
 {
     if (m_address == address) {
@@ -47,6 +58,9 @@
         if (record && !isSuspect) {
             m_address = record->address;
         }
+        for (const auto &step : std::exchange(m_waiting, {})) {
+            step();
+        }
     });
 }
 
--- a/src/gateway/leaderdirectory.h
+++ b/src/gateway/leaderdirectory.h
@@ -4,8 +4,10 @@
 #include "log/eventlog.h"
 #include "metadata/metadatastore.h"
 
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Basilbend
 {
@@ -19,6 +21,9 @@
     /// Address of the leader; empty if it is not known. Starts a look-up in that case.
     std::string address();
 
+    /// Calls step when the leader is known or a look-up has ended without one; at once if the last look-up was too short a time ago.
+    void runAfterLookUp(std::function<void()> step);
+
     /// Drops the leader at this address and starts a new look-up. The reason is logged.
     void drop(const std::string &address, const char *why);
 
@@ -38,6 +43,8 @@
     std::string m_address;
     bool m_isLookingUp = false;
     std::optional<Timestamp> m_lastLookUpAt;
+    /// Steps to call when the current look-up ends.
+    std::vector<std::function<void()>> m_waiting;
     /// Address of the leader that was dropped last.
     std::string m_suspectAddress;
     Timestamp m_suspectedAt;
--- a/tests/gateway/limitedendpoints.cpp
+++ b/tests/gateway/limitedendpoints.cpp
@@ -165,6 +165,16 @@
     BOOST_TEST(statuses[200] >= 1);
 }
 
+// Guards against a first request that is rejected only because the gateway has not had to know the leader before.
+BOOST_FIXTURE_TEST_CASE(the_first_request_to_limited_endpoints_waits_for_the_look_up_of_the_leader, LimitFixture)
+{
+    limits[&first] = limits[&second] = "1";
+    sendFor(300);
+    run(300);
+    BOOST_TEST(statuses[200] == 6);
+    BOOST_TEST(statuses[503] == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_grant_request_and_its_reply_survive_encoding)
 {
     const GrantRequest request{{{{"e", 5}, 1.5, Milliseconds(20)}}, {{{"f", 6}, 0, Milliseconds(30)}}};
