Grant only a share of a limit while another process may lead, too

Found by a simulation of successions: a leader whose lease has ended goes on for 2.5 s, because the outage may be the store's, and its successor may already lead.

Class: a bound for the whole system that each of several processes keeps alone. The warm-up rate has it solved with SendShareRule; the limits that endpoints name now use the same shares. A share scales the rate at which tokens fill up and how many there are, but for at least one.

Evidence: 100 successions for each of five limits (killed, restarted, cut off and stopped leaders, requests up to 300 ms under way) break the bound before and keep it after.

--- a/src/forwarding/requestlimiter.cpp
+++ b/src/forwarding/requestlimiter.cpp
@@ -12,7 +12,7 @@
 /// Limit on the requests that a large limit allows at once, so that their number can be counted.
 constexpr double MaxTokens = 1'000'000;
 
-double rateOf(const AnnouncedLimit &limit)
+double wholeRate(const AnnouncedLimit &limit)
 {
     return std::max(limit.requestsPerSecond, RequestLimiter::MinRate);
 }
@@ -60,18 +60,29 @@
     if (missing <= 0) {
         return now;
     }
-    return now + Milliseconds(static_cast<std::int64_t>(std::ceil(1000 * missing / rateOf(*limit))));
+    const double rate = m_share > 0 ? tokenRate(*limit) : wholeRate(*limit);
+    return now + Milliseconds(static_cast<std::int64_t>(std::ceil(1000 * missing / rate)));
+}
+
+double RequestLimiter::tokenRate(const AnnouncedLimit &limit) const
+{
+    return wholeRate(limit) * m_share;
+}
+
+double RequestLimiter::tokenCapacity(const AnnouncedLimit &limit) const
+{
+    return m_share > 0 ? std::max(1.0, (wholeRate(limit) + ExtraBurst) * m_share) : 0;
 }
 
 double RequestLimiter::tokensOf(const std::string &endpoint, const AnnouncedLimit &limit, Timestamp now) const
 {
-    const double capacity = rateOf(limit) + ExtraBurst;
+    const double capacity = tokenCapacity(limit);
     const auto it = m_tokens.find(endpoint);
     if (it == m_tokens.end()) {
         return capacity;
     }
     const double seconds = static_cast<double>((now - it->second.updatedAt).count()) / 1000;
-    return std::min(capacity, it->second.tokens + seconds * rateOf(limit));
+    return std::min(capacity, it->second.tokens + seconds * tokenRate(limit));
 }
 
 void RequestLimiter::recordRequest(const EndpointRecord &endpoint, Timestamp now)
--- a/src/forwarding/requestlimiter.h
+++ b/src/forwarding/requestlimiter.h
@@ -37,8 +37,8 @@
     /// share: see setShare().
     explicit RequestLimiter(WarmupTolerance tolerance = {}, double share = 1);
 
-    /// Sets the fraction of the requests that all processes together may send which this process may use, from 0 to 1. A share above
-    /// zero allows at least one request.
+    /// Sets the fraction of the requests that all processes together may send which this process may use or grant, from 0 to 1. A share
+    /// above zero allows at least one request.
     void setShare(double share)
     {
         m_share = share;
@@ -53,7 +53,8 @@
     /// Number of requests that the limit named by the endpoint allows now. Unlimited if it names none.
     std::size_t announcedRequestsLeft(const EndpointRecord &endpoint, Timestamp now) const;
 
-    /// Earliest time at which announcedRequestsLeft() allows a request.
+    /// Earliest time at which announcedRequestsLeft() allows a request. Assumes the whole limit while the share is zero, which it is only
+    /// for a moment.
     Timestamp nextAnnouncedRequestAt(const EndpointRecord &endpoint, Timestamp now) const;
 
     void recordRequest(const EndpointRecord &endpoint, Timestamp now);
@@ -85,6 +86,10 @@
         Timestamp updatedAt;
     };
 
+    /// Rate at which the tokens of a limit fill up, in tokens per second.
+    double tokenRate(const AnnouncedLimit &limit) const;
+    /// Most tokens of a limit.
+    double tokenCapacity(const AnnouncedLimit &limit) const;
     /// Tokens at the given time; may be negative after requests that were sent before the limit was known.
     double tokensOf(const std::string &endpoint, const AnnouncedLimit &limit, Timestamp now) const;
     std::size_t limitPerWindow(const ServiceSpec &service, bool isWarmingUp) const;
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -43,7 +43,7 @@
           log,
           {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
     , m_requestLimiter(warmupTolerance)
-    , m_grantServer(m_loop, metrics, m_requestLimiter, m_hooks.mayGrant)
+    , m_grantServer(m_loop, metrics, m_requestLimiter, {m_hooks.mayGrant, m_hooks.sendShare})
     , m_tableBuilder(m_view, m_health, m_runTracker, m_requestLimiter, m_hooks.endpoints)
     , m_rewardCalls({m_loop, log, metrics, client, view, random, m_requestLimiter, std::move(zone)}, rewardHooks())
     , m_resultServer(m_loop, resultHooks())
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -36,7 +36,7 @@
     std::function<bool()> mayGrant;
     /// Whether new runs may be started. Checked for each batch of a round, because a round may take long.
     std::function<bool()> mayStart;
-    /// Fraction of the requests to endpoints during warm-up that this process may send; see SendShareRule.
+    /// Fraction of the requests to endpoints that this process may send or grant; see SendShareRule.
     std::function<double()> sendShare;
     EndpointTableHooks endpoints;
     /// Called when an endpoint has refused a run.
--- a/src/scheduling/grantserver.cpp
+++ b/src/scheduling/grantserver.cpp
@@ -22,17 +22,17 @@
 
 }
 
-GrantServer::GrantServer(EventLoop loop, Metrics &metrics, RequestLimiter &limiter, std::function<bool()> mayGrant)
+GrantServer::GrantServer(EventLoop loop, Metrics &metrics, RequestLimiter &limiter, GrantServerHooks hooks)
     : m_loop(std::move(loop))
     , m_metrics(metrics)
     , m_limiter(limiter)
-    , m_mayGrant(std::move(mayGrant))
+    , m_hooks(std::move(hooks))
 {
 }
 
 void GrantServer::serve(const std::shared_ptr<ServerExchange> &exchange)
 {
-    if (!m_mayGrant()) {
+    if (!m_hooks.mayGrant()) {
         exchange->respond({ResultServer::NotLeadingStatus, {}, {}});
         return;
     }
@@ -48,6 +48,7 @@
 {
     const auto now = m_loop.now();
     learn(request, now);
+    m_limiter.setShare(m_hooks.sendShare());
     GrantReply reply;
     for (const auto &candidate : request.candidates) {
         const auto record = recordOf(candidate);
--- a/src/scheduling/grantserver.h
+++ b/src/scheduling/grantserver.h
@@ -14,12 +14,18 @@
 namespace Basilbend
 {
 
+struct GrantServerHooks {
+    /// Whether this process leads.
+    std::function<bool()> mayGrant;
+    /// Fraction of what the limits allow that this process may grant; see SendShareRule.
+    std::function<double()> sendShare;
+};
+
 /// Grants gateways requests to endpoints that name a limit, as part of the leader. The leader's own requests spend the same limits.
 class GrantServer
 {
 public:
-    /// mayGrant: whether this process leads.
-    GrantServer(EventLoop loop, Metrics &metrics, RequestLimiter &limiter, std::function<bool()> mayGrant);
+    GrantServer(EventLoop loop, Metrics &metrics, RequestLimiter &limiter, GrantServerHooks hooks);
 
     /// Responds with a GrantReply (200), 400 to a request that can't be read, or ResultServer::NotLeadingStatus.
     void serve(const std::shared_ptr<ServerExchange> &exchange);
@@ -41,7 +47,7 @@
     EventLoop m_loop;
     Metrics &m_metrics;
     RequestLimiter &m_limiter;
-    std::function<bool()> m_mayGrant;
+    GrantServerHooks m_hooks;
     /// Time of the last request that was promised for an endpoint by a denial.
     std::map<std::string, Timestamp> m_promisedAt;
 };
--- a/src/scheduling/sendshare.h
+++ b/src/scheduling/sendshare.h
@@ -19,7 +19,7 @@
     bool isHandingOver = false;
 };
 
-/// Decides which fraction of the requests that an endpoint may get during warm-up a leader may send, see RequestLimiter. Over any
+/// Decides which fraction of the requests that an endpoint may get a leader may send or grant, see RequestLimiter. Over any
 /// window the shares of all processes that have led lately add up to one at most. At most two predecessors may still send without
 /// knowing of their successors, so each of the three then keeps to a third:
 /// - a leader uses the whole only while its lease lasts so long that a successor's first request falls into a later window;
--- a/tests/gateway/limitedendpoints.cpp
+++ b/tests/gateway/limitedendpoints.cpp
@@ -24,7 +24,8 @@
     Metrics metrics;
     RequestLimiter limiter;
     bool isLeading = true;
-    GrantServer grants{virtualLoop(time), metrics, limiter, [this] { return isLeading; }};
+    double sendShare = 1;
+    GrantServer grants{virtualLoop(time), metrics, limiter, {[this] { return isLeading; }, [this] { return sendShare; }}};
     WebServer leader{io, "127.0.0.1:0", defaultServerHooks([this](const ExchangePtr &exchange) { grants.serve(exchange); })};
     ScriptedEndpoint first{io, store, "i-1"};
     ScriptedEndpoint second{io, store, "i-2"};
@@ -192,6 +193,20 @@
     BOOST_TEST(!decodeGrantReply("x"));
 }
 
+// Guards against a leader that grants all that a limit allows while its predecessor or its successor does so, too.
+BOOST_FIXTURE_TEST_CASE(a_leader_that_may_not_be_the_only_one_grants_a_part_of_what_limits_allow, LimitFixture)
+{
+    sendShare = 0.5;
+    const GrantRequest request{{{{"e", 5}, 4, Milliseconds(0)}}, {}};
+    int granted = 0;
+    for (int i = 0; i < 80; ++i) {
+        granted += grants.decide(request).granted.empty() ? 0 : 1;
+        time.advance(Milliseconds(50));
+    }
+    // At once half of the 4 + 2 requests, then 2 a second.
+    BOOST_TEST(granted == 3 + 7);
+}
+
 // Guards against clients that all come back at the same time, of which only one can be served.
 BOOST_FIXTURE_TEST_CASE(denials_name_times_that_are_as_far_apart_as_the_limit_demands, LimitFixture)
 {
--- a/tests/scheduling/sendshare.cpp
+++ b/tests/scheduling/sendshare.cpp
@@ -39,10 +39,12 @@
 class Succession
 {
 public:
-    explicit Succession(std::uint64_t seed)
+    /// announcedLimit: the limit that the endpoint names, in requests per second. Without it, the endpoint has a warm-up rate.
+    explicit Succession(std::uint64_t seed, std::optional<double> announcedLimit = std::nullopt)
         : m_random(seed)
+        , m_announcedLimit(announcedLimit)
     {
-        m_service.warmupRequestsPerSecond = WarmupRate;
+        m_service.warmupRequestsPerSecond = announcedLimit ? 0 : WarmupRate;
         m_endpoint.id = "a";
         elect(LongAgo);
     }
@@ -70,9 +72,10 @@
     {
         std::vector<Timestamp> all;
         for (const auto &sender : m_senders) {
-            // A connection that is not established yet ends with its process.
-            std::copy_if(sender.departures.begin(), sender.departures.end(), std::back_inserter(all), [&sender](Timestamp at) {
-                return !sender.isKilled || at < *sender.stopsAt;
+            // A connection that is not established yet ends with its process. Requests to an endpoint that names a limit are sent by
+            // gateways, which run on.
+            std::copy_if(sender.departures.begin(), sender.departures.end(), std::back_inserter(all), [this, &sender](Timestamp at) {
+                return m_announcedLimit || !sender.isKilled || at < *sender.stopsAt;
             });
         }
         std::sort(all.begin(), all.end(), [](Timestamp a, Timestamp b) { return a < b; });
@@ -86,6 +89,9 @@
         auto &leader = m_senders.back();
         leader.state.predecessorEndedAt = predecessorEndedAt;
         leader.state.electedAt = m_now;
+        if (m_announcedLimit) {
+            leader.limiter.announcedLimits().record({m_endpoint.id, 0}, {RateStatement::Kind::Limited, *m_announcedLimit}, m_now, m_now);
+        }
         renew(leader);
     }
 
@@ -145,6 +151,7 @@
     }
 
     Random m_random;
+    std::optional<double> m_announcedLimit;
     ServiceSpec m_service;
     EndpointRecord m_endpoint;
     Timestamp m_now{1000};
@@ -153,6 +160,21 @@
     Timestamp m_predecessorEndedAt;
 };
 
+/// The most departures in any window of the given length.
+std::size_t mostInWindow(const std::vector<Timestamp> &departures, Milliseconds length)
+{
+    std::deque<Timestamp> window;
+    std::size_t most = 0;
+    for (const auto at : departures) {
+        window.push_back(at);
+        while (at - window.front() >= length) {
+            window.pop_front();
+        }
+        most = std::max(most, window.size());
+    }
+    return most;
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(scheduling, *boost::unit_test::label("scheduling"))
@@ -163,13 +185,20 @@
 {
     const auto bound = WarmupRate * Tolerance.rateFactor + Tolerance.extraRequests;
     for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-        std::deque<Timestamp> second;
-        for (const auto at : Succession(seed).run(Milliseconds(60000))) {
-            second.push_back(at);
-            while (at - second.front() >= Milliseconds(1000)) {
-                second.pop_front();
-            }
-            BOOST_REQUIRE_MESSAGE(static_cast<double>(second.size()) <= bound, "seed " << seed << ": " << second.size() << " requests in one second");
+        const auto most = mostInWindow(Succession(seed).run(Milliseconds(60000)), Milliseconds(1000));
+        BOOST_REQUIRE_MESSAGE(static_cast<double>(most) <= bound, "seed " << seed << ": " << most << " requests in one second");
+    }
+}
+
+// Guards against an endpoint that gets more than it takes because a leader without its lease and its successor each grant all that the
+// endpoint's limit allows.
+BOOST_AUTO_TEST_CASE(no_endpoint_gets_more_than_the_bound_of_its_limit_around_changes_of_the_leader)
+{
+    for (const double limit : {0.0, 0.5, 1.0, 4.0, 20.0}) {
+        const auto bound = 4 * limit * 1.5 + 5;
+        for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+            const auto most = mostInWindow(Succession(seed, limit).run(Milliseconds(60000)), Milliseconds(4000));
+            BOOST_REQUIRE_MESSAGE(static_cast<double>(most) <= bound, "limit " << limit << ", seed " << seed << ": " << most << " requests in 4 s");
         }
     }
 }
