Let plain endpoints of the soak name limits

One or all plain endpoints now name a limit from 0.5 to 6 requests a second for 4 to 9 s, again and again. The limits are drawn apart from the other faults, so that known seeds keep those.

--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -10,12 +10,15 @@
 {
 
 constexpr Milliseconds RestartCheckInterval{100};
+/// Limits of endpoints are drawn in steps of half a request per second.
+constexpr std::uint64_t MaxHalfLimit = 12;
 
 }
 
-FaultPlan::FaultPlan(EventLoop loop, Random &random, SoakSystem &system)
+FaultPlan::FaultPlan(EventLoop loop, Random &random, Random &limitRandom, SoakSystem &system)
     : m_loop(std::move(loop))
     , m_random(random)
+    , m_limitRandom(limitRandom)
     , m_system(system)
     , m_faultKinds{{5, [this] { killProcess(); }},
                    {4, [this] { pauseProcess(); }},
@@ -36,6 +39,7 @@
 {
     m_startedAt = m_loop.now();
     injectNext();
+    limitEndpoints();
 }
 
 void FaultPlan::injectNext()
@@ -61,6 +65,9 @@
 {
     m_isStopped = true;
     m_system.store().faults = {};
+    for (auto &endpoint : m_system.endpoints()) {
+        endpoint->setLimit(std::nullopt);
+    }
     for (auto &node : m_system.nodes()) {
         node.storeProxy->setFault(LinkFault::None);
         if (node.clientProxy) {
@@ -80,7 +87,12 @@
 
 Milliseconds FaultPlan::randomDuration(std::uint64_t shortest, std::uint64_t longest)
 {
-    return Milliseconds(shortest + m_random.below(longest - shortest + 1));
+    return durationFrom(m_random, shortest, longest);
+}
+
+Milliseconds FaultPlan::durationFrom(Random &random, std::uint64_t shortest, std::uint64_t longest)
+{
+    return Milliseconds(shortest + random.below(longest - shortest + 1));
 }
 
 SoakNode &FaultPlan::randomNode()
@@ -110,6 +122,7 @@
     const auto downTime = m_random.below(2) == 0 ? Milliseconds(20) : randomDuration(200, 3000);
     logFault("kill " + node.name + " for " + std::to_string(downTime.count()));
     node.process->kill();
+    m_system.recordProcessFault(node);
     m_loop.runAfter(downTime, [this, &node] { restart(node); });
 }
 
@@ -119,7 +132,11 @@
     const auto pause = randomDuration(100, 4500);
     logFault("pause " + node.name + " for " + std::to_string(pause.count()));
     node.process->signal(SIGSTOP);
-    m_loop.runAfter(pause, [&node] { node.process->signal(SIGCONT); });
+    m_system.recordProcessFault(node);
+    m_loop.runAfter(pause, [this, &node] {
+        node.process->signal(SIGCONT);
+        m_system.recordProcessFault(node);
+    });
 }
 
 void FaultPlan::terminateProcess()
@@ -131,6 +148,7 @@
     m_loop.runAfter(Milliseconds(5000), [this, &node] {
         if (!m_isStopped) {
             node.process->kill();
+            m_system.recordProcessFault(node);
         }
         restart(node);
     });
@@ -205,6 +223,28 @@
     setLinkFault(endpoint.proxy(), "link of " + endpoint.id());
 }
 
+void FaultPlan::limitEndpoints()
+{
+    if (m_isStopped) {
+        return;
+    }
+    const double limit = static_cast<double>(m_limitRandom.below(MaxHalfLimit) + 1) / 2;
+    const auto length = durationFrom(m_limitRandom, 4000, 9000);
+    const bool limitsAll = m_limitRandom.below(2) == 0;
+    for (auto &endpoint : m_system.endpoints()) {
+        if (!endpoint->isPlain()) {
+            continue;
+        }
+        logFault(endpoint->id() + " names a limit of " + std::to_string(limit) + " for " + std::to_string(length.count()));
+        endpoint->setLimit(limit);
+        m_loop.runAfter(length, [&endpoint = *endpoint] { endpoint.setLimit(std::nullopt); });
+        if (!limitsAll) {
+            break;
+        }
+    }
+    m_loop.runAfter(length + durationFrom(m_limitRandom, 100, 2000), [this] { limitEndpoints(); });
+}
+
 void FaultPlan::changeConfiguration()
 {
     if (m_random.below(2) == 0) {
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -14,7 +14,8 @@
 class FaultPlan
 {
 public:
-    FaultPlan(EventLoop loop, Random &random, SoakSystem &system);
+    /// limitRandom: source of the limits that endpoints name, which are drawn apart so that a seed keeps its other faults.
+    FaultPlan(EventLoop loop, Random &random, Random &limitRandom, SoakSystem &system);
 
     void start();
 
@@ -38,6 +39,7 @@
     void logFault(const std::string &what);
     /// Returns a random duration between the two bounds, in ms.
     Milliseconds randomDuration(std::uint64_t shortest, std::uint64_t longest);
+    static Milliseconds durationFrom(Random &random, std::uint64_t shortest, std::uint64_t longest);
     SoakNode &randomNode();
 
     void killProcess();
@@ -53,12 +55,15 @@
     void dropWatchEvents();
     void crashEndpoint();
     void cutEndpointLink();
+    /// Makes all plain endpoints, or only the first, name a limit for some seconds, again and again.
+    void limitEndpoints();
     void changeConfiguration();
     void changeSettings();
     void setLinkFault(FaultProxy &proxy, const std::string &name);
 
     EventLoop m_loop;
     Random &m_random;
+    Random &m_limitRandom;
     SoakSystem &m_system;
     std::vector<FaultKind> m_faultKinds;
     std::vector<std::string> m_faultLog;
--- a/tests/soak/invariantchecker.cpp
+++ b/tests/soak/invariantchecker.cpp
@@ -19,6 +19,7 @@
 
 InvariantChecker::InvariantChecker(NowFunction now)
     : m_now(std::move(now))
+    , m_limits(m_now, [this](const std::string &violation) { recordViolation(violation); })
 {
 }
 
--- a/tests/soak/invariantchecker.h
+++ b/tests/soak/invariantchecker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timestamp.h"
+#include "soak/limitchecker.h"
 
 #include <cstdint>
 #include <deque>
@@ -73,6 +74,16 @@
     void recordOrder(const std::string &endpoint, const std::string &holder, std::uint64_t token, Timestamp linkHealedAt);
     void recordUsageReport(std::int64_t window, const std::string &counts);
 
+    /// Limits that plain endpoints name.
+    LimitChecker &limits()
+    {
+        return m_limits;
+    }
+    const LimitChecker &limits() const
+    {
+        return m_limits;
+    }
+
     /// Records a violation with the given text unless the condition holds.
     void expect(bool holds, const std::string &what);
 
@@ -124,6 +135,7 @@
     void checkResult(const std::string &id, const Batch &batch, const ReadResult &result);
 
     NowFunction m_now;
+    LimitChecker m_limits;
     std::map<std::string, Attempt> m_attempts;
     std::map<std::string, Timestamp> m_withdrawnKeys;
     std::map<std::string, Batch> m_batches;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -40,10 +40,11 @@
         , m_loop(asioEventLoop(m_io))
         , m_faultRandom(seed)
         , m_loadRandom(seed + 1)
+        , m_limitRandom(seed + 2)
         , m_checker(m_loop.now)
         , m_system(m_io, m_loop, m_loadRandom, m_checker, settings)
         , m_clients(m_io, m_loop, m_loadRandom, m_checker, m_system)
-        , m_faults(m_loop, m_faultRandom, m_system)
+        , m_faults(m_loop, m_faultRandom, m_limitRandom, m_system)
     {
     }
 
@@ -66,7 +67,7 @@
     {
         out << "seed " << seed << ": " << m_checker.violations().size() << " violations, " << m_faults.faultLog().size() << " faults, " << m_checker.served()
             << " of " << m_checker.answered() << " requests served, " << m_clients.doneStepCount() << " steps done, " << m_checker.resultCount() << " results, "
-            << m_checker.streamCount() << " whole streams\n";
+            << m_checker.streamCount() << " whole streams, " << m_checker.limits().checkedCount() << " requests to limited endpoints\n";
         reportCosts(out);
         if (m_checker.violations().empty()) {
             return;
@@ -152,6 +153,7 @@
     EventLoop m_loop;
     Random m_faultRandom;
     Random m_loadRandom;
+    Random m_limitRandom;
     InvariantChecker m_checker;
     SoakSystem m_system;
     SoakClients m_clients;
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -72,6 +72,9 @@
     hooks.onBody = [answer](std::string_view data) { answer->body.append(data); };
     hooks.onEnd = [answer, finish](CallOutcome end) { finish(end == CallOutcome::Complete ? answer->status : 0); };
     const auto &gateway = m_gateways[m_random.below(m_gateways.size())];
+    if (const auto &attempt = request.fields.value(Wire::AttemptId); !attempt.empty()) {
+        m_checker.limits().recordGateway(std::string(attempt), gateway);
+    }
     m_calls[number] = m_client.send(parseSocketEndpoint(gateway), request, std::move(hooks), ConnectTimeout);
     m_loop.runAfter(timeout, [finish] { finish(0); });
 }
--- a/tests/soak/soakendpoint.cpp
+++ b/tests/soak/soakendpoint.cpp
@@ -16,6 +16,7 @@
 constexpr Milliseconds RemovalDelay{400};
 constexpr std::uint64_t MinWorkMs = 5;
 constexpr Milliseconds WarmupTime{2000};
+constexpr int WrongInstanceStatus = 421;
 constexpr const char *ItemPath = "/steps/generate";
 
 }
@@ -113,12 +114,15 @@
     const auto &request = exchange->request();
     const auto &expected = request.fields.value(Wire::ExpectInstance);
     if (!expected.empty() && expected != m_id) {
-        refuse(exchange, 421);
+        refuse(exchange, WrongInstanceStatus);
         return;
     }
     if (targetPath(request.target) == ItemPath) {
         m_checker.recordItemArrival(m_id, m_proxy.healedAt());
     }
+    if (isPlain()) {
+        m_checker.limits().recordArrival(m_id, std::string(request.fields.value(Wire::AttemptId)), m_proxy.healedAt());
+    }
     if (targetPath(request.target) == Wire::ReportPath) {
         answerReport(exchange);
     } else if (targetPath(request.target) == Wire::OrderPath) {
@@ -134,7 +138,22 @@
 
 void SoakEndpoint::refuse(const std::shared_ptr<ServerExchange> &exchange, int status) const
 {
-    exchange->respond({status, {{Wire::NotExecuted, "1"}, {Wire::AttemptId, std::string(exchange->request().fields.value(Wire::AttemptId))}}, {}});
+    const std::string attempt(exchange->request().fields.value(Wire::AttemptId));
+    HttpFields fields{{Wire::NotExecuted, "1"}, {Wire::AttemptId, attempt}};
+    if (status != WrongInstanceStatus) {
+        nameLimit(fields, attempt);
+    }
+    exchange->respond({status, fields, {}});
+}
+
+void SoakEndpoint::nameLimit(HttpFields &fields, const std::string &attempt) const
+{
+    if (m_limit) {
+        fields.add(Wire::ServerLimit, std::to_string(*m_limit));
+        m_checker.limits().recordLimit(m_id, attempt, *m_limit);
+    } else {
+        m_checker.limits().recordNoLimit(m_id);
+    }
 }
 
 void SoakEndpoint::answerReport(const std::shared_ptr<ServerExchange> &exchange) const
@@ -184,7 +203,9 @@
     m_loop.runAfter(work, [this, exchange, attempt, incarnation = m_incarnation] {
         if (incarnation == m_incarnation) {
             --m_running;
-            exchange->respond({200, {{Wire::AttemptId, attempt}, {Wire::Signature, "s"}}, InvariantChecker::expectedBody(attempt)});
+            HttpFields fields{{Wire::AttemptId, attempt}, {Wire::Signature, "s"}};
+            nameLimit(fields, attempt);
+            exchange->respond({200, fields, InvariantChecker::expectedBody(attempt)});
         }
     });
 }
--- a/tests/soak/soakendpoint.h
+++ b/tests/soak/soakendpoint.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Basilbend
@@ -49,6 +50,17 @@
     /// Resets all connections at once. After downTime the endpoint comes back under another id, with the newest versions.
     void crash(Milliseconds downTime);
 
+    /// Names a limit in all responses of a plain endpoint, in requests per second, or no limit any more.
+    void setLimit(std::optional<double> requestsPerSecond)
+    {
+        m_limit = requestsPerSecond;
+    }
+
+    bool isPlain() const
+    {
+        return m_settings.models.empty();
+    }
+
     /// Sets the newest published version of a model, which the endpoint has loaded after a crash.
     void setNewestVersion(const std::string &model, std::uint64_t version);
 
@@ -61,6 +73,8 @@
     void answerReport(const std::shared_ptr<ServerExchange> &exchange) const;
     void handleOrder(const std::shared_ptr<ServerExchange> &exchange);
     void refuse(const std::shared_ptr<ServerExchange> &exchange, int status) const;
+    /// Adds the limit to the fields of a response to an attempt.
+    void nameLimit(HttpFields &fields, const std::string &attempt) const;
     void startRequest(const std::shared_ptr<ServerExchange> &exchange);
     void startItem(const std::shared_ptr<ServerExchange> &exchange);
     void sendEvent(const std::shared_ptr<Run> &run);
@@ -82,6 +96,7 @@
     std::int64_t m_startedAtMs = 0;
     Timestamp m_warmUntil;
     int m_running = 0;
+    std::optional<double> m_limit;
 };
 
 }
--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -153,6 +153,13 @@
     return addresses;
 }
 
+void SoakSystem::recordProcessFault(const SoakNode &node)
+{
+    if (node.clientProxy) {
+        m_checker.limits().recordProcessFault(node.clientProxy->address());
+    }
+}
+
 void SoakSystem::publishVersion(const std::string &model, std::uint64_t version)
 {
     m_versions[model] = version;
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -75,6 +75,9 @@
     /// Addresses at which clients reach the gateways, as "127.0.0.1:PORT".
     std::vector<std::string> clientAddresses() const;
 
+    /// Tells the checker that the process of a gateway was killed, paused, continued or stopped.
+    void recordProcessFault(const SoakNode &node);
+
     /// Publishes a weight version of a model.
     void publishVersion(const std::string &model, std::uint64_t version);
     std::uint64_t publishedVersion(const std::string &model) const;
