--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -89,71 +89,40 @@
     if (m_isFinished || m_isWaitingForGrant) {
         return;
     }
-    const auto now = m_context.loop.now();
-    const auto ready = candidates();
-    if (ready.unlimited.empty() && ready.limited.empty()) {
-        if (m_executedAttempts == 0) {
-            reject(503, ResultCode::NoEndpoint, "no endpoint of the service is ready", Milliseconds(300));
-        } else if (attemptsInProgress() == 0) {
-            reject(502, ResultCode::EndpointFailed, "the endpoint failed and no other is ready", Milliseconds(0));
-        }
-        return;
-    }
-    if (!m_grantDenial && !ready.unlimited.empty()) {
-        if (const auto *endpoint = dueForRecheck(ready.limited)) {
-            askForGrant({endpoint});
-            return;
-        }
-    }
-    if (const auto *endpoint = m_context.picker.pick(ready.unlimited, m_excludedEndpoints, now)) {
-        send(*endpoint);
-        return;
-    }
-    if (m_context.picker.pick(ready.limited, m_excludedEndpoints, now) == nullptr) {
-        // Every endpoint has been tried or is full. Endpoints that rejected the request may have free capacity after a delay.
-        waitForCapacity();
-    } else if (m_grantDenial) {
+    const AttemptState state{m_excludedEndpoints, m_grantDenial.has_value()};
+    const auto choice = chooseAttempt(candidates(), state, m_context.picker, m_context.requestLimiter.announcedLimits(), m_context.loop.now());
+    switch (choice.step) {
+    case AttemptChoice::Step::NoEndpoint:
+        rejectWithoutEndpoint();
+        break;
+    case AttemptChoice::Step::Send:
+        send(*choice.endpoint);
+        break;
+    case AttemptChoice::Step::AskForGrant:
+        askForGrant(choice.grantCandidates);
+        break;
+    case AttemptChoice::Step::RejectLimited:
         rejectLimited(*m_grantDenial);
-    } else {
-        askForGrant(ready.limited);
+        break;
+    case AttemptChoice::Step::WaitForCapacity:
+        // Endpoints that rejected the request may have free capacity after a delay.
+        waitForCapacity();
+        break;
     }
 }
 
-const EndpointRecord *LiveCall::dueForRecheck(const std::vector<const EndpointRecord *> &limited) const
-{
-    auto &limits = m_context.requestLimiter.announcedLimits();
-    const auto now = m_context.loop.now();
-    const auto it = std::find_if(limited.begin(), limited.end(), [&](const EndpointRecord *endpoint) {
-        return m_excludedEndpoints.count(endpoint->id) == 0 && limits.takeRecheck(*endpoint, now);
-    });
-    return it == limited.end() ? nullptr : *it;
-}
-
-LiveCall::Candidates LiveCall::candidates() const
+AttemptCandidates LiveCall::candidates() const
 {
     const auto ready = m_context.view.usableEndpoints(m_service, m_route, m_workspace);
     const auto *service = m_context.view.routes()->serviceNamed(m_service);
     const auto usable = service == nullptr ? ready : avoidWarmingEndpoints(ready, *service, m_context.requestLimiter, m_context.loop.now());
-    Candidates result;
-    for (const auto *endpoint : usable) {
-        const bool isLimited = m_context.requestLimiter.announcedLimits().limitOf(*endpoint).has_value();
-        (isLimited ? result.limited : result.unlimited).push_back(endpoint);
-    }
-    return result;
+    return splitByLimit(usable, m_context.requestLimiter.announcedLimits());
 }
 
-void LiveCall::askForGrant(std::vector<const EndpointRecord *> limited)
+void LiveCall::askForGrant(const std::vector<const EndpointRecord *> &endpoints)
 {
-    const auto isExcluded = [this](const EndpointRecord *endpoint) { return m_excludedEndpoints.count(endpoint->id) > 0; };
-    limited.erase(std::remove_if(limited.begin(), limited.end(), isExcluded), limited.end());
-    std::vector<const EndpointRecord *> ordered;
-    std::set<std::string> chosen = m_excludedEndpoints;
-    while (const auto *endpoint = m_context.picker.pick(limited, chosen, m_context.loop.now())) {
-        ordered.push_back(endpoint);
-        chosen.insert(endpoint->id);
-    }
     m_isWaitingForGrant = true;
-    m_context.grants.ask(ordered, m_context.requestLimiter.announcedLimits(), [self = shared_from_this()](const std::optional<GrantReply> &reply) {
+    m_context.grants.ask(endpoints, m_context.requestLimiter.announcedLimits(), [self = shared_from_this()](const std::optional<GrantReply> &reply) {
         self->m_isWaitingForGrant = false;
         self->acceptGrantReply(reply);
     });
@@ -178,6 +147,15 @@
     startAttempt();
 }
 
+void LiveCall::rejectWithoutEndpoint()
+{
+    if (m_executedAttempts == 0) {
+        reject(503, ResultCode::NoEndpoint, "no endpoint of the service is ready", Milliseconds(300));
+    } else if (attemptsInProgress() == 0) {
+        reject(502, ResultCode::EndpointFailed, "the endpoint failed and no other is ready", Milliseconds(0));
+    }
+}
+
 void LiveCall::rejectLimited(Milliseconds retryAfter)
 {
     if (attemptsInProgress() > 0) {
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/attemptchoice.h"
 #include "forwarding/attemptrule.h"
 #include "gateway/gatewaycontext.h"
 #include "http/eventstreamparser.h"
@@ -48,21 +49,13 @@
         bool ended = false;
     };
 
-    /// Endpoints that may receive the request now.
-    struct Candidates {
-        std::vector<const EndpointRecord *> unlimited;
-        /// Endpoints that name a limit: they may get the request only if the leader grants it.
-        std::vector<const EndpointRecord *> limited;
-    };
-
     void startAttempt();
-    /// Endpoints that warm up are among the candidates only when there is no other.
-    Candidates candidates() const;
-    /// Asks the leader for a request to one of the limited endpoints.
-    void askForGrant(std::vector<const EndpointRecord *> limited);
-    /// A limited endpoint that should get a request to learn whether its limit still holds; null if there is none.
-    const EndpointRecord *dueForRecheck(const std::vector<const EndpointRecord *> &limited) const;
+    /// Endpoints that may receive the request now. Those that warm up are among them only when there is no other.
+    AttemptCandidates candidates() const;
+    /// Asks the leader for a request to one of the endpoints, which name limits.
+    void askForGrant(const std::vector<const EndpointRecord *> &endpoints);
     void acceptGrantReply(const std::optional<GrantReply> &reply);
+    void rejectWithoutEndpoint();
     void rejectLimited(Milliseconds retryAfter);
     void recordRate(const Attempt &attempt);
     void send(const EndpointRecord &endpoint);
