Take the runs of items out of the batch runner

No change of behaviour but for the order in which batches are polled, which is now that of their submission everywhere. BatchRunner had 578 lines with two jobs. ItemRuns starts, cancels and moves runs and takes their events; RunningBatches holds the open batches; BatchRunner opens and closes batches and decides in rounds. The condition that a run is the current one of its item stood three times and is a function now.

--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -1,6 +1,6 @@
 #include "scheduling/batchrunner.h"
 
-#include "scheduling/silencerule.h"
+#include "scheduling/batchroute.h"
 
 #include <algorithm>
 
@@ -11,8 +11,6 @@
 {
 
 constexpr Milliseconds TickInterval{100};
-/// Delay before an item is started again after a failed run.
-constexpr Milliseconds RetryDelay{20};
 /// Maximum number of runs moved to faster endpoints per tick.
 constexpr std::size_t MaxMovesPerTick = 12;
 /// Minimum time between two scheduling rounds. Under load many runs end in this time, and one round handles them all.
@@ -32,8 +30,6 @@
                          BatchRunnerHooks hooks)
     : m_loop(std::move(loop))
     , m_log(log)
-    , m_metrics(metrics)
-    , m_client(client)
     , m_groupedStore(store, m_loop)
     , m_view(view)
     , m_hooks(std::move(hooks))
@@ -44,6 +40,7 @@
           {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
     , m_requestLimiter(warmupTolerance)
     , m_grantServer(m_loop, metrics, m_requestLimiter, {m_hooks.mayGrant, m_hooks.sendShare})
+    , m_itemRuns({m_loop, log, metrics, client, view, m_requestLimiter, m_batches, m_health, m_runTracker, m_counts}, itemRunsHooks())
     , m_tableBuilder(m_view, m_health, m_runTracker, m_requestLimiter, m_hooks.endpoints)
     , m_rewardCalls({m_loop, log, metrics, client, view, random, m_requestLimiter, std::move(zone)}, rewardHooks())
     , m_resultServer(m_loop, resultHooks())
@@ -55,7 +52,7 @@
     ResultServerHooks hooks;
     hooks.isLeading = [this] { return m_active; };
     hooks.knowsAllListed = [this](const std::string &id) {
-        const auto *batch = find(id);
+        const auto *batch = m_batches.find(id);
         return m_hooks.isSoleLeader() && batch != nullptr && !batch->writer->hasUnconfirmedWrite();
     };
     return hooks;
@@ -74,13 +71,13 @@
 {
     RewardHooks hooks;
     hooks.onScore = [this](const std::string &id, std::size_t item, std::string score) {
-        if (auto *batch = find(id)) {
+        if (auto *batch = m_batches.find(id)) {
             batch->state->acceptScore(item, std::move(score));
             pollResults(id);
         }
     };
     hooks.onServerError = [this](const std::string &id, std::size_t item, int attempts) {
-        if (auto *batch = find(id)) {
+        if (auto *batch = m_batches.find(id)) {
             batch->state->recordRewardError(item, attempts);
             pollResults(id);
         }
@@ -89,9 +86,20 @@
     return hooks;
 }
 
+ItemRunsHooks BatchRunner::itemRunsHooks()
+{
+    ItemRunsHooks hooks;
+    hooks.endpoints = m_hooks.endpoints;
+    hooks.onRunRefused = m_hooks.onRunRefused;
+    hooks.onRewardDue = [this](const std::shared_ptr<OpenBatch> &batch, std::size_t item) { m_rewardCalls.add(batch, item); };
+    hooks.onRunEnded = [this](const std::string &id) { pollResults(id); };
+    hooks.onRunCancelled = [this] { scheduleRound(); };
+    return hooks;
+}
+
 void BatchRunner::pollResults(const std::string &id)
 {
-    if (auto *batch = find(id)) {
+    if (auto *batch = m_batches.find(id)) {
         batch->writer->poll();
     }
     scheduleRound();
@@ -116,7 +124,7 @@
     m_active = false;
     ++m_activation;
     m_batchWatch.stop();
-    for (auto &[id, batch] : m_batches) {
+    for (auto *batch : m_batches.byAge()) {
         batch->writer->stop();
     }
     m_batches.clear();
@@ -131,7 +139,7 @@
     auto batch = std::make_unique<RunningBatch>(m_log);
     batch->state = std::move(loaded.batch);
     batch->openedAt = m_loop.now();
-    const auto *route = routeOf(*batch->state);
+    const auto *route = routeOf(m_view, *batch->state);
     if (route != nullptr) {
         auto texts = m_resumableTexts.all();
         std::move(loaded.progress.begin(), loaded.progress.end(), std::back_inserter(texts));
@@ -153,7 +161,7 @@
     }
     m_resultServer.open(batch->state->index(), batch->state->listedCount());
     m_demand.recordBatch(batch->state->submission());
-    m_batches[id] = std::move(batch);
+    m_batches.add(id, std::move(batch));
     m_hooks.onDemandChanged();
     scheduleRound();
 }
@@ -161,19 +169,17 @@
 void BatchRunner::recordDuration(const OpenBatch &batch)
 {
     const auto now = m_loop.now();
-    if (const auto *route = routeOf(batch)) {
+    if (const auto *route = routeOf(m_view, batch)) {
         m_demand.recordDuration(batch.submission().model, now - Timestamp(batch.index().submittedAtMs), route->resultDeadline, now);
     }
 }
 
 void BatchRunner::close(const std::string &id)
 {
-    const auto it = m_batches.find(id);
-    if (it == m_batches.end()) {
+    const auto batch = m_batches.take(id);
+    if (batch == nullptr) {
         return;
     }
-    const auto batch = std::move(it->second);
-    m_batches.erase(it);
     m_rewardCalls.drop(id);
     m_resultServer.close(id);
     batch->writer->stop();
@@ -190,7 +196,7 @@
 
 void BatchRunner::reload(const std::string &id)
 {
-    auto *batch = find(id);
+    auto *batch = m_batches.find(id);
     if (batch == nullptr) {
         return;
     }
@@ -199,26 +205,10 @@
     m_batchWatch.reload(index);
 }
 
-RunningBatch *BatchRunner::find(const std::string &id)
-{
-    const auto it = m_batches.find(id);
-    return it == m_batches.end() ? nullptr : it->second.get();
-}
-
-const RouteRule *BatchRunner::routeOf(const OpenBatch &batch) const
-{
-    return m_view.routes() == nullptr ? nullptr : m_view.routes()->routeNamed(batch.index().route);
-}
-
-BatchRules BatchRunner::rulesOf(const RouteRule &route)
-{
-    return {route.attempts, route.retention, route.singleVersion};
-}
-
 std::map<std::string, ModelWorkload> BatchRunner::modelWorkloads() const
 {
     auto loads = m_demand.loads(m_loop.now());
-    for (const auto &[id, batch] : m_batches) {
+    for (const auto *batch : m_batches.byAge()) {
         const auto &submission = batch->state->submission();
         auto &load = loads[submission.model];
         load.requiredVersion = std::max(load.requiredVersion, submission.minimumVersion);
@@ -227,15 +217,6 @@
     return loads;
 }
 
-std::size_t BatchRunner::openRunCount() const
-{
-    std::size_t n = 0;
-    for (const auto &[id, batch] : m_batches) {
-        n += batch->openRuns.size();
-    }
-    return n;
-}
-
 void BatchRunner::requestRound()
 {
     if (m_active) {
@@ -262,18 +243,6 @@
     });
 }
 
-std::vector<RunningBatch *> BatchRunner::batchesByAge() const
-{
-    std::vector<RunningBatch *> batches;
-    for (const auto &[id, batch] : m_batches) {
-        batches.push_back(batch.get());
-    }
-    std::sort(batches.begin(), batches.end(), [](const RunningBatch *a, const RunningBatch *b) {
-        return a->state->index().submittedAtMs < b->state->index().submittedAtMs;
-    });
-    return batches;
-}
-
 void BatchRunner::runRound()
 {
     if (!m_active || !m_hooks.mayStart() || m_view.routes() == nullptr) {
@@ -283,7 +252,7 @@
     ++m_counts.rounds;
     m_requestLimiter.setShare(m_hooks.sendShare());
     std::optional<EndpointTable> table;
-    for (auto *batch : batchesByAge()) {
+    for (auto *batch : m_batches.byAge()) {
         scheduleBatch(*batch, table);
     }
     if (m_hooks.mayStart()) {
@@ -294,7 +263,7 @@
 void BatchRunner::scheduleBatch(RunningBatch &batch, std::optional<EndpointTable> &table)
 {
     auto &state = *batch.state;
-    const auto *route = routeOf(state);
+    const auto *route = routeOf(m_view, state);
     if (route == nullptr || state.isDecided()) {
         return;
     }
@@ -314,7 +283,7 @@
         m_counts.examinedItems += items.size();
         for (const auto &assignment : assignItems(items, table->endpoints)) {
             if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
-                startRun(batch, assignment.item, *endpoint);
+                m_itemRuns.start(batch, assignment.item, *endpoint);
                 ++started;
             }
         }
@@ -336,164 +305,12 @@
     }
 }
 
-void BatchRunner::startRun(RunningBatch &batch, std::size_t item, const EndpointRecord &endpoint)
-{
-    auto &state = *batch.state;
-    auto &progress = state.progress(item);
-    const auto run = ++m_lastRunNumber;
-    const auto id = state.index().id;
-    progress.phase = ItemPhase::Running;
-    progress.runNumber = run;
-    progress.endpoint = endpoint.id;
-    ItemRunHooks hooks;
-    hooks.onEvent = [this, id, item, run](std::uint64_t event, std::string data, std::uint64_t version) {
-        return acceptEvent(id, item, run, event, std::move(data), version);
-    };
-    hooks.onEnd = [this, id, item, run](RunEnd end, int status) { acceptEnd(id, item, run, end, status); };
-    hooks.onRateStated = [this, start = EndpointStart{endpoint.id, endpoint.startedAtMs}, sentAt = m_loop.now()](const RateStatement &rate) {
-        m_requestLimiter.announcedLimits().record(start, rate, sentAt, m_loop.now());
-    };
-    hooks.onEndpointLeaving = [this, id = endpoint.id, startedAtMs = endpoint.startedAtMs] { m_view.markEndpointLeaving(id, startedAtMs); };
-    OpenRun openRun;
-    openRun.endpoint = endpoint.id;
-    openRun.number = run;
-    openRun.itemRun =
-        std::make_unique<ItemRun>(m_client, m_loop, endpoint, m_hooks.endpoints.servedVersion(endpoint, state.submission().model), std::move(hooks));
-    m_log.info("item_sent",
-               {{"batch", id},
-                {"item", state.item(item).id},
-                {"endpoint", endpoint.id},
-                {"after_event", progress.text.lastEventId()},
-                {"running", m_runTracker.runCount(endpoint.id)},
-                {"endpoint_version", m_hooks.endpoints.servedVersion(endpoint, state.submission().model)}});
-    const RunStart from{progress.text.lastEventId(), m_hooks.endpoints.unreportedVersion(endpoint.id, state.submission().model)};
-    openRun.itemRun->start(state.item(item), state.index(), from);
-    m_requestLimiter.recordRequest(endpoint, m_loop.now());
-    m_runTracker.addRun(endpoint.id, run, runTokens(state.item(item), progress.text.eventCount()));
-    batch.openRuns.emplace(item, std::move(openRun));
-    m_metrics.count("basilbend_item_runs_total");
-    ++m_counts.startedRuns;
-}
-
-bool BatchRunner::acceptEvent(const std::string &id, std::size_t item, std::uint64_t run, std::uint64_t event, std::string data, std::uint64_t version)
-{
-    auto *batch = find(id);
-    if (batch == nullptr || batch->state->progress(item).runNumber != run || batch->state->progress(item).phase != ItemPhase::Running) {
-        return false;
-    }
-    ++m_counts.events;
-    const auto *route = routeOf(*batch->state);
-    auto &openRun = batch->openRuns.at(item);
-    const auto now = m_loop.now();
-    if (openRun.hasEvent) {
-        m_health.recordInterval(openRun.endpoint, now - openRun.lastEventAt, now);
-    }
-    openRun.hasEvent = true;
-    openRun.lastEventAt = now;
-    m_runTracker.recordEvent(openRun.endpoint, run);
-    const bool isAccepted = batch->state->addEvent(item, event, std::move(data), version, route == nullptr ? BatchRules() : rulesOf(*route));
-    if (!isAccepted) {
-        m_log.warning("event_rejected",
-                      {{"batch", id},
-                       {"item", batch->state->item(item).id},
-                       {"event", event},
-                       {"last_event", batch->state->progress(item).text.lastEventId()},
-                       {"version", version},
-                       {"minimum_version", batch->state->submission().minimumVersion}});
-        // Cancelled from the event loop, because this function is called from within the run.
-        m_loop.runAfter(Milliseconds(0), [this, id, item, run] {
-            auto *current = find(id);
-            if (current != nullptr && current->state->progress(item).runNumber == run && current->state->progress(item).phase == ItemPhase::Running) {
-                cancelRun(*current, item, "event_rejected");
-            }
-        });
-    }
-    return isAccepted;
-}
-
-void BatchRunner::acceptEnd(const std::string &id, std::size_t item, std::uint64_t run, RunEnd end, int status)
-{
-    auto *batch = find(id);
-    if (batch == nullptr || batch->state->progress(item).runNumber != run || batch->state->progress(item).phase != ItemPhase::Running) {
-        return;
-    }
-    auto &state = *batch->state;
-    const auto openRun = detachRun(*batch, item);
-    const auto endpoint = openRun->endpoint;
-    const auto now = m_loop.now();
-    m_health.recordRunEnd(endpoint, end, openRun->hasEvent, now);
-    if (end == RunEnd::Refused) {
-        m_hooks.onRunRefused(endpoint);
-    }
-    const auto *route = routeOf(state);
-    const auto rules = route == nullptr ? BatchRules() : rulesOf(*route);
-    const bool isTextComplete = end == RunEnd::Complete && state.progress(item).text.eventCount() > 0;
-    if (isTextComplete) {
-        m_runTracker.recordCompletion(runTokens(state.item(item), state.progress(item).text.eventCount()));
-        state.complete(item);
-        if (state.progress(item).phase == ItemPhase::Scoring) {
-            m_rewardCalls.add(batch->state, item);
-        }
-    } else if (end == RunEnd::Unprocessable) {
-        state.terminate(item);
-    } else if (end == RunEnd::ServerError) {
-        state.recordServerError(item, rules);
-    }
-    if (state.progress(item).phase != ItemPhase::Decided) {
-        state.requeue(item, endpoint, now + RetryDelay);
-    }
-    if (!isTextComplete) {
-        m_log.warning("run_failed",
-                      {{"batch", id},
-                       {"item", state.item(item).id},
-                       {"endpoint", endpoint},
-                       {"end", runEndName(end)},
-                       {"status", status},
-                       {"events", state.progress(item).text.eventCount()},
-                       {"server_errors", state.progress(item).serverErrors},
-                       {"after_ms", now - openRun->itemRun->startedAt()}});
-    }
-    m_metrics.count("basilbend_item_run_ends_total", {{"end", std::string(runEndName(end))}});
-    batch->writer->poll();
-    scheduleRound();
-}
-
-std::optional<OpenRun> BatchRunner::detachRun(RunningBatch &batch, std::size_t item)
-{
-    auto node = batch.openRuns.extract(item);
-    if (node.empty()) {
-        return std::nullopt;
-    }
-    m_runTracker.removeRun(node.mapped().endpoint, node.mapped().number);
-    return std::move(node.mapped());
-}
-
-void BatchRunner::cancelRun(RunningBatch &batch, std::size_t item, const char *why)
-{
-    const auto openRun = detachRun(batch, item);
-    if (!openRun) {
-        return;
-    }
-    const auto endpoint = openRun->endpoint;
-    m_log.warning("run_cancelled",
-                  {{"batch", batch.state->index().id},
-                   {"item", batch.state->item(item).id},
-                   {"endpoint", endpoint},
-                   {"why", why},
-                   {"events", batch.state->progress(item).text.eventCount()},
-                   {"silent_ms", m_loop.now() - openRun->itemRun->lastProgressAt()}});
-    batch.state->requeue(item, endpoint, Timestamp());
-    m_metrics.count("basilbend_item_runs_cancelled_total", {{"why", why}});
-    ++m_counts.cancelledRuns;
-    scheduleRound();
-}
-
 void BatchRunner::tick()
 {
     if (!m_active) {
         return;
     }
-    for (const auto &[id, batch] : m_batches) {
+    for (auto *batch : m_batches.byAge()) {
         tickBatch(*batch);
     }
     moveToFasterEndpoints();
@@ -509,40 +326,21 @@
 void BatchRunner::tickBatch(RunningBatch &batch)
 {
     const auto now = m_loop.now();
-    const auto *route = routeOf(*batch.state);
+    const auto *route = routeOf(m_view, *batch.state);
     if (route != nullptr) {
         for (const auto item : batch.state->expire(now, rulesOf(*route))) {
-            cancelRun(batch, item, "retention_over");
+            m_itemRuns.cancel(batch, item, "retention_over");
         }
     }
-    cancelSilentRuns(batch);
+    m_itemRuns.cancelSilent(batch);
     batch.writer->poll();
     batch.progressWriter->poll();
 }
 
-void BatchRunner::cancelSilentRuns(RunningBatch &batch)
-{
-    const auto now = m_loop.now();
-    std::vector<std::size_t> silent;
-    for (const auto &[item, openRun] : batch.openRuns) {
-        const auto limit = silenceTimeout(m_health.eventIntervalMs(openRun.endpoint, now), batch.state->progress(item).runsWithoutEvent);
-        if (now - openRun.itemRun->lastProgressAt() >= limit) {
-            silent.push_back(item);
-        }
-    }
-    for (const auto item : silent) {
-        auto &openRun = batch.openRuns.at(item);
-        m_health.recordFailure(openRun.endpoint, now);
-        batch.state->progress(item).runsWithoutEvent += openRun.hasEvent ? 0 : 1;
-        cancelRun(batch, item, "silent");
-    }
-}
-
 void BatchRunner::moveToFasterEndpoints()
 {
     // Waiting items of any batch have priority for free slots.
-    const bool isWaiting = std::any_of(m_batches.begin(), m_batches.end(), [](const auto &entry) { return entry.second->lastWaitingCount > 0; });
-    if (isWaiting || m_batches.empty() || m_view.routes() == nullptr || !m_hooks.mayStart()) {
+    if (m_batches.hasWaitingItems() || m_batches.size() == 0 || m_view.routes() == nullptr || !m_hooks.mayStart()) {
         return;
     }
     const auto now = m_loop.now();
@@ -550,8 +348,8 @@
     m_requestLimiter.setShare(m_hooks.sendShare());
     auto table = m_tableBuilder.buildTable(now);
     std::size_t movesLeft = MaxMovesPerTick;
-    for (auto *batch : batchesByAge()) {
-        const auto *route = routeOf(*batch->state);
+    for (auto *batch : m_batches.byAge()) {
+        const auto *route = routeOf(m_view, *batch->state);
         if (route == nullptr || batch->openRuns.empty()) {
             continue;
         }
@@ -561,18 +359,9 @@
             planMoves(batch->movableRuns(m_runTracker, m_health, medianInterval, now), table.endpoints, medianInterval, submission.minimumVersion, movesLeft);
         movesLeft -= moves.size();
         for (const auto &move : moves) {
-            moveRun(*batch, move);
+            m_itemRuns.move(*batch, move);
         }
     }
 }
 
-void BatchRunner::moveRun(RunningBatch &batch, const RunMove &move)
-{
-    cancelRun(batch, move.itemIndex, "faster_elsewhere");
-    batch.state->progress(move.itemIndex).hasMoved = true;
-    if (const auto *endpoint = m_view.endpoints().find(move.endpoint)) {
-        startRun(batch, move.itemIndex, *endpoint);
-    }
-}
-
 }
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -11,10 +11,12 @@
 #include "scheduling/endpointhealth.h"
 #include "scheduling/endpointtablebuilder.h"
 #include "scheduling/grantserver.h"
+#include "scheduling/itemruns.h"
 #include "scheduling/resultserver.h"
 #include "scheduling/resumabletextcache.h"
 #include "scheduling/rewardcalls.h"
-#include "scheduling/runningbatch.h"
+#include "scheduling/runnercounts.h"
+#include "scheduling/runningbatches.h"
 #include "scheduling/runtracker.h"
 
 #include <functional>
@@ -45,16 +47,6 @@
     std::function<void()> onDemandChanged;
 };
 
-/// Amount of work that a runner has done since its process started.
-struct RunnerCounts {
-    std::uint64_t rounds = 0;
-    /// Waiting items that the rounds have examined.
-    std::uint64_t examinedItems = 0;
-    std::uint64_t startedRuns = 0;
-    std::uint64_t cancelledRuns = 0;
-    std::uint64_t events = 0;
-};
-
 /// Runs all open batches while this process leads: loads them from the store, assigns items to endpoints, resumes
 /// interrupted runs and lists the results.
 class BatchRunner
@@ -117,7 +109,10 @@
         return m_batches.size();
     }
 
-    std::size_t openRunCount() const;
+    std::size_t openRunCount() const
+    {
+        return m_batches.openRunCount();
+    }
 
     const RunnerCounts &counts() const
     {
@@ -132,17 +127,11 @@
 
     void scheduleRound();
     void runRound();
-    /// Removes a run from its batch; its connection closes when the returned value is destroyed.
-    std::optional<OpenRun> detachRun(RunningBatch &batch, std::size_t item);
-    /// Batches in the order of their submission.
-    std::vector<RunningBatch *> batchesByAge() const;
     /// Starts waiting items of the batch. table: the endpoints of this round, built when the first batch needs it.
     void scheduleBatch(RunningBatch &batch, std::optional<EndpointTable> &table);
     void recordWaiting(RunningBatch &batch, std::size_t waiting, const std::vector<PlacementEndpoint> &endpoints);
-    void startRun(RunningBatch &batch, std::size_t item, const EndpointRecord &endpoint);
-    bool acceptEvent(const std::string &batch, std::size_t item, std::uint64_t run, std::uint64_t id, std::string data, std::uint64_t version);
-    void acceptEnd(const std::string &batch, std::size_t item, std::uint64_t run, RunEnd end, int status);
 
+    ItemRunsHooks itemRunsHooks();
     RewardHooks rewardHooks();
     ResultServerHooks resultHooks();
     ResultWriter::Hooks writerHooks(const std::string &batch);
@@ -151,40 +140,32 @@
 
     void tick();
     void tickBatch(RunningBatch &batch);
-    void cancelRun(RunningBatch &batch, std::size_t item, const char *why);
-    void cancelSilentRuns(RunningBatch &batch);
     /// Moves long samples to faster endpoints once no item waits for a slot.
     void moveToFasterEndpoints();
-    void moveRun(RunningBatch &batch, const RunMove &move);
-    const RouteRule *routeOf(const OpenBatch &batch) const;
-    static BatchRules rulesOf(const RouteRule &route);
-    RunningBatch *find(const std::string &id);
 
     EventLoop m_loop;
     EventLog &m_log;
-    Metrics &m_metrics;
-    WebClient &m_client;
     /// Combines the result and progress writes of all batches.
     GroupingStore m_groupedStore;
     SystemView &m_view;
     BatchRunnerHooks m_hooks;
     BatchWatch m_batchWatch;
-    std::map<std::string, std::unique_ptr<RunningBatch>> m_batches;
+    RunningBatches m_batches;
     ResumableTextCache m_resumableTexts;
     RunTracker m_runTracker;
     BatchDemand m_demand;
     EndpointHealth m_health;
     RequestLimiter m_requestLimiter;
     GrantServer m_grantServer;
+    RunnerCounts m_counts;
+    ItemRuns m_itemRuns;
     EndpointTableBuilder m_tableBuilder;
     RewardCalls m_rewardCalls;
     ResultServer m_resultServer;
-    RunnerCounts m_counts;
     bool m_active = false;
     bool m_isRoundScheduled = false;
     Timestamp m_lastRoundStartedAt;
     std::uint64_t m_activation = 0;
-    std::uint64_t m_lastRunNumber = 0;
 };
 
 }
