End a limit only when endpoints have not named it for two seconds

A limit now ends with two responses that don't name it, to requests at least 2 s apart. A gateway sees few responses of a slow endpoint, so that it reports each one without a limit to the leader, which puts together what all have seen and tells them that the limit is over. While others have no limit, the second request is due after these 2 s and not after 3.

The unit test that ended a limit with one response is replaced by one with the two, which checks the moment to the millisecond.

--- a/src/forwarding/announcedlimits.cpp
+++ b/src/forwarding/announcedlimits.cpp
@@ -11,11 +11,10 @@
     switch (statement.kind) {
     case RateStatement::Kind::Limited:
         removeExpired(now);
-        m_states[endpoint.id] = {{statement.requestsPerSecond, now, endpoint.startedAtMs}, std::nullopt, now};
+        m_states[endpoint.id] = {{statement.requestsPerSecond, now, endpoint.startedAtMs}, std::nullopt, std::nullopt, now};
         break;
     case RateStatement::Kind::Unlimited:
-        // A response to an earlier request may have been made before the limit began.
-        end(endpoint.id, sentAt);
+        recordUnnamed(endpoint.id, sentAt);
         break;
     case RateStatement::Kind::Unreadable:
         break;
@@ -25,9 +24,31 @@
 void AnnouncedLimits::adopt(const std::string &endpoint, const AnnouncedLimit &limit)
 {
     const auto it = m_states.find(endpoint);
-    const bool isNewer = it == m_states.end() || it->second.endedAt.value_or(it->second.limit.namedAt) < limit.namedAt;
-    if (isNewer) {
-        m_states[endpoint] = {limit, std::nullopt, limit.namedAt};
+    if (it == m_states.end()) {
+        m_states[endpoint] = {limit, std::nullopt, std::nullopt, limit.namedAt};
+        return;
+    }
+    auto &state = it->second;
+    if (limit.namedAt <= state.endedAt.value_or(state.limit.namedAt)) {
+        return;
+    }
+    const bool isNamedSince = state.unnamedSince && *state.unnamedSince <= limit.namedAt;
+    state.unnamedSince = isNamedSince ? std::nullopt : state.unnamedSince;
+    state.endedAt.reset();
+    state.limit = limit;
+}
+
+void AnnouncedLimits::recordUnnamed(const std::string &endpoint, Timestamp sentAt)
+{
+    const auto it = m_states.find(endpoint);
+    // A response to an earlier request may have been made before the limit began.
+    if (it == m_states.end() || it->second.endedAt || sentAt <= it->second.limit.namedAt) {
+        return;
+    }
+    auto &state = it->second;
+    state.unnamedSince = state.unnamedSince.value_or(sentAt);
+    if (sentAt - *state.unnamedSince >= EndDelay) {
+        state.endedAt = sentAt;
     }
 }
 
@@ -55,7 +76,8 @@
         return false;
     }
     auto &state = m_states.at(endpoint.id);
-    const bool isDue = now - std::max(limit->namedAt, state.recheckedAt) >= RecheckInterval;
+    const bool mayEnd = state.unnamedSince && now - *state.unnamedSince >= EndDelay && state.recheckedAt - *state.unnamedSince < EndDelay;
+    const bool isDue = mayEnd || now - std::max(limit->namedAt, state.recheckedAt) >= RecheckInterval;
     state.recheckedAt = isDue ? now : state.recheckedAt;
     return isDue;
 }
--- a/src/forwarding/announcedlimits.h
+++ b/src/forwarding/announcedlimits.h
@@ -46,8 +46,9 @@
     std::int64_t endpointStartedAtMs = 0;
 };
 
-/// The limits that endpoints name in their responses. A limit holds from the response that names it until a response that does not,
-/// to a request that was sent later. A response whose limit can't be read changes nothing.
+/// The limits that endpoints name in their responses. A limit holds from the response that names it until none has named it for
+/// EndDelay: two responses without it, to requests that were sent later and that far apart, end it. So an endpoint that names its limit
+/// in some responses only gets no bursts between them. A response whose limit can't be read changes nothing.
 class AnnouncedLimits
 {
 public:
@@ -57,6 +58,9 @@
     /// Records a limit that another process has seen, unless a newer one is known.
     void adopt(const std::string &endpoint, const AnnouncedLimit &limit);
 
+    /// Records that a response named no limit. sentAt: when its request was sent.
+    void recordUnnamed(const std::string &endpoint, Timestamp sentAt);
+
     /// Removes a limit that another process knows to be over since the given time, unless it was named again later.
     void end(const std::string &endpoint, Timestamp endedAt);
 
@@ -64,10 +68,12 @@
     std::optional<AnnouncedLimit> limitOf(const EndpointRecord &endpoint) const;
 
     /// Whether a request should be sent to a limited endpoint, although others have no limit, to learn whether its limit still holds.
-    /// Returns true at most once in RecheckInterval.
+    /// Returns true at most once in RecheckInterval, and once when EndDelay has passed since a response named no limit.
     bool takeRecheck(const EndpointRecord &endpoint, Timestamp now);
 
     static constexpr Milliseconds RecheckInterval{3000};
+    /// Time between the requests of two responses without a limit that end it.
+    static constexpr Milliseconds EndDelay{2000};
     /// Time after which the limit of an endpoint that no response has named is forgotten.
     static constexpr Milliseconds Retention{60000};
 
@@ -76,6 +82,8 @@
     /// it.
     struct State {
         AnnouncedLimit limit;
+        /// Time of the first request since then whose response named no limit.
+        std::optional<Timestamp> unnamedSince;
         std::optional<Timestamp> endedAt;
         Timestamp recheckedAt;
     };
--- a/src/forwarding/requestgrant.cpp
+++ b/src/forwarding/requestgrant.cpp
@@ -47,13 +47,13 @@
 
 std::string encodeGrantRequest(const GrantRequest &request)
 {
-    return json{{"candidates", candidateList(request.candidates)}, {"ended", candidateList(request.ended)}}.dump();
+    return json{{"candidates", candidateList(request.candidates)}, {"unnamed", candidateList(request.unnamed)}}.dump();
 }
 
 Result<GrantRequest> decodeGrantRequest(std::string_view text)
 {
     return decodeMessage<GrantRequest>(text, [](const json &object) {
-        return GrantRequest{decodeCandidates(object.at("candidates")), decodeCandidates(object.at("ended"))};
+        return GrantRequest{decodeCandidates(object.at("candidates")), decodeCandidates(object.at("unnamed"))};
     });
 }
 
--- a/src/forwarding/requestgrant.h
+++ b/src/forwarding/requestgrant.h
@@ -23,8 +23,8 @@
 /// A limit is the sum over all processes, so the leader spends it.
 struct GrantRequest {
     std::vector<GrantCandidate> candidates;
-    /// Endpoints that no longer name a limit; the age is the time since a request was sent whose response named none.
-    std::vector<GrantCandidate> ended;
+    /// Endpoints that have named no limit in a response; the age is the time since its request was sent.
+    std::vector<GrantCandidate> unnamed;
 };
 
 /// The leader's answer.
--- a/src/gateway/grantclient.cpp
+++ b/src/gateway/grantclient.cpp
@@ -29,7 +29,7 @@
     });
 }
 
-void GrantClient::reportEnd(const EndpointStart &endpoint, Timestamp sentAt)
+void GrantClient::reportUnnamed(const EndpointStart &endpoint, Timestamp sentAt)
 {
     send({{}, {{endpoint, 0, m_loop.now() - sentAt}}}, [](const std::optional<GrantReply> &) {});
 }
--- a/src/gateway/grantclient.h
+++ b/src/gateway/grantclient.h
@@ -28,8 +28,8 @@
     /// the known ones before the callback is called. The callback may be called before ask() returns.
     void ask(const std::vector<const EndpointRecord *> &endpoints, AnnouncedLimits &known, Callback callback);
 
-    /// Tells the leader that an endpoint no longer names its limit. sentAt: when the request was sent whose response named none.
-    void reportEnd(const EndpointStart &endpoint, Timestamp sentAt);
+    /// Tells the leader that a limited endpoint has named no limit in a response. sentAt: when its request was sent.
+    void reportUnnamed(const EndpointStart &endpoint, Timestamp sentAt);
 
     /// Time after which a leader that has not responded is dropped. A leader responds within milliseconds.
     static constexpr Milliseconds ResponseTimeout{250};
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -280,8 +280,8 @@
             "endpoint_limit_changed",
             {{"endpoint", attempt.endpoint.id}, {"limited", isLimited}, {"requests_per_second", attempt.responseFields.rate->requestsPerSecond}});
     }
-    if (wasLimited && !isLimited) {
-        m_context.grants.reportEnd(start, attempt.sentAt);
+    if (wasLimited && attempt.responseFields.rate->kind == RateStatement::Kind::Unlimited) {
+        m_context.grants.reportUnnamed(start, attempt.sentAt);
     }
 }
 
--- a/src/scheduling/grantserver.cpp
+++ b/src/scheduling/grantserver.cpp
@@ -71,8 +71,8 @@
     for (const auto &candidate : request.candidates) {
         limits.adopt(candidate.endpoint.id, {candidate.requestsPerSecond, now - candidate.age, candidate.endpoint.startedAtMs});
     }
-    for (const auto &candidate : request.ended) {
-        limits.end(candidate.endpoint.id, now - candidate.age);
+    for (const auto &candidate : request.unnamed) {
+        limits.recordUnnamed(candidate.endpoint.id, now - candidate.age);
     }
 }
 
--- a/tests/forwarding/announcedlimits.cpp
+++ b/tests/forwarding/announcedlimits.cpp
@@ -37,18 +37,32 @@
 
 BOOST_AUTO_TEST_SUITE(forwarding, *boost::unit_test::label("forwarding"))
 
-BOOST_AUTO_TEST_CASE(a_limit_holds_until_a_later_request_is_answered_without_one)
+BOOST_AUTO_TEST_CASE(a_limit_ends_when_later_requests_are_answered_without_one_for_a_while)
 {
+    const auto delay = AnnouncedLimits::EndDelay;
     AnnouncedLimits limits;
     limits.record(Start, limited(2), Timestamp(900), Timestamp(1000));
     BOOST_TEST(limits.limitOf(record())->requestsPerSecond == 2);
     // The endpoint may have made this response before its limit began.
     limits.record(Start, {}, Timestamp(950), Timestamp(1100));
-    BOOST_TEST(limits.limitOf(record()).has_value());
     limits.record(Start, {}, Timestamp(1050), Timestamp(1200));
+    limits.record(Start, {}, Timestamp(1049) + delay, Timestamp(1200) + delay);
+    BOOST_TEST(limits.limitOf(record()).has_value());
+    limits.record(Start, {}, Timestamp(1050) + delay, Timestamp(1200) + delay);
     BOOST_TEST(!limits.limitOf(record()).has_value());
 }
 
+// Guards against bursts to an endpoint that names its limit in some responses only.
+BOOST_AUTO_TEST_CASE(a_limit_that_is_named_now_and_then_holds)
+{
+    AnnouncedLimits limits;
+    for (int ms = 1000; ms < 20'000; ms += 400) {
+        const bool isNamed = ms % 1600 == 1000;
+        limits.record(Start, isNamed ? limited(2) : RateStatement(), Timestamp(ms - 50), Timestamp(ms));
+        BOOST_REQUIRE(limits.limitOf(record()).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_newest_limit_holds_and_ends_with_a_restart_of_the_endpoint)
 {
     AnnouncedLimits limits;
@@ -112,6 +126,22 @@
     BOOST_TEST(decodeResponseFields({503, {{"Basilbend-Not-Executed", "1"}, {"Server-Limit", "1"}}}).rate.has_value());
 }
 
+// Guards against a limit that is forgotten because a gateway reports late what it saw before another saw the limit again.
+BOOST_AUTO_TEST_CASE(a_report_of_no_limit_counts_only_from_the_last_time_that_any_process_saw_one)
+{
+    const auto delay = AnnouncedLimits::EndDelay;
+    AnnouncedLimits limits;
+    limits.adopt("e", {2, Timestamp(1000), 5});
+    limits.recordUnnamed("e", Timestamp(1500));
+    limits.adopt("e", {2, Timestamp(1600), 5});
+    limits.recordUnnamed("e", Timestamp(1500) + delay);
+    BOOST_TEST(limits.limitOf(record()).has_value());
+    // An older claim does not take this report back.
+    limits.adopt("e", {2, Timestamp(1700), 5});
+    limits.recordUnnamed("e", Timestamp(1500) + delay + delay);
+    BOOST_TEST(!limits.limitOf(record()).has_value());
+}
+
 // Simulates a leader that always has a request for an endpoint. Guards against more requests in any 4 s than one and a half times the
 // limit and five.
 BOOST_AUTO_TEST_CASE(a_limited_endpoint_never_gets_more_than_the_bound_of_its_limit)
--- a/tests/gateway/limitedendpoints.cpp
+++ b/tests/gateway/limitedendpoints.cpp
@@ -25,6 +25,8 @@
     RequestLimiter limiter;
     bool isLeading = true;
     double sendShare = 1;
+    /// The endpoints name their limits in every other response.
+    bool namesEveryOther = false;
     GrantServer grants{virtualLoop(time), metrics, limiter, {[this] { return isLeading; }, [this] { return sendShare; }}};
     WebServer leader{io, "127.0.0.1:0", defaultServerHooks([this](const ExchangePtr &exchange) { grants.serve(exchange); })};
     ScriptedEndpoint first{io, store, "i-1"};
@@ -53,7 +55,7 @@
     void answer(const ScriptedEndpoint &endpoint, const ExchangePtr &exchange)
     {
         HttpFields fields{{"Basilbend-Server-Signature", "s"}, {"Basilbend-Attempt-Id", std::string(exchange->request().fields.value("Basilbend-Attempt-Id"))}};
-        if (!limits[&endpoint].empty()) {
+        if (!limits[&endpoint].empty() && (!namesEveryOther || endpoint.requests.size() % 2 == 1)) {
             fields.add("Server-Limit", limits[&endpoint]);
         }
         exchange->respond({200, fields, "whole"});
@@ -131,6 +133,18 @@
     BOOST_TEST(statuses[200] == 100);
 }
 
+// Guards against bursts to an endpoint that names its limit in some responses only.
+BOOST_FIXTURE_TEST_CASE(gateways_keep_to_a_limit_that_is_named_in_every_other_response, LimitFixture)
+{
+    namesEveryOther = true;
+    limits[&first] = limits[&second] = "1";
+    sendFor(2000);
+    const auto before = arrivals();
+    sendFor(4000);
+    BOOST_TEST(arrivals() - before <= 2 * (6U + 5U));
+    BOOST_TEST(arrivals() - before >= 7U);
+}
+
 // Guards against an endpoint that gets no request any more after its limit is over.
 BOOST_FIXTURE_TEST_CASE(an_endpoint_is_used_again_once_its_limit_is_over, LimitFixture)
 {
@@ -183,7 +197,7 @@
     BOOST_REQUIRE(decoded);
     BOOST_TEST(decoded.value().candidates.front().endpoint.id == "e");
     BOOST_TEST(decoded.value().candidates.front().requestsPerSecond == 1.5);
-    BOOST_TEST(decoded.value().ended.front().age.count() == 30);
+    BOOST_TEST(decoded.value().unnamed.front().age.count() == 30);
     const auto reply = decodeGrantReply(encodeGrantReply({"e", Milliseconds(70), {"x"}}));
     BOOST_REQUIRE(reply);
     BOOST_TEST(reply.value().granted == "e");
