Let the rate of an endpoint grow while its limit may be over

Since a limit ends only 2 s after the first response without it, an endpoint that had recovered got no more than before for these 2 s.

So an endpoint that recovers is not hit by all requests at once either. The test with endpoints that name their limit in every other response still holds.

--- a/src/forwarding/announcedlimits.cpp
+++ b/src/forwarding/announcedlimits.cpp
@@ -11,7 +11,7 @@
     switch (statement.kind) {
     case RateStatement::Kind::Limited:
         removeExpired(now);
-        m_states[endpoint.id] = {{statement.requestsPerSecond, now, endpoint.startedAtMs}, std::nullopt, std::nullopt, now};
+        m_states[endpoint.id] = {{statement.requestsPerSecond, now, endpoint.startedAtMs}, std::nullopt, now};
         break;
     case RateStatement::Kind::Unlimited:
         recordUnnamed(endpoint.id, sentAt);
@@ -25,17 +25,19 @@
 {
     const auto it = m_states.find(endpoint);
     if (it == m_states.end()) {
-        m_states[endpoint] = {limit, std::nullopt, std::nullopt, limit.namedAt};
+        m_states[endpoint] = {limit, std::nullopt, limit.namedAt};
         return;
     }
     auto &state = it->second;
     if (limit.namedAt <= state.endedAt.value_or(state.limit.namedAt)) {
         return;
     }
-    const bool isNamedSince = state.unnamedSince && *state.unnamedSince <= limit.namedAt;
-    state.unnamedSince = isNamedSince ? std::nullopt : state.unnamedSince;
+    const auto unnamedSince = state.limit.unnamedSince;
     state.endedAt.reset();
     state.limit = limit;
+    if (unnamedSince && *unnamedSince > limit.namedAt) {
+        state.limit.unnamedSince = unnamedSince;
+    }
 }
 
 void AnnouncedLimits::recordUnnamed(const std::string &endpoint, Timestamp sentAt)
@@ -45,10 +47,10 @@
     if (it == m_states.end() || it->second.endedAt || sentAt <= it->second.limit.namedAt) {
         return;
     }
-    auto &state = it->second;
-    state.unnamedSince = state.unnamedSince.value_or(sentAt);
-    if (sentAt - *state.unnamedSince >= EndDelay) {
-        state.endedAt = sentAt;
+    auto &limit = it->second.limit;
+    limit.unnamedSince = limit.unnamedSince.value_or(sentAt);
+    if (sentAt - *limit.unnamedSince >= EndDelay) {
+        it->second.endedAt = sentAt;
     }
 }
 
@@ -76,7 +78,8 @@
         return false;
     }
     auto &state = m_states.at(endpoint.id);
-    const bool mayEnd = state.unnamedSince && now - *state.unnamedSince >= EndDelay && state.recheckedAt - *state.unnamedSince < EndDelay;
+    const auto since = limit->unnamedSince;
+    const bool mayEnd = since && now - *since >= EndDelay && state.recheckedAt - *since < EndDelay;
     const bool isDue = mayEnd || now - std::max(limit->namedAt, state.recheckedAt) >= RecheckInterval;
     state.recheckedAt = isDue ? now : state.recheckedAt;
     return isDue;
--- a/src/forwarding/announcedlimits.h
+++ b/src/forwarding/announcedlimits.h
@@ -44,6 +44,8 @@
     Timestamp namedAt;
     /// Start of the endpoint that named it; see EndpointRecord::startedAtMs.
     std::int64_t endpointStartedAtMs = 0;
+    /// Time of the first request since then whose response named no limit, so that the limit may be over.
+    std::optional<Timestamp> unnamedSince = std::nullopt;
 };
 
 /// The limits that endpoints name in their responses. A limit holds from the response that names it until none has named it for
@@ -82,8 +84,6 @@
     /// it.
     struct State {
         AnnouncedLimit limit;
-        /// Time of the first request since then whose response named no limit.
-        std::optional<Timestamp> unnamedSince;
         std::optional<Timestamp> endedAt;
         Timestamp recheckedAt;
     };
--- a/src/forwarding/requestlimiter.cpp
+++ b/src/forwarding/requestlimiter.cpp
@@ -12,9 +12,14 @@
 /// Limit on the requests that a large limit allows at once, so that their number can be counted.
 constexpr double MaxTokens = 1'000'000;
 
-double wholeRate(const AnnouncedLimit &limit)
+double wholeRate(const AnnouncedLimit &limit, Timestamp now)
 {
-    return std::max(limit.requestsPerSecond, RequestLimiter::MinRate);
+    const double rate = std::max(limit.requestsPerSecond, RequestLimiter::MinRate);
+    if (!limit.unnamedSince) {
+        return rate;
+    }
+    const double seconds = static_cast<double>((now - *limit.unnamedSince).count()) / 1000;
+    return rate * std::pow(RequestLimiter::RecoveryGrowth, seconds);
 }
 
 }
@@ -60,29 +65,29 @@
     if (missing <= 0) {
         return now;
     }
-    const double rate = m_share > 0 ? tokenRate(*limit) : wholeRate(*limit);
+    const double rate = m_share > 0 ? tokenRate(*limit, now) : wholeRate(*limit, now);
     return now + Milliseconds(static_cast<std::int64_t>(std::ceil(1000 * missing / rate)));
 }
 
-double RequestLimiter::tokenRate(const AnnouncedLimit &limit) const
+double RequestLimiter::tokenRate(const AnnouncedLimit &limit, Timestamp now) const
 {
-    return wholeRate(limit) * m_share;
+    return wholeRate(limit, now) * m_share;
 }
 
-double RequestLimiter::tokenCapacity(const AnnouncedLimit &limit) const
+double RequestLimiter::tokenCapacity(const AnnouncedLimit &limit, Timestamp now) const
 {
-    return m_share > 0 ? std::max(1.0, (wholeRate(limit) + ExtraBurst) * m_share) : 0;
+    return m_share > 0 ? std::max(1.0, (wholeRate(limit, now) + ExtraBurst) * m_share) : 0;
 }
 
 double RequestLimiter::tokensOf(const std::string &endpoint, const AnnouncedLimit &limit, Timestamp now) const
 {
-    const double capacity = tokenCapacity(limit);
+    const double capacity = tokenCapacity(limit, now);
     const auto it = m_tokens.find(endpoint);
     if (it == m_tokens.end()) {
         return capacity;
     }
     const double seconds = static_cast<double>((now - it->second.updatedAt).count()) / 1000;
-    return std::min(capacity, it->second.tokens + seconds * tokenRate(limit));
+    return std::min(capacity, it->second.tokens + seconds * tokenRate(limit, now));
 }
 
 void RequestLimiter::recordRequest(const EndpointRecord &endpoint, Timestamp now)
--- a/src/forwarding/requestlimiter.h
+++ b/src/forwarding/requestlimiter.h
@@ -76,6 +76,9 @@
     /// Rate of requests to an endpoint whose limit is lower, in requests per second. Only a response shows that a limit is over, so even
     /// a limit of zero lets one request pass now and then.
     static constexpr double MinRate = 0.25;
+    /// Factor by which the rate grows in a second after a response has named no limit, until the limit ends or is named again. An
+    /// endpoint that recovers is not hit by all requests at once.
+    static constexpr double RecoveryGrowth = 4;
     /// Requests that a limit allows at once beyond those of one second.
     static constexpr double ExtraBurst = 2;
 
@@ -87,9 +90,9 @@
     };
 
     /// Rate at which the tokens of a limit fill up, in tokens per second.
-    double tokenRate(const AnnouncedLimit &limit) const;
+    double tokenRate(const AnnouncedLimit &limit, Timestamp now) const;
     /// Most tokens of a limit.
-    double tokenCapacity(const AnnouncedLimit &limit) const;
+    double tokenCapacity(const AnnouncedLimit &limit, Timestamp now) const;
     /// Tokens at the given time; may be negative after requests that were sent before the limit was known.
     double tokensOf(const std::string &endpoint, const AnnouncedLimit &limit, Timestamp now) const;
     std::size_t limitPerWindow(const ServiceSpec &service, bool isWarmingUp) const;
--- a/tests/forwarding/announcedlimits.cpp
+++ b/tests/forwarding/announcedlimits.cpp
@@ -168,6 +168,32 @@
     }
 }
 
+// Guards against all requests at once to an endpoint that recovers, and against a long wait for one that has recovered.
+BOOST_AUTO_TEST_CASE(the_rate_grows_after_a_response_without_limit_until_the_limit_ends)
+{
+    RequestLimiter limiter;
+    limiter.announcedLimits().record(Start, limited(1), Timestamp(900), Timestamp(1000));
+    const auto requestsUntil = [&limiter](int from, int to) {
+        std::size_t n = 0;
+        for (int ms = from; ms < to; ms += 5) {
+            const Timestamp now(ms);
+            for (; limiter.announcedRequestsLeft(record(), now) > 0; ++n) {
+                limiter.recordRequest(record(), now);
+            }
+        }
+        return n;
+    };
+    requestsUntil(1000, 9000);
+    limiter.announcedLimits().recordUnnamed("e", Timestamp(9000));
+    // The integral of 4^t over one second, and over the next one.
+    BOOST_TEST(requestsUntil(9000, 10'000) <= 3U);
+    const auto second = requestsUntil(10'000, 11'000);
+    BOOST_TEST(second >= 7U);
+    BOOST_TEST(second <= 10U);
+    limiter.announcedLimits().recordUnnamed("e", Timestamp(11'000));
+    BOOST_TEST(limiter.announcedRequestsLeft(record(), Timestamp(11'000)) == RequestLimiter::Unlimited);
+}
+
 BOOST_AUTO_TEST_CASE(the_next_request_is_allowed_at_the_time_that_is_named_for_it)
 {
     RequestLimiter limiter;
