Bound the rate of a limit that may be over

The rate grows to four times in a second after a response without limit, and an endpoint may get no second request for minutes: after 500 s the growth is no longer a finite number. Read in the code; the tokens were bounded where they are counted, so that nothing was seen. The rate now has the same bound as the tokens.

--- a/src/forwarding/requestlimiter.cpp
+++ b/src/forwarding/requestlimiter.cpp
@@ -9,9 +9,10 @@
 namespace
 {
 
-/// Limit on the requests that a large limit allows at once, so that their number can be counted.
+/// Limit on the requests that a large limit allows at once or in a second, so that their number can be counted.
 constexpr double MaxTokens = 1'000'000;
 
+/// The rate that all processes together may use, in requests per second.
 double wholeRate(const AnnouncedLimit &limit, Timestamp now)
 {
     const double rate = std::max(limit.requestsPerSecond, RequestLimiter::MinRate);
@@ -19,7 +20,7 @@
         return rate;
     }
     const double seconds = static_cast<double>((now - *limit.unnamedSince).count()) / 1000;
-    return rate * std::pow(RequestLimiter::RecoveryGrowth, seconds);
+    return std::min(rate * std::pow(RequestLimiter::RecoveryGrowth, seconds), MaxTokens);
 }
 
 }
