Forget limits after ten seconds while no leader grants requests

A gateway that gets no answer to a grant request now forgets limits that no response has named for 10 s. A limit that still holds is named again by the next response.

--- a/src/forwarding/announcedlimits.cpp
+++ b/src/forwarding/announcedlimits.cpp
@@ -10,7 +10,7 @@
 {
     switch (statement.kind) {
     case RateStatement::Kind::Limited:
-        removeExpired(now);
+        removeOlderThan(Retention, now);
         m_states[endpoint.id] = {{statement.requestsPerSecond, now, endpoint.startedAtMs}, std::nullopt, now};
         break;
     case RateStatement::Kind::Unlimited:
@@ -85,10 +85,10 @@
     return isDue;
 }
 
-void AnnouncedLimits::removeExpired(Timestamp now)
+void AnnouncedLimits::removeOlderThan(Milliseconds age, Timestamp now)
 {
     for (auto it = m_states.begin(); it != m_states.end();) {
-        it = now - it->second.limit.namedAt >= Retention ? m_states.erase(it) : std::next(it);
+        it = now - it->second.limit.namedAt >= age ? m_states.erase(it) : std::next(it);
     }
 }
 
--- a/src/forwarding/announcedlimits.h
+++ b/src/forwarding/announcedlimits.h
@@ -66,6 +66,9 @@
     /// Removes a limit that another process knows to be over since the given time, unless it was named again later.
     void end(const std::string &endpoint, Timestamp endedAt);
 
+    /// Forgets the limits that no response has named for this long.
+    void removeOlderThan(Milliseconds age, Timestamp now);
+
     /// The limit in force, if any. An endpoint that has started again has none.
     std::optional<AnnouncedLimit> limitOf(const EndpointRecord &endpoint) const;
 
@@ -88,8 +91,6 @@
         Timestamp recheckedAt;
     };
 
-    void removeExpired(Timestamp now);
-
     std::map<std::string, State> m_states;
 };
 
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds StallCheckInterval{100};
 /// Retry-After of a rejection when the leader that grants requests to limited endpoints does not respond.
 constexpr Milliseconds NoGrantRetryAfter{500};
+/// Age at which limits are forgotten while no leader grants requests: without a request nothing shows that a limit is over.
+constexpr Milliseconds MaxUngrantedLimitAge{10000};
 /// Limit of unsent bytes above which the stream of a slow client is aborted.
 constexpr std::size_t MaxPendingBytes = 1024 * 1024;
 
@@ -140,6 +142,9 @@
             return;
         }
     }
+    if (!reply) {
+        m_context.requestLimiter.announcedLimits().removeOlderThan(MaxUngrantedLimitAge, m_context.loop.now());
+    }
     const bool isDenied = !reply || reply->unlimited.empty();
     if (isDenied) {
         m_grantDenial = reply && reply->retryAfter.count() > 0 ? reply->retryAfter : NoGrantRetryAfter;
--- a/tests/gateway/limitedendpoints.cpp
+++ b/tests/gateway/limitedendpoints.cpp
@@ -190,6 +190,25 @@
     BOOST_TEST(statuses[503] == 0);
 }
 
+// Guards against a service that stays without requests after its limits are over, because the leader runs an older version that
+// grants none.
+BOOST_FIXTURE_TEST_CASE(limits_are_forgotten_after_a_while_when_no_leader_grants_requests, LimitFixture)
+{
+    limits[&first] = limits[&second] = "1";
+    sendFor(1000);
+    isLeading = false;
+    limits.clear();
+    run(5000);
+    statuses.clear();
+    send();
+    run(400);
+    BOOST_TEST(statuses[503] == 1);
+    run(5000);
+    sendFor(500);
+    run(400);
+    BOOST_TEST(statuses[200] == 10);
+}
+
 BOOST_AUTO_TEST_CASE(a_grant_request_and_its_reply_survive_encoding)
 {
     const GrantRequest request{{{{"e", 5}, 1.5, Milliseconds(20)}}, {{{"f", 6}, 0, Milliseconds(30)}}};
