--- a/review/stand/cutstream.cpp
+++ b/review/stand/cutstream.cpp
@@ -26,13 +26,13 @@
 public:
     CutStream(Case &test, const std::string &program)
         : m_case(test)
-        , m_engines(test, program, Replicas)
+        , m_engines(test, program, std::vector<std::string>(Replicas))
     {
         m_case.platform.configure(R"([{"name":"r-step","host":"desk.example","path_prefix":"/step/","kind":"rollout","timeout_ms":10000,
             "target_latency_ms":500,"priority":1,"service":"lm","attempts":3,"retention_s":40.0,"result_deadline_ms":7500,"single_version":false,
             "public":false,"sticky":true,"resumable":true}])",
                                   R"([{"name":"lm","health_path":"/health","connection_limit":170,"protocol":"h1","tls":false,
-            "engine":{"slots":4,"kv_cache_tokens":40000,"models":[{"name":"m0"}]}}])",
+            "engine":{"slots":8,"kv_cache_tokens":40000,"models":[{"name":"m0"}]}}])",
                                   R"([{"name":"t1","api_keys":["key-1"]}])");
         m_nodes = startNodes(m_case.io, m_case.platform, m_case.directory, 2, 3);
         m_case.whenReady(m_nodes, [this] { m_case.loop.runAfter(SettlingTime, [this] { submit(); }); });
--- a/review/stand/engine.cpp
+++ b/review/stand/engine.cpp
@@ -19,11 +19,12 @@
 class Engine
 {
 public:
-    Engine(std::uint16_t port, std::string id, const std::string &recordFile)
+    Engine(std::uint16_t port, std::string id, const std::string &recordFile, std::string version)
         : m_io(1)
         , m_loop(asioEventLoop(m_io))
         , m_record(recordFile)
         , m_id(std::move(id))
+        , m_version(std::move(version))
         , m_server(m_io, port, [this](const std::shared_ptr<Channel> &channel, const RequestMessage &request) { serve(channel, request); })
     {
     }
@@ -71,8 +72,9 @@
         ++m_running;
         m_record.add(m_id + " runs " + item + " after event " + std::to_string(after));
         channel->onClosed = [this, item] { m_record.add(m_id + " lost the channel of " + item); };
+        const std::string framing = m_version.empty() ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n";
         channel->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBasilbend-Attempt-Id: " + item + "\r\nBasilbend-Server-Signature: s." + item
-                       + "\r\nBasilbend-Weight-Versions: 1\r\nConnection: close\r\n\r\n");
+                       + "\r\nBasilbend-Weight-Versions: 1\r\n" + framing + "\r\n");
         continueRun(channel, item, after + 1, {});
     }
 
@@ -88,20 +90,32 @@
             --m_running;
             channel->onClosed = nullptr;
             m_record.add(m_id + " has finished " + item);
-            channel->write(rest);
-            channel->closeAfterWrites();
+            channel->write(framed(rest));
+            if (m_version.empty()) {
+                channel->closeAfterWrites();
+            } else {
+                channel->write(std::string(LastChunk));
+                channel->next();
+            }
             return;
         }
-        const auto event = "id: " + std::to_string(number) + "\ndata: " + eventData(item, number) + "\n\n";
+        const auto event =
+            "id: " + std::to_string(number) + "\ndata: " + eventData(item, number) + (m_version.empty() ? std::string() : " [" + m_version + "]") + "\n\n";
         const auto half = event.size() / 2;
-        channel->write(rest + event.substr(0, half));
+        channel->write(framed(rest + event.substr(0, half)));
         m_loop.runAfter(EventInterval, [this, channel, item, number, next = event.substr(half)] { continueRun(channel, item, number + 1, next); });
     }
 
+    std::string framed(const std::string &bytes) const
+    {
+        return m_version.empty() ? bytes : serializeChunk(bytes);
+    }
+
     asio::io_context m_io;
     EventLoop m_loop;
     Record m_record;
     std::string m_id;
+    std::string m_version;
     RawServer m_server;
     int m_running = 0;
 };
@@ -122,11 +136,12 @@
     return text;
 }
 
-EngineFleet::EngineFleet(Case &test, std::string program, int engines)
+EngineFleet::EngineFleet(Case &test, std::string program, std::vector<std::string> versions)
     : m_case(test)
     , m_program(std::move(program))
+    , m_versions(std::move(versions))
 {
-    for (int i = 0; i < engines; ++i) {
+    for (int i = 0; i < static_cast<int>(m_versions.size()); ++i) {
         m_ports.push_back(freePort(m_case.io));
         m_engines.push_back(nullptr);
         start(i);
@@ -138,9 +153,13 @@
     const auto id = "i-lm" + std::to_string(i) + "-" + std::to_string(++m_starts);
     const auto index = static_cast<std::size_t>(i);
     const auto file = m_case.directory + "/" + id + ".record";
-    m_engines[index] = std::make_unique<Process>(
-        std::vector<std::string>{m_program, "engine", std::to_string(m_ports[index]), id, file}, std::vector<std::string>(), m_case.directory + "/engine.log");
-    m_case.platform.registerReplica(id, "lm", m_ports[index], EngineSlots, Model, m_case.loop.now().milliseconds());
+    std::vector<std::string> command{m_program, "engine", std::to_string(m_ports[index]), id, file};
+    if (!m_versions[index].empty()) {
+        command.push_back(m_versions[index]);
+    }
+    m_engines[index] = std::make_unique<Process>(command, std::vector<std::string>(), m_case.directory + "/engine.log");
+    m_case.platform.registerReplica(
+        id, "lm", m_ports[index], EngineSlots, Model, m_case.loop.now().milliseconds(), m_versions[index].empty() ? "v1" : m_versions[index]);
     m_ids[i] = id;
 }
 
@@ -152,9 +171,9 @@
     m_case.loop.runAfter(DownTime, [this, i] { start(i); });
 }
 
-int serveEngine(std::uint16_t port, const std::string &id, const std::string &recordFile)
+int serveEngine(std::uint16_t port, const std::string &id, const std::string &recordFile, const std::string &version)
 {
-    Engine engine(port, id, recordFile);
+    Engine engine(port, id, recordFile, version);
     engine.run();
     return 0;
 }
--- a/review/stand/engine.h
+++ b/review/stand/engine.h
@@ -11,7 +11,7 @@
 {
 
 constexpr int EventsPerRun = 30;
-constexpr int EngineSlots = 4;
+constexpr int EngineSlots = 8;
 constexpr const char *Model = "m0";
 
 /// Data of an event; the whole output of a run is the data of its events in order, separated by line feeds.
@@ -22,7 +22,8 @@
 class EngineFleet
 {
 public:
-    EngineFleet(Case &test, std::string program, int engines);
+    /// versions: the software version of each replica; those that name one frame their streams in chunks and mark each event.
+    EngineFleet(Case &test, std::string program, std::vector<std::string> versions);
 
     /// Kills the process of a replica. It comes back under another id.
     void crash(int i);
@@ -38,6 +39,7 @@
 
     Case &m_case;
     std::string m_program;
+    std::vector<std::string> m_versions;
     std::vector<std::uint16_t> m_ports;
     std::vector<std::unique_ptr<Process>> m_engines;
     std::map<int, std::string> m_ids;
--- /dev/null
+++ b/review/stand/joinedtext.cpp
@@ -0,0 +1,132 @@
+#include "net/base64.h"
+#include "stand/engine.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Basilbend::Review
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int Items = 42;
+/// Broken when more than two texts are joined.
+constexpr int AllowedTexts = 2;
+constexpr Milliseconds SettlingTime{3000};
+constexpr Milliseconds CrashAt{1200};
+constexpr Milliseconds ReadPause{500};
+constexpr Milliseconds BatchLimit{25000};
+constexpr Milliseconds Limit{60000};
+constexpr const char *Batch = "5e0c4d1b7a92f386";
+
+class JoinedText
+{
+public:
+    JoinedText(Case &test, const std::string &program)
+        : m_case(test)
+        , m_engines(test, program, {"v1", "v1", "v1", "v2", "v2", "v2"})
+    {
+        m_case.platform.configure(R"([{"name":"r-step","host":"desk.example","path_prefix":"/step/","kind":"rollout","timeout_ms":10000,
+            "target_latency_ms":500,"priority":1,"service":"lm","attempts":3,"retention_s":40.0,"result_deadline_ms":7500,"single_version":false,
+            "public":false,"sticky":true,"resumable":true}])",
+                                  R"([{"name":"lm","health_path":"/health","connection_limit":170,"protocol":"h1","tls":false,
+            "engine":{"slots":8,"kv_cache_tokens":40000,"models":[{"name":"m0"}]}}])",
+                                  R"([{"name":"t1","api_keys":["key-1"]}])");
+        m_nodes = startNodes(m_case.io, m_case.platform, m_case.directory, 2, 3);
+        m_case.whenReady(m_nodes, [this] { m_case.loop.runAfter(SettlingTime, [this] { submit(); }); });
+    }
+
+private:
+    static RequestMessage request(const std::string &method, const std::string &target)
+    {
+        return {method, target, {{"Host", "desk.example"}, {Wire::ApiKey, "key-1"}}, {}};
+    }
+
+    void submit()
+    {
+        auto items = json::array();
+        for (int i = 0; i < Items; ++i) {
+            const auto id = "item" + std::to_string(i);
+            items.push_back(
+                {{"id", id},
+                 {"path", "/step/generate"},
+                 {"headers",
+                  {{"Basilbend-Model", Model}, {"Basilbend-Token-Counts", "100,200"}, {"Basilbend-Prompt-Prefix", "a1:80,b" + std::to_string(i) + ":20"}}},
+                 {"body", toBase64("prompt of " + id)},
+                 {"tokens", 300},
+                 {"group", "g" + std::to_string(i / 6)}});
+        }
+        auto submission = request("POST", "/step/s0");
+        submission.fields.set(Wire::AttemptId, Batch);
+        submission.fields.set("Content-Type", "application/json");
+        submission.body = json{{"step", 0}, {"model", Model}, {"minimum_version", 0}, {"desired_count", 7}, {"items", items}}.dump();
+        m_case.send(m_nodes[0].clients, submission, Milliseconds(10000), [this](int status, const ResponseHead &, const std::string &) {
+            m_case.record.add("batch submission answered " + std::to_string(status));
+            if (status != 202) {
+                m_case.finish(CouldNotRun);
+                return;
+            }
+            m_acceptedAt = m_case.loop.now();
+            if (m_case.hasTrouble) {
+                m_case.loop.runAfter(CrashAt, [this] { m_engines.crash(0); });
+            }
+            readResults();
+        });
+    }
+
+    void readResults()
+    {
+        auto read = request("GET", std::string(Wire::BatchPath) + Batch + "?after=" + std::to_string(m_read));
+        read.fields.set(Wire::WaitMs, "1000");
+        m_case.send(m_nodes[m_case.random.below(2)].clients, read, Milliseconds(2500), [this](int status, const ResponseHead &, const std::string &body) {
+            if (status == 200) {
+                const auto page = json::parse(body);
+                for (const auto &result : page.at("results")) {
+                    accept(result);
+                }
+                m_read = page.at("next").get<int>();
+            } else {
+                m_case.record.add("read answered " + std::to_string(status));
+            }
+            const bool isOver = m_case.loop.now() - m_acceptedAt > BatchLimit;
+            if (m_read >= Items || isOver) {
+                m_case.record.add("results " + std::to_string(m_read) + " of " + std::to_string(Items) + ", texts of two software versions "
+                                  + std::to_string(m_wrong));
+                m_case.finish(m_wrong > AllowedTexts ? RuleBroken : (isOver ? CouldNotRun : RuleHeld));
+                return;
+            }
+            m_case.loop.runAfter(ReadPause, [this] { readResults(); });
+        });
+    }
+
+    void accept(const json &result)
+    {
+        const auto id = result.at("id").get<std::string>();
+        const auto state = result.at("state").get<std::string>();
+        const auto text = result.at("text").get<std::string>();
+        const bool isWrong = text.find("[v1]") != std::string::npos && text.find("[v2]") != std::string::npos;
+        m_case.record.add("result " + id + " " + state + ", " + std::to_string(std::count(text.begin(), text.end(), '\n') + 1) + " of "
+                          + std::to_string(EventsPerRun) + " events" + (isWrong ? ", ORDER: events of v1 and v2" : ""));
+        m_wrong += isWrong ? 1 : 0;
+    }
+
+    Case &m_case;
+    EngineFleet m_engines;
+    std::vector<Node> m_nodes;
+    Timestamp m_acceptedAt;
+    int m_read = 0;
+    int m_wrong = 0;
+};
+
+}
+
+int runJoinedText(Case &test, const std::string &program)
+{
+    JoinedText joinedText(test, program);
+    return test.run(Limit);
+}
+
+}
--- a/review/stand/platform.cpp
+++ b/review/stand/platform.cpp
@@ -157,12 +157,13 @@
     m_record.add("config version " + std::to_string(m_configuration) + " acknowledged, tenants " + tenants);
 }
 
-void Platform::registerReplica(const std::string &id, const std::string &service, std::uint16_t port, int slots, const std::string &model, std::int64_t born)
+void Platform::registerReplica(
+    const std::string &id, const std::string &service, std::uint16_t port, int slots, const std::string &model, std::int64_t born, const std::string &version)
 {
     json entry{{"service", service},
                {"address", "127.0.0.1:" + std::to_string(port)},
                {"zone", "z0"},
-               {"version", "v1"},
+               {"version", version},
                {"slots", slots},
                {"state", "ready"},
                {"cold_remaining_ms", 0},
--- a/review/stand/platform.h
+++ b/review/stand/platform.h
@@ -35,7 +35,13 @@
     void configure(const std::string &routes, const std::string &services, const std::string &tenants);
 
     /// Writes the registry entry of a replica.
-    void registerReplica(const std::string &id, const std::string &service, std::uint16_t port, int slots, const std::string &model, std::int64_t born);
+    void registerReplica(const std::string &id,
+                         const std::string &service,
+                         std::uint16_t port,
+                         int slots,
+                         const std::string &model,
+                         std::int64_t born,
+                         const std::string &version = "v1");
     void removeReplica(const std::string &id);
 
     /// Whether the store resets each call.
