--- a/review/stand/cutlive.cpp
+++ b/review/stand/cutlive.cpp
@@ -23,7 +23,7 @@
         m_case.platform.configure(R"([{"name":"r-chat","host":"desk.example","path_prefix":"/chat/","kind":"streaming","timeout_ms":9000,
             "target_latency_ms":500,"priority":1,"service":"lm","attempts":3,"public":false,"sticky":true,"resumable":true}])",
                                   R"([{"name":"lm","health_path":"/health","connection_limit":170,"protocol":"h1","tls":false,
-            "engine":{"slots":8,"kv_cache_tokens":40000,"models":[{"name":"m0"}]}}])",
+            "engine":{"slots":12,"kv_cache_tokens":40000,"models":[{"name":"m0"}]}}])",
                                   R"([{"name":"t1","api_keys":["key-1"]}])");
         m_nodes = startNodes(m_case.io, m_case.platform, m_case.directory, 2, 1);
         m_case.whenReady(m_nodes, [this] { m_case.loop.runAfter(SettlingTime, [this] { openStreams(); }); });
--- a/review/stand/cutstream.cpp
+++ b/review/stand/cutstream.cpp
@@ -32,7 +32,7 @@
             "target_latency_ms":500,"priority":1,"service":"lm","attempts":3,"retention_s":40.0,"result_deadline_ms":7500,"single_version":false,
             "public":false,"sticky":true,"resumable":true}])",
                                   R"([{"name":"lm","health_path":"/health","connection_limit":170,"protocol":"h1","tls":false,
-            "engine":{"slots":8,"kv_cache_tokens":40000,"models":[{"name":"m0"}]}}])",
+            "engine":{"slots":12,"kv_cache_tokens":40000,"models":[{"name":"m0"}]}}])",
                                   R"([{"name":"t1","api_keys":["key-1"]}])");
         m_nodes = startNodes(m_case.io, m_case.platform, m_case.directory, 2, 3);
         m_case.whenReady(m_nodes, [this] { m_case.loop.runAfter(SettlingTime, [this] { submit(); }); });
--- a/review/stand/engine.h
+++ b/review/stand/engine.h
@@ -11,7 +11,7 @@
 {
 
 constexpr int EventsPerRun = 30;
-constexpr int EngineSlots = 8;
+constexpr int EngineSlots = 12;
 constexpr const char *Model = "m0";
 
 /// Data of an event; the whole output of a run is the data of its events in order, separated by line feeds.
--- a/review/stand/joinedtext.cpp
+++ b/review/stand/joinedtext.cpp
@@ -12,7 +12,7 @@
 
 using nlohmann::json;
 
-constexpr int Items = 42;
+constexpr int Items = 66;
 /// Broken when more than two texts are joined.
 constexpr int AllowedTexts = 2;
 constexpr Milliseconds SettlingTime{3000};
@@ -33,7 +33,7 @@
             "target_latency_ms":500,"priority":1,"service":"lm","attempts":3,"retention_s":40.0,"result_deadline_ms":7500,"single_version":false,
             "public":false,"sticky":true,"resumable":true}])",
                                   R"([{"name":"lm","health_path":"/health","connection_limit":170,"protocol":"h1","tls":false,
-            "engine":{"slots":8,"kv_cache_tokens":40000,"models":[{"name":"m0"}]}}])",
+            "engine":{"slots":12,"kv_cache_tokens":40000,"models":[{"name":"m0"}]}}])",
                                   R"([{"name":"t1","api_keys":["key-1"]}])");
         m_nodes = startNodes(m_case.io, m_case.platform, m_case.directory, 2, 3);
         m_case.whenReady(m_nodes, [this] { m_case.loop.runAfter(SettlingTime, [this] { submit(); }); });
@@ -62,7 +62,7 @@
         auto submission = request("POST", "/step/s0");
         submission.fields.set(Wire::AttemptId, Batch);
         submission.fields.set("Content-Type", "application/json");
-        submission.body = json{{"step", 0}, {"model", Model}, {"minimum_version", 0}, {"desired_count", 7}, {"items", items}}.dump();
+        submission.body = json{{"step", 0}, {"model", Model}, {"minimum_version", 0}, {"desired_count", 11}, {"items", items}}.dump();
         m_case.send(m_nodes[0].clients, submission, Milliseconds(10000), [this](int status, const ResponseHead &, const std::string &) {
             m_case.record.add("batch submission answered " + std::to_string(status));
             if (status != 202) {
