--- a/review/stand/latecopy.cpp
+++ b/review/stand/latecopy.cpp
@@ -79,6 +79,8 @@
         }
         ++m_troubles;
         m_isTroubled = m_case.hasTrouble;
+        m_subjectAnswers = 0;
+        m_windowCopies = 0;
         m_case.record.add("trouble " + std::to_string(m_troubles) + " begins");
         m_case.loop.runAfter(TroubleSpan, [this] {
             m_isTroubled = false;
@@ -112,6 +114,9 @@
     {
         const std::string attempt(request.fields.value(Wire::AttemptId));
         // The second copy of an earlier answer comes where the next one is expected.
+        if (!m_isTroubled) {
+            channel->lateCopy.clear();
+        }
         if (!channel->lateCopy.empty()) {
             m_case.record.add(replica.id + " sends a late copy before its answer to " + attempt);
             channel->write(std::move(channel->lateCopy));
@@ -161,11 +166,14 @@
     {
         const auto bytes = "HTTP/1.1 " + status + "\r\nBasilbend-Attempt-Id: " + attempt + "\r\n" + fields + "Content-Length: " + std::to_string(body.size())
             + "\r\n\r\n" + body;
-        const bool isCopied = m_isTroubled && replica.isFaulty && m_case.random.unit() < CopiedShare;
+        const bool isSubject = m_isTroubled && replica.isFaulty;
+        m_subjectAnswers += isSubject ? 1 : 0;
+        const bool isCopied = isSubject && m_windowCopies + 1 <= CopiedShare * m_subjectAnswers && m_case.random.unit() < 2 * CopiedShare;
         if (isCopied) {
             m_case.record.add(replica.id + " keeps a second copy of its answer " + status.substr(0, 3) + " to " + attempt);
             channel->lateCopy = bytes;
             ++m_copies;
+            ++m_windowCopies;
         }
         ++m_answers;
         channel->write(bytes);
@@ -202,6 +210,9 @@
     int m_troubles = 0;
     int m_copies = 0;
     int m_answers = 0;
+    /// Answers of faulty replicas in this disturbance, and copies of them.
+    int m_subjectAnswers = 0;
+    int m_windowCopies = 0;
     bool m_isTroubled = false;
     bool m_isSending = true;
 };
