--- a/review/stand/case.h
+++ b/review/stand/case.h
@@ -57,12 +57,10 @@
 };
 
 int runLateCopy(Case &test);
-int runDeafWatch(Case &test);
 int runCutStream(Case &test, const std::string &program);
 int runCutLive(Case &test, const std::string &program);
-int runJoinedText(Case &test, const std::string &program);
 
 /// The process of a stand-in model replica, which serves until it is killed.
-int serveEngine(std::uint16_t port, const std::string &id, const std::string &recordFile, const std::string &version);
+int serveEngine(std::uint16_t port, const std::string &id, const std::string &recordFile, double unframedShare);
 
 }
--- a/review/stand/engine.cpp
+++ b/review/stand/engine.cpp
@@ -1,5 +1,6 @@
 #include "stand/engine.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace Basilbend::Review
@@ -19,12 +20,13 @@
 class Engine
 {
 public:
-    Engine(std::uint16_t port, std::string id, const std::string &recordFile, std::string version)
+    Engine(std::uint16_t port, std::string id, const std::string &recordFile, double unframedShare)
         : m_io(1)
         , m_loop(asioEventLoop(m_io))
         , m_record(recordFile)
         , m_id(std::move(id))
-        , m_version(std::move(version))
+        , m_unframedShare(unframedShare)
+        , m_random(static_cast<std::uint64_t>(m_loop.now().milliseconds()) + port)
         , m_server(m_io, port, [this](const std::shared_ptr<Channel> &channel, const RequestMessage &request) { serve(channel, request); })
     {
     }
@@ -35,6 +37,11 @@
     }
 
 private:
+    struct Run {
+        std::string item;
+        bool isFramed = true;
+    };
+
     void serve(const std::shared_ptr<Channel> &channel, const RequestMessage &request)
     {
         const auto expected = request.fields.value(Wire::ExpectInstance);
@@ -72,15 +79,18 @@
         ++m_running;
         m_record.add(m_id + " runs " + item + " after event " + std::to_string(after));
         channel->onClosed = [this, item] { m_record.add(m_id + " lost the channel of " + item); };
-        const std::string framing = m_version.empty() ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n";
+        const bool isFramed = m_random.unit() >= m_unframedShare;
+        if (!isFramed) {
+            m_record.add(m_id + " answers " + item + " without a length");
+        }
         channel->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nBasilbend-Attempt-Id: " + item + "\r\nBasilbend-Server-Signature: s." + item
-                       + "\r\nBasilbend-Weight-Versions: 1\r\n" + framing + "\r\n");
-        continueRun(channel, item, after + 1, {});
+                       + "\r\nBasilbend-Weight-Versions: 1\r\n" + (isFramed ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+        continueRun(channel, {item, isFramed}, after + 1, {});
     }
 
     /// Sends the events of a run. An event holds several tokens and is sent in two parts; the second part of one goes out together
     /// with the first part of the next.
-    void continueRun(const std::shared_ptr<Channel> &channel, const std::string &item, int number, const std::string &rest)
+    void continueRun(const std::shared_ptr<Channel> &channel, const Run &run, int number, const std::string &rest)
     {
         if (!channel->isOpen()) {
             --m_running;
@@ -89,33 +99,33 @@
         if (number > EventsPerRun) {
             --m_running;
             channel->onClosed = nullptr;
-            m_record.add(m_id + " has finished " + item);
-            channel->write(framed(rest));
-            if (m_version.empty()) {
-                channel->closeAfterWrites();
-            } else {
+            m_record.add(m_id + " has finished " + run.item);
+            channel->write(framed(run, rest));
+            if (run.isFramed) {
                 channel->write(std::string(LastChunk));
                 channel->next();
+            } else {
+                channel->closeAfterWrites();
             }
             return;
         }
-        const auto event =
-            "id: " + std::to_string(number) + "\ndata: " + eventData(item, number) + (m_version.empty() ? std::string() : " [" + m_version + "]") + "\n\n";
+        const auto event = "id: " + std::to_string(number) + "\ndata: " + eventData(run.item, number) + "\n\n";
         const auto half = event.size() / 2;
-        channel->write(framed(rest + event.substr(0, half)));
-        m_loop.runAfter(EventInterval, [this, channel, item, number, next = event.substr(half)] { continueRun(channel, item, number + 1, next); });
+        channel->write(framed(run, rest + event.substr(0, half)));
+        m_loop.runAfter(EventInterval, [this, channel, run, number, next = event.substr(half)] { continueRun(channel, run, number + 1, next); });
     }
 
-    std::string framed(const std::string &bytes) const
+    static std::string framed(const Run &run, const std::string &bytes)
     {
-        return m_version.empty() ? bytes : serializeChunk(bytes);
+        return run.isFramed && !bytes.empty() ? serializeChunk(bytes) : bytes;
     }
 
     asio::io_context m_io;
     EventLoop m_loop;
     Record m_record;
     std::string m_id;
-    std::string m_version;
+    double m_unframedShare;
+    Random m_random;
     RawServer m_server;
     int m_running = 0;
 };
@@ -136,12 +146,19 @@
     return text;
 }
 
-EngineFleet::EngineFleet(Case &test, std::string program, std::vector<std::string> versions)
+std::vector<double> unframedShares()
+{
+    std::vector<double> shares(Replicas, 0.0);
+    std::fill(shares.begin(), shares.begin() + FaultyReplicas, UnframedShare);
+    return shares;
+}
+
+EngineFleet::EngineFleet(Case &test, std::string program, std::vector<double> unframedShares)
     : m_case(test)
     , m_program(std::move(program))
-    , m_versions(std::move(versions))
+    , m_unframedShares(std::move(unframedShares))
 {
-    for (int i = 0; i < static_cast<int>(m_versions.size()); ++i) {
+    for (int i = 0; i < static_cast<int>(m_unframedShares.size()); ++i) {
         m_ports.push_back(freePort(m_case.io));
         m_engines.push_back(nullptr);
         start(i);
@@ -153,13 +170,9 @@
     const auto id = "i-lm" + std::to_string(i) + "-" + std::to_string(++m_starts);
     const auto index = static_cast<std::size_t>(i);
     const auto file = m_case.directory + "/" + id + ".record";
-    std::vector<std::string> command{m_program, "engine", std::to_string(m_ports[index]), id, file};
-    if (!m_versions[index].empty()) {
-        command.push_back(m_versions[index]);
-    }
+    const std::vector<std::string> command{m_program, "engine", std::to_string(m_ports[index]), id, file, std::to_string(m_unframedShares[index])};
     m_engines[index] = std::make_unique<Process>(command, std::vector<std::string>(), m_case.directory + "/engine.log");
-    m_case.platform.registerReplica(
-        id, "lm", m_ports[index], EngineSlots, Model, m_case.loop.now().milliseconds(), m_versions[index].empty() ? "v1" : m_versions[index]);
+    m_case.platform.registerReplica(id, "lm", m_ports[index], EngineSlots, Model, m_case.loop.now().milliseconds());
     m_ids[i] = id;
 }
 
@@ -171,9 +184,9 @@
     m_case.loop.runAfter(DownTime, [this, i] { start(i); });
 }
 
-int serveEngine(std::uint16_t port, const std::string &id, const std::string &recordFile, const std::string &version)
+int serveEngine(std::uint16_t port, const std::string &id, const std::string &recordFile, double unframedShare)
 {
-    Engine engine(port, id, recordFile, version);
+    Engine engine(port, id, recordFile, unframedShare);
     engine.run();
     return 0;
 }
--- a/review/stand/main.cpp
+++ b/review/stand/main.cpp
@@ -12,8 +12,8 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     const std::vector<std::string> words(argv, argv + argc);
-    if (words.size() >= 5 && words[1] == "engine") {
-        return serveEngine(static_cast<std::uint16_t>(std::stoi(words[2])), words[3], words[4], words.size() > 5 ? words[5] : std::string());
+    if (words.size() == 6 && words[1] == "engine") {
+        return serveEngine(static_cast<std::uint16_t>(std::stoi(words[2])), words[3], words[4], std::stod(words[5]));
     }
     if (words.size() != 4) {
         std::cerr << "usage: cases NAME RECORD DIRECTORY\n";
@@ -25,15 +25,9 @@
         if (words[1] == "latecopy") {
             return runLateCopy(test);
         }
-        if (words[1] == "deafwatch") {
-            return runDeafWatch(test);
-        }
         if (words[1] == "cutstream") {
             return runCutStream(test, program);
         }
-        if (words[1] == "joinedtext") {
-            return runJoinedText(test, program);
-        }
         if (words[1] == "cutlive") {
             return runCutLive(test, program);
         }
