--- a/review/stand/cutstream.cpp
+++ b/review/stand/cutstream.cpp
@@ -12,21 +12,20 @@
 
 using nlohmann::json;
 
-constexpr int Replicas = 6;
-constexpr int Items = 16;
+constexpr int Items = 66;
+constexpr int Rounds = 11;
 constexpr Milliseconds SettlingTime{3000};
-constexpr Milliseconds CrashAt{1200};
+constexpr Milliseconds CrashAt{1500};
 constexpr Milliseconds ReadPause{500};
-constexpr Milliseconds BatchLimit{25000};
-constexpr Milliseconds Limit{60000};
-constexpr const char *Batch = "5e0c4d1b7a92f386";
+constexpr Milliseconds RoundInterval{8500};
+constexpr Milliseconds Limit{116000};
 
 class CutStream
 {
 public:
     CutStream(Case &test, const std::string &program)
         : m_case(test)
-        , m_engines(test, program, std::vector<std::string>(Replicas))
+        , m_engines(test, program, unframedShares())
     {
         m_case.platform.configure(R"([{"name":"r-step","host":"desk.example","path_prefix":"/step/","kind":"rollout","timeout_ms":10000,
             "target_latency_ms":500,"priority":1,"service":"lm","attempts":3,"retention_s":40.0,"result_deadline_ms":7500,"single_version":false,
@@ -46,9 +45,10 @@
 
     void submit()
     {
+        const auto round = ++m_round;
         auto items = json::array();
         for (int i = 0; i < Items; ++i) {
-            const auto id = "item" + std::to_string(i);
+            const auto id = "r" + std::to_string(round) + "i" + std::to_string(i);
             items.push_back(
                 {{"id", id},
                  {"path", "/step/generate"},
@@ -56,49 +56,62 @@
                   {{"Basilbend-Model", Model}, {"Basilbend-Token-Counts", "100,200"}, {"Basilbend-Prompt-Prefix", "a1:80,b" + std::to_string(i) + ":20"}}},
                  {"body", toBase64("prompt of " + id)},
                  {"tokens", 300},
-                 {"group", "g" + std::to_string(i / 4)}});
+                 {"group", "r" + std::to_string(round) + "g" + std::to_string(i / 6)}});
         }
         auto submission = request("POST", "/step/s0");
-        submission.fields.set(Wire::AttemptId, Batch);
+        const auto batch = "batch" + std::to_string(round);
+        submission.fields.set(Wire::AttemptId, batch);
         submission.fields.set("Content-Type", "application/json");
-        submission.body = json{{"step", 0}, {"model", Model}, {"minimum_version", 0}, {"desired_count", 4}, {"items", items}}.dump();
-        m_case.send(m_nodes[0].clients, submission, Milliseconds(10000), [this](int status, const ResponseHead &, const std::string &) {
-            m_case.record.add("batch submission answered " + std::to_string(status));
+        submission.body = json{{"step", round - 1}, {"model", Model}, {"minimum_version", 0}, {"desired_count", 11}, {"items", items}}.dump();
+        m_case.send(m_nodes[0].clients, submission, Milliseconds(10000), [this, batch, round](int status, const ResponseHead &, const std::string &) {
+            m_case.record.add(batch + " answered " + std::to_string(status));
             if (status != 202) {
                 m_case.finish(CouldNotRun);
                 return;
             }
-            m_acceptedAt = m_case.loop.now();
             if (m_case.hasTrouble) {
-                m_case.loop.runAfter(CrashAt, [this] { m_engines.crash(0); });
+                m_case.loop.runAfter(CrashAt, [this, round] { m_engines.crash(round % FaultyReplicas); });
             }
-            readResults();
+            readResults(batch, 0);
+            m_case.loop.runAfter(RoundInterval, [this] {
+                if (m_round < Rounds) {
+                    submit();
+                } else {
+                    judge();
+                }
+            });
         });
     }
 
-    void readResults()
+    void readResults(const std::string &batch, int position)
     {
-        auto read = request("GET", std::string(Wire::BatchPath) + Batch + "?after=" + std::to_string(m_read));
+        auto read = request("GET", Wire::BatchPath + batch + "?after=" + std::to_string(position));
         read.fields.set(Wire::WaitMs, "1000");
-        m_case.send(m_nodes[m_case.random.below(2)].clients, read, Milliseconds(2500), [this](int status, const ResponseHead &, const std::string &body) {
-            if (status == 200) {
-                const auto page = json::parse(body);
-                for (const auto &result : page.at("results")) {
-                    accept(result);
-                }
-                m_read = page.at("next").get<int>();
-            } else {
-                m_case.record.add("read answered " + std::to_string(status));
-            }
-            const bool isOver = m_case.loop.now() - m_acceptedAt > BatchLimit;
-            if (m_read >= Items || isOver) {
-                m_case.record.add("results " + std::to_string(m_read) + " of " + std::to_string(Items) + ", completed without the whole output "
-                                  + std::to_string(m_wrong));
-                m_case.finish(m_wrong > 0 ? RuleBroken : (isOver ? CouldNotRun : RuleHeld));
-                return;
-            }
-            m_case.loop.runAfter(ReadPause, [this] { readResults(); });
-        });
+        m_case.send(m_nodes[m_case.random.below(2)].clients,
+                    read,
+                    Milliseconds(2500),
+                    [this, batch, position](int status, const ResponseHead &, const std::string &body) {
+                        auto next = position;
+                        if (status == 200) {
+                            const auto page = json::parse(body);
+                            for (const auto &result : page.at("results")) {
+                                accept(result);
+                            }
+                            next = page.at("next").get<int>();
+                        } else {
+                            m_case.record.add("read answered " + std::to_string(status));
+                        }
+                        if (next < Items) {
+                            m_case.loop.runAfter(ReadPause, [this, batch, next] { readResults(batch, next); });
+                        }
+                    });
+    }
+
+    void judge()
+    {
+        m_case.record.add("results " + std::to_string(m_results) + " of " + std::to_string(Rounds * Items) + ", completed without the whole output "
+                          + std::to_string(m_wrong));
+        m_case.finish(m_wrong > 0 ? RuleBroken : (m_results == 0 ? CouldNotRun : RuleHeld));
     }
 
     void accept(const json &result)
@@ -110,13 +123,14 @@
         m_case.record.add("result " + id + " " + state + ", " + std::to_string(std::count(text.begin(), text.end(), '\n') + 1) + " of "
                           + std::to_string(EventsPerRun) + " events" + (isWrong ? ", MIXED: not the whole output" : ""));
         m_wrong += isWrong ? 1 : 0;
+        ++m_results;
     }
 
     Case &m_case;
     EngineFleet m_engines;
     std::vector<Node> m_nodes;
-    Timestamp m_acceptedAt;
-    int m_read = 0;
+    int m_round = 0;
+    int m_results = 0;
     int m_wrong = 0;
 };
 
