Confirm the end of an item's response that has no length

Cause: ClientConnection reported an orderly end of a response without a length as complete. The system closes the connections of a killed process in the same way, within an event or between two of them.

Change: such an end is an outcome of its own. Within an event it is a cut. Otherwise the endpoint is asked who it is: only the process that sent the response can have meant to end it, and a process that ended answers no more. A refusal needs its head only. Reports of engines count without a length, because a cut one is no JSON object. Calls that name no attempt skip responses that name one.

The row "until the end" of http/a_call_ends_with_the_outcome_that_matches_the_received_bytes expected Complete, which was the fault; it now expects Unframed.

--- a/src/catalog/serviceconfiguration.h
+++ b/src/catalog/serviceconfiguration.h
@@ -66,9 +66,17 @@
 
 struct ServiceSpec {
     std::string name;
+    /// Path at which an endpoint answers whether it is healthy; empty if the operators named none.
+    std::string healthPath = {};
     /// Requests per second that an endpoint bears while it warms up after its start; zero: it needs no warm-up.
     double warmupRequestsPerSecond = 0;
     std::optional<EngineSpec> engine;
+
+    /// Path at which an endpoint says who it is; empty for endpoints that serve models, which report their state instead.
+    std::string identityPath() const
+    {
+        return engine ? std::string() : healthPath;
+    }
 };
 
 /// Limits on client requests.
--- a/src/forwarding/attemptrule.cpp
+++ b/src/forwarding/attemptrule.cpp
@@ -8,12 +8,13 @@
     if (callOutcome == CallOutcome::NotConnected) {
         return ForwardOutcome::NotRun;
     }
+    const bool hasAnswer = callOutcome == CallOutcome::Complete || callOutcome == CallOutcome::Unframed;
+    if (hasAnswer && notExecuted) {
+        return ForwardOutcome::NotRun;
+    }
     if (callOutcome != CallOutcome::Complete) {
         return ForwardOutcome::MayHaveRun;
     }
-    if (notExecuted) {
-        return ForwardOutcome::NotRun;
-    }
     const bool isSuccess = status >= 200 && status < 300;
     if (isSuccess) {
         // A success status without the endpoint's signature was not sent by the endpoint.
--- a/src/forwarding/attemptrule.h
+++ b/src/forwarding/attemptrule.h
@@ -44,8 +44,8 @@
 /// Decides what to do after an attempt has ended. Returns RejectNotRun only if no attempt may have run.
 RetryDecision decideRetry(ForwardOutcome outcome, const RetryState &state);
 
-/// Derives the outcome of an attempt. The status and the flags notExecuted and isSigned come from the head of the response and
-/// count only if the call ended with CallOutcome::Complete.
+/// Derives the outcome of an attempt. The status and the flags notExecuted and isSigned come from the head of the response. They
+/// count only if the call ended with CallOutcome::Complete; notExecuted counts also if the response had no length, since it needs no body.
 ForwardOutcome classifyResponse(CallOutcome callOutcome, int status, bool notExecuted, bool isSigned);
 
 }
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -361,7 +361,7 @@
     hooks.matchResponse = [self](const ResponseHead &head) { return matchAttemptResponse(head, self->m_request.attemptId); };
     hooks.onHead = [self, index](const ResponseHead &head) { self->handleHead(index, head); };
     hooks.onBody = [self, index](std::string_view data) { self->handleBody(index, data); };
-    hooks.onEnd = [self, index](CallOutcome end) { self->handleEnd(index, end); };
+    hooks.onEnd = [self, index](CallOutcome end) { self->handleEnd(index, end == CallOutcome::Unframed ? CallOutcome::Complete : end); };
     return hooks;
 }
 
--- a/src/http/clientcall.h
+++ b/src/http/clientcall.h
@@ -11,8 +11,11 @@
 
 /// The outcome of a call to another server.
 enum class CallOutcome {
-    /// The whole response has arrived.
+    /// The whole response has arrived, as its length or its last chunk shows.
     Complete,
+    /// A response without a length has ended with an orderly close of its connection. It is whole only if the server meant to end it:
+    /// the system closes the connections of a process that is killed in the same way.
+    Unframed,
     /// The connection could not be established; nothing was sent.
     NotConnected,
     /// The connection closed before the first byte of a response. The server may have run the request.
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -40,6 +40,8 @@
     switch (outcome) {
     case CallOutcome::Complete:
         return "complete";
+    case CallOutcome::Unframed:
+        return "unframed";
     case CallOutcome::NotConnected:
         return "not_connected";
     case CallOutcome::ClosedUnanswered:
@@ -214,10 +216,10 @@
         closeSocket();
         return;
     }
-    const bool isComplete = isOrderly && m_responseStarted && !m_skippingResponse && m_parser.finish() && m_messageComplete;
+    const bool endsWithConnection = isOrderly && m_responseStarted && !m_skippingResponse && m_parser.finish() && m_messageComplete;
     m_messageComplete = false;
-    if (isComplete) {
-        endCall(CallOutcome::Complete);
+    if (endsWithConnection) {
+        endCall(CallOutcome::Unframed);
     } else {
         endCall(m_responseStarted ? CallOutcome::Broken : CallOutcome::ClosedUnanswered);
     }
--- a/src/http/eventstreamparser.h
+++ b/src/http/eventstreamparser.h
@@ -33,6 +33,12 @@
     /// faulty server may send one endlessly.
     bool feed(std::string_view bytes);
 
+    /// Whether an event has begun and its empty line has not arrived.
+    bool isInsideEvent() const
+    {
+        return !m_line.empty() || !m_event.raw.empty();
+    }
+
     static constexpr std::size_t MaxEventBytes = 128 * 1024;
 
 private:
--- a/src/platform/configurationcodec.cpp
+++ b/src/platform/configurationcodec.cpp
@@ -100,6 +100,7 @@
 {
     ServiceSpec spec;
     spec.name = Wire::requiredString(service, "name");
+    spec.healthPath = Wire::stringOr(service, "health_path", {});
     spec.warmupRequestsPerSecond = std::max(0.0, Wire::numberOr(service, "cold_per_s", 0));
     const auto engine = service.find("engine");
     if (engine != service.end() && engine->is_object()) {
--- a/src/platform/endpointcalls.cpp
+++ b/src/platform/endpointcalls.cpp
@@ -132,6 +132,11 @@
     return named == attemptId ? ResponseMatch::ThisCall : ResponseMatch::OtherCall;
 }
 
+ResponseMatch matchUnnamedResponse(const ResponseHead &head)
+{
+    return head.fields.value(Wire::AttemptId).empty() ? ResponseMatch::ThisCall : ResponseMatch::OtherCall;
+}
+
 RequestMessage
 makeForwardedRequest(const RequestMessage &message, const std::string &endpointId, const std::string &workspace, std::optional<Milliseconds> remaining)
 {
@@ -218,6 +223,23 @@
     return {"GET", Wire::ReportPath, {{"Host", endpoint.address}}, {}};
 }
 
+RequestMessage makeIdentityRequest(const EndpointRecord &endpoint, const std::string &healthPath)
+{
+    const auto path = healthPath.empty() ? Wire::ReportPath : healthPath;
+    return {"GET", path, {{"Host", endpoint.address}, {Wire::ExpectInstance, endpoint.id}}, {}};
+}
+
+EndpointIdentity decodeIdentity(const ResponseHead &head, std::string_view body)
+{
+    EndpointIdentity identity;
+    identity.isOther = head.status == WrongEndpointStatus;
+    identity.id = std::string(head.fields.value(Wire::InstanceId));
+    const auto startedAtMs =
+        Wire::decodeObject<std::int64_t>(body, [](const json &object) { return static_cast<std::int64_t>(Wire::unsignedOr(object, "born", 0)); });
+    identity.startedAtMs = startedAtMs ? startedAtMs.value() : 0;
+    return identity;
+}
+
 Result<EndpointState> decodeEndpointState(std::string_view body)
 {
     return Wire::decodeObject(body, decodeStateObject);
--- a/src/platform/endpointcalls.h
+++ b/src/platform/endpointcalls.h
@@ -54,6 +54,10 @@
 /// Whether an endpoint's response belongs to the attempt.
 ResponseMatch matchAttemptResponse(const ResponseHead &head, const std::string &attemptId);
 
+/// Whether an endpoint's response belongs to a call that names no attempt. One that names an attempt is a late duplicate of the response
+/// to an earlier call on the connection.
+ResponseMatch matchUnnamedResponse(const ResponseHead &head);
+
 /// Creates the request to an endpoint from a client's request. The client's API key and any workspace that it names are removed.
 RequestMessage
 makeForwardedRequest(const RequestMessage &message, const std::string &endpointId, const std::string &workspace, std::optional<Milliseconds> remaining);
@@ -109,6 +113,23 @@
 };
 
 RequestMessage makeStateRequest(const EndpointRecord &endpoint);
+
+/// Creates a request that only this endpoint answers as its own: any other process at the address rejects it. healthPath: path to
+/// ask for at an endpoint that serves no model; such a request may wait for a slot.
+RequestMessage makeIdentityRequest(const EndpointRecord &endpoint, const std::string &healthPath);
+
+/// Who has answered an identity request.
+struct EndpointIdentity {
+    /// The request reached another endpoint than the one that it names.
+    bool isOther = false;
+    /// Empty if the response does not name the endpoint.
+    std::string id;
+    /// Unix time of the start of the endpoint in milliseconds; zero if the response does not name it.
+    std::int64_t startedAtMs = 0;
+};
+
+EndpointIdentity decodeIdentity(const ResponseHead &head, std::string_view body);
+
 Result<EndpointState> decodeEndpointState(std::string_view body);
 
 }
--- a/src/platform/wirenames.h
+++ b/src/platform/wirenames.h
@@ -9,6 +9,7 @@
 inline constexpr const char *Signature = "Basilbend-Server-Signature";
 inline constexpr const char *Tenant = "Basilbend-Tenant";
 inline constexpr const char *ExpectInstance = "Basilbend-Expect-Instance";
+inline constexpr const char *InstanceId = "Basilbend-Instance-Id";
 inline constexpr const char *ExpectVersion = "Basilbend-Expect-Version";
 inline constexpr const char *ServerLoad = "Basilbend-Server-Load";
 /// Set by an endpoint that is about to leave, in every response.
--- a/src/scheduling/itemrun.cpp
+++ b/src/scheduling/itemrun.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/itemrun.h"
 
+#include "forwarding/answerend.h"
 #include "http/socketoptions.h"
 
 namespace Basilbend
@@ -75,6 +76,29 @@
 }
 
 void ItemRun::acceptEnd(CallOutcome outcome)
+{
+    const bool isInsideEvent = m_events && m_events->isInsideEvent();
+    switch (judgeAnswerEnd(outcome, isInsideEvent, m_responseFields.notExecuted)) {
+    case AnswerEnd::Final:
+        finish(outcome);
+        break;
+    case AnswerEnd::Truncated:
+        finish(CallOutcome::Broken);
+        break;
+    case AnswerEnd::Unconfirmed:
+        confirmEnd();
+        break;
+    }
+}
+
+void ItemRun::confirmEnd()
+{
+    m_lastProgressAt = m_loop.now();
+    m_check = std::make_unique<IdentityCheck>(m_client, m_loop, m_endpoint, std::string());
+    m_check->start([this](bool isSame) { finish(isSame ? CallOutcome::Complete : CallOutcome::Broken); });
+}
+
+void ItemRun::finish(CallOutcome outcome)
 {
     // Copied because the hook may destroy this run.
     const auto onEnd = m_hooks.onEnd;
@@ -86,12 +110,13 @@
     if (outcome == CallOutcome::NotConnected) {
         return RunEnd::NotConnected;
     }
+    const bool hasAnswer = outcome == CallOutcome::Complete || outcome == CallOutcome::Unframed;
+    if (hasAnswer && m_responseFields.notExecuted) {
+        return RunEnd::Refused;
+    }
     if (outcome != CallOutcome::Complete || (m_responseFields.status == 200 && !m_events)) {
         return RunEnd::Broken;
     }
-    if (m_responseFields.notExecuted) {
-        return RunEnd::Refused;
-    }
     switch (m_responseFields.status) {
     case 200:
         return RunEnd::Complete;
--- a/src/scheduling/itemrun.h
+++ b/src/scheduling/itemrun.h
@@ -3,6 +3,7 @@
 #include "base/eventloop.h"
 #include "batches/batch.h"
 #include "catalog/endpointrecord.h"
+#include "endpoints/identitycheck.h"
 #include "http/eventstreamparser.h"
 #include "http/webclient.h"
 #include "platform/endpointcalls.h"
@@ -58,6 +59,8 @@
     void acceptBody(std::string_view data);
     void acceptEvent(const StreamEvent &event);
     void acceptEnd(CallOutcome outcome);
+    void confirmEnd();
+    void finish(CallOutcome outcome);
     RunEnd classify(CallOutcome outcome) const;
 
     WebClient &m_client;
@@ -72,6 +75,8 @@
     Timestamp m_startedAt;
     Timestamp m_lastProgressAt;
     ClientCall m_call;
+    /// Set while it is found out whether the endpoint meant to end its response.
+    std::unique_ptr<IdentityCheck> m_check;
 };
 
 }
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/rewardcalls.h"
 
+#include "forwarding/answerend.h"
 #include "forwarding/servicechoice.h"
 #include "http/socketoptions.h"
 #include "scheduling/rewardorder.h"
@@ -47,7 +48,7 @@
             continue;
         }
         if (it->second.isInFlight) {
-            m_picker.recordEnded(it->second.endpoint);
+            m_picker.recordEnded(it->second.endpoint.id);
         }
         it = m_entries.erase(it);
     }
@@ -57,7 +58,7 @@
 {
     for (const auto &[number, entry] : m_entries) {
         if (entry.isInFlight) {
-            m_picker.recordEnded(entry.endpoint);
+            m_picker.recordEnded(entry.endpoint.id);
         }
     }
     m_entries.clear();
@@ -153,8 +154,7 @@
     const auto now = m_context.loop.now();
     const auto limit = rewardTimeLimit({route.latencyTarget, route.timeout, entry.timeouts, dueAt(entry) - now});
     entry.isInFlight = true;
-    entry.endpoint = endpoint.id;
-    entry.endpointStartedAtMs = endpoint.startedAtMs;
+    entry.endpoint = endpoint;
     entry.sentAt = now;
     entry.responseFields = {};
     const int call = ++entry.calls;
@@ -189,10 +189,10 @@
         auto &entry = it->second;
         entry.responseFields = decodeResponseFields(head);
         if (entry.responseFields.isLeaving) {
-            m_context.view.markEndpointLeaving(entry.endpoint, entry.endpointStartedAtMs);
+            m_context.view.markEndpointLeaving(entry.endpoint.id, entry.endpoint.startedAtMs);
         }
         if (entry.responseFields.rate) {
-            const EndpointStart start{entry.endpoint, entry.endpointStartedAtMs};
+            const EndpointStart start{entry.endpoint.id, entry.endpoint.startedAtMs};
             m_context.requestLimiter.announcedLimits().record(start, *entry.responseFields.rate, entry.sentAt, m_context.loop.now());
         }
     };
@@ -209,10 +209,40 @@
         return;
     }
     auto &entry = it->second;
+    switch (judgeAnswerEnd(end, false, entry.responseFields.notExecuted)) {
+    case AnswerEnd::Final:
+        conclude(number, end);
+        break;
+    case AnswerEnd::Truncated:
+        conclude(number, CallOutcome::Broken);
+        break;
+    case AnswerEnd::Unconfirmed:
+        confirmEnd(number, entry);
+        break;
+    }
+}
+
+void RewardCalls::confirmEnd(std::uint64_t number, Entry &entry)
+{
+    const auto *service = m_context.view.routes() == nullptr ? nullptr : m_context.view.routes()->serviceNamed(entry.endpoint.service);
+    const auto healthPath = service == nullptr ? std::string() : service->identityPath();
+    entry.check = std::make_unique<IdentityCheck>(m_context.client, m_context.loop, entry.endpoint, healthPath);
+    entry.check->start([this, number, call = entry.calls](bool isSame) {
+        const auto it = m_entries.find(number);
+        if (it != m_entries.end() && it->second.isInFlight && it->second.calls == call) {
+            conclude(number, isSame ? CallOutcome::Complete : CallOutcome::Broken);
+        }
+    });
+}
+
+void RewardCalls::conclude(std::uint64_t number, CallOutcome end)
+{
+    const auto it = m_entries.find(number);
+    auto &entry = it->second;
     const auto &responseFields = entry.responseFields;
     const auto outcome = classifyResponse(end, responseFields.status, responseFields.notExecuted, responseFields.isSigned());
     entry.isInFlight = false;
-    m_picker.recordEnded(entry.endpoint);
+    m_picker.recordEnded(entry.endpoint.id);
     updatePicker(entry, end, outcome);
     // A response without the id of the request may be a late response to another call.
     const bool isSuccess = responseFields.status >= 200 && responseFields.status < 300 && responseFields.attemptId == requestOf(entry).id;
@@ -238,10 +268,11 @@
     }
     auto &entry = it->second;
     entry.call.cancel();
+    entry.check.reset();
     entry.isInFlight = false;
     ++entry.timeouts;
-    m_picker.recordEnded(entry.endpoint);
-    m_picker.recordTimeout(entry.endpoint, m_context.loop.now());
+    m_picker.recordEnded(entry.endpoint.id);
+    m_picker.recordTimeout(entry.endpoint.id, m_context.loop.now());
     logFailure(entry, "timeout");
     retry(entryNumber, entry, ForwardOutcome::MayHaveRun);
 }
@@ -251,15 +282,15 @@
     const auto now = m_context.loop.now();
     const auto &load = entry.responseFields.load;
     if (load) {
-        m_picker.recordQueueLength(entry.endpoint, load->waiting, now);
+        m_picker.recordQueueLength(entry.endpoint.id, load->waiting, now);
     }
     if (outcome == ForwardOutcome::FinalResponse) {
-        m_picker.recordLatency(entry.endpoint, now - entry.sentAt, now);
+        m_picker.recordLatency(entry.endpoint.id, now - entry.sentAt, now);
     } else if (end == CallOutcome::Complete && outcome == ForwardOutcome::NotRun) {
-        m_picker.recordFull(entry.endpoint, now);
+        m_picker.recordFull(entry.endpoint.id, now);
     } else if (outcome != ForwardOutcome::ServerError) {
         // A 500 response says more about the text than about the endpoint: some texts can never be scored.
-        m_picker.recordFailure(entry.endpoint, now);
+        m_picker.recordFailure(entry.endpoint.id, now);
     }
 }
 
@@ -270,7 +301,7 @@
         entry.notBefore = now + RefusalRetryDelay;
     } else {
         ++entry.failures;
-        entry.failedEndpoints.insert(entry.endpoint);
+        entry.failedEndpoints.insert(entry.endpoint.id);
         entry.notBefore = now + FailureRetryDelay * std::min(entry.failures, MaxRetryDelayFactor);
     }
     m_context.loop.runAfter(entry.notBefore - now, m_hooks.onRetryDue);
@@ -295,7 +326,7 @@
                           {{"batch", entry.batch->index().id},
                            {"item", entry.batch->item(entry.item).id},
                            {"reward", requestOf(entry).id},
-                           {"endpoint", entry.endpoint},
+                           {"endpoint", entry.endpoint.id},
                            {"end", end},
                            {"status", entry.responseFields.status},
                            {"failures", entry.failures},
--- a/src/scheduling/rewardcalls.h
+++ b/src/scheduling/rewardcalls.h
@@ -3,6 +3,7 @@
 #include "base/eventloop.h"
 #include "base/random.h"
 #include "catalog/systemview.h"
+#include "endpoints/identitycheck.h"
 #include "forwarding/attemptrule.h"
 #include "forwarding/endpointpicker.h"
 #include "forwarding/requestlimiter.h"
@@ -87,12 +88,12 @@
         bool isInFlight = false;
         /// Whether it has been logged that no route leads to its service.
         bool isUnroutedLogged = false;
-        std::string endpoint;
-        /// Start time of the endpoint that receives the call.
-        std::int64_t endpointStartedAtMs = 0;
+        /// The endpoint that receives the call.
+        EndpointRecord endpoint;
         Timestamp sentAt;
         EndpointResponseFields responseFields;
         ClientCall call;
+        std::unique_ptr<IdentityCheck> check;
     };
 
     static const RewardRequest &requestOf(const Entry &entry)
@@ -110,6 +111,9 @@
     void send(std::uint64_t number, Entry &entry, const RouteRule &route, const EndpointRecord &endpoint);
     CallHooks callHooks(std::uint64_t number);
     void acceptEnd(std::uint64_t number, CallOutcome end);
+    /// Finds out whether the endpoint meant to end a response without a length.
+    void confirmEnd(std::uint64_t number, Entry &entry);
+    void conclude(std::uint64_t number, CallOutcome end);
     void handleTimeout(std::uint64_t entryNumber, int callNumber);
     void updatePicker(const Entry &entry, CallOutcome end, ForwardOutcome outcome);
     void retry(std::uint64_t number, Entry &entry, ForwardOutcome outcome);
--- a/src/weights/weightupdater.cpp
+++ b/src/weights/weightupdater.cpp
@@ -223,6 +223,7 @@
             open->body.append(data);
         }
     };
+    hooks.matchResponse = matchUnnamedResponse;
     hooks.maxBodyBytes = MaxReportBytes;
     auto isOpen = std::make_shared<bool>(true);
     hooks.onEnd = [this, endpoint, serial, isOpen, onEnd](CallOutcome outcome) {
@@ -250,8 +251,9 @@
 void WeightUpdater::handleReport(const std::string &endpoint, CallOutcome outcome)
 {
     auto &order = m_orders.at(endpoint);
-    const auto state = outcome == CallOutcome::Complete && order.status == 200 ? decodeEndpointState(order.body)
-                                                                               : Result<EndpointState>(Error{ResultCode::EndpointFailed, "no report"});
+    // A report without a length that was cut off is no JSON object.
+    const bool hasReport = (outcome == CallOutcome::Complete || outcome == CallOutcome::Unframed) && order.status == 200;
+    const auto state = hasReport ? decodeEndpointState(order.body) : Result<EndpointState>(Error{ResultCode::EndpointFailed, "no report"});
     const auto now = m_loop.now();
     if (!state) {
         if (order.phase == Phase::Loading && now - order.startedAt < LoadTimeout) {
--- a/tests/http/clientserver.cpp
+++ b/tests/http/clientserver.cpp
@@ -237,7 +237,8 @@
                             Row{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", CallOutcome::Broken},
                             Row{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", CallOutcome::Broken},
                             Row{"garbage garbage\r\n\r\n", CallOutcome::Broken},
-                            Row{"HTTP/1.1 200 OK\r\n\r\nuntil the end", CallOutcome::Complete},
+                            // The end of the connection alone does not show that the response is whole.
+                            Row{"HTTP/1.1 200 OK\r\n\r\nuntil the end", CallOutcome::Unframed},
                             Row{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcEXTRA", CallOutcome::Complete}}) {
         WebFixture fixture;
         ScriptedServer scripted(fixture.io, row.bytes);
--- a/tests/scheduling/rewardcalls.cpp
+++ b/tests/scheduling/rewardcalls.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/rewardcalls.h"
 
+#include "http/rawendpoint.h"
 #include "http/scriptedendpoint.h"
 
 #include <algorithm>
@@ -258,4 +259,54 @@
     BOOST_TEST(scores.empty());
 }
 
+/// An endpoint whose responses have no length beside one that answers as usual.
+struct UnframedRewardFixture : RewardFixture {
+    RawEndpoint raw{io, "i-3", 1000};
+
+    UnframedRewardFixture()
+    {
+        store.erase("servers/i-1");
+        store.erase("servers/i-2");
+        const auto address = "127.0.0.1:" + std::to_string(raw.port());
+        store.put("servers/i-3",
+                  nlohmann::json{{"service", "s"}, {"address", address}, {"zone", "z"}, {"slots", 6}, {"state", "ready"}, {"born", 1000}}.dump());
+        time.advance(Milliseconds(50));
+    }
+
+    void addFirst()
+    {
+        const auto address = "127.0.0.1:" + std::to_string(first.server.port());
+        store.put("servers/i-1", nlohmann::json{{"service", "s"}, {"address", address}, {"zone", "z"}, {"slots", 6}, {"state", "ready"}}.dump());
+    }
+};
+
+// Guards against a score of an endpoint that is killed within its response: the response has no length, so nothing shows that it was cut.
+BOOST_FIXTURE_TEST_CASE(a_reward_call_is_repeated_if_its_endpoint_was_killed_within_a_response_without_a_length, UnframedRewardFixture)
+{
+    raw.onRequest = [this](const RawEndpoint::ConnectionPtr &connection) {
+        connection->write(RawEndpoint::head("r0") + "{");
+        addFirst();
+        raw.kill();
+    };
+    finishTexts(1, 1);
+    run(500);
+    BOOST_REQUIRE(scores.size() == 1U);
+    BOOST_TEST(scores.front().second == "scored-r0");
+    BOOST_TEST(raw.requests.size() == 1U);
+}
+
+// Guards against a score that is lost because its response has no length.
+BOOST_FIXTURE_TEST_CASE(a_reward_response_without_a_length_counts_if_its_endpoint_still_runs, UnframedRewardFixture)
+{
+    raw.onRequest = [](const RawEndpoint::ConnectionPtr &connection) {
+        connection->write(RawEndpoint::head("r0") + "{}");
+        connection->close();
+    };
+    finishTexts(1, 1);
+    run(500);
+    BOOST_REQUIRE(scores.size() == 1U);
+    BOOST_TEST(scores.front().second == "s");
+    BOOST_TEST(raw.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
