Send a request again only on a connection that has not carried it

Cause: a response names the request, not the sending. After a refusal the request went to the same endpoint again, often on the same connection, where a late copy of the refusal was taken for the answer to the new sending.

Evidence: gateway/a_late_copy_of_a_refusal_does_not_refuse_the_next_sending_of_the_request and scheduling/a_late_copy_of_a_500_does_not_count_as_another_answer fail with a pool that ignores the history.

Change: live requests, items and reward calls keep the connections that have carried them, and a sending takes another one. A copy can arrive only on the connection of its sending, however late it comes.

--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -350,7 +350,7 @@
                         {"run", crashedRunName(attempt.run)},
                         {"in_flight", m_context.picker.inFlight(endpoint.id)},
                         {"left_ms", timeLeft()}});
-    attempt.call = m_context.client.send(parseSocketEndpoint(endpoint.address), message, makeHooks(index), ConnectTimeout);
+    attempt.call = m_context.client.sendAgain(parseSocketEndpoint(endpoint.address), message, makeHooks(index), ConnectTimeout, m_connections);
     scheduleHedge();
 }
 
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -112,6 +112,8 @@
     Timestamp m_deadline;
     std::vector<std::unique_ptr<LiveAttempt>> m_attempts;
     std::set<std::string> m_excludedEndpoints;
+    /// Connections that have carried the request.
+    ConnectionHistory m_connections;
     int m_executedAttempts = 0;
     bool m_isFinished = false;
     bool m_isUsageCounted = false;
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -52,9 +52,10 @@
     return "unknown";
 }
 
-ClientConnection::ClientConnection(asio::io_context &io, asio::ip::tcp::endpoint server, IdleHook onIdle, ClosedHook onClosed)
+ClientConnection::ClientConnection(asio::io_context &io, asio::ip::tcp::endpoint server, std::uint64_t number, IdleHook onIdle, ClosedHook onClosed)
     : m_socket(io)
     , m_server(std::move(server))
+    , m_number(number)
     , m_connectTimer(io)
     , m_parser(MessageParser::Kind::Response,
                {[this](MessageHead &&head) { handleHead(std::move(head)); },
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -8,6 +8,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,7 +25,8 @@
     /// Called when the connection has been closed.
     using ClosedHook = std::function<void(ClientConnection *)>;
 
-    ClientConnection(asio::io_context &io, asio::ip::tcp::endpoint server, IdleHook onIdle, ClosedHook onClosed);
+    /// number: identifies the connection among those of its client.
+    ClientConnection(asio::io_context &io, asio::ip::tcp::endpoint server, std::uint64_t number, IdleHook onIdle, ClosedHook onClosed);
     ~ClientConnection();
 
     /// Starts a call with the serialized request. Connects first if the connection is not established yet.
@@ -33,6 +35,11 @@
     /// Closes the connection immediately. The hooks of an open call are not called.
     void close();
 
+    std::uint64_t number() const
+    {
+        return m_number;
+    }
+
     const asio::ip::tcp::endpoint &server() const
     {
         return m_server;
@@ -62,6 +69,7 @@
 
     asio::ip::tcp::socket m_socket;
     asio::ip::tcp::endpoint m_server;
+    std::uint64_t m_number;
     asio::steady_timer m_connectTimer;
     MessageParser m_parser;
     SocketReader m_reader;
--- a/src/http/webclient.cpp
+++ b/src/http/webclient.cpp
@@ -59,25 +59,24 @@
 }
 
 ClientCall WebClient::send(const asio::ip::tcp::endpoint &server, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout)
+{
+    ConnectionHistory history;
+    return sendAgain(server, request, std::move(hooks), connectTimeout, history);
+}
+
+ClientCall WebClient::sendAgain(
+    const asio::ip::tcp::endpoint &server, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout, ConnectionHistory &history)
+{
+    const auto idle = takeIdle(server, history);
+    const auto connection = idle ? idle : openConnection(server);
+    history.add(connection->number());
+    return startCall(connection, request, std::move(hooks), connectTimeout);
+}
+
+ClientCall
+WebClient::startCall(const std::shared_ptr<ClientConnection> &connection, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout)
 {
     ++m_counts.calls;
-    auto connection = takeIdle(server);
-    if (!connection) {
-        ++m_counts.connects;
-        connection = std::make_shared<ClientConnection>(
-            m_io,
-            server,
-            [this, alive = m_alive](const std::shared_ptr<ClientConnection> &idle) {
-                if (*alive) {
-                    putIdle(idle);
-                }
-            },
-            [this, alive = m_alive](ClientConnection *closed) {
-                if (*alive) {
-                    removeFromIdle(closed);
-                }
-            });
-    }
     auto open = std::make_shared<bool>(true);
     hooks.onEnd = [open, onEnd = std::move(hooks.onEnd)](CallOutcome outcome) {
         *open = false;
@@ -87,6 +86,25 @@
     return ClientCall(connection, open);
 }
 
+std::shared_ptr<ClientConnection> WebClient::openConnection(const asio::ip::tcp::endpoint &server)
+{
+    ++m_counts.connects;
+    return std::make_shared<ClientConnection>(
+        m_io,
+        server,
+        ++m_lastConnection,
+        [this, alive = m_alive](const std::shared_ptr<ClientConnection> &idle) {
+            if (*alive) {
+                putIdle(idle);
+            }
+        },
+        [this, alive = m_alive](ClientConnection *closed) {
+            if (*alive) {
+                removeFromIdle(closed);
+            }
+        });
+}
+
 void WebClient::probe(const asio::ip::tcp::endpoint &server, Milliseconds timeout, std::function<void(ProbeResult)> callback)
 {
     ++m_counts.connects;
@@ -97,32 +115,46 @@
     });
 }
 
-std::shared_ptr<ClientConnection> WebClient::takeIdle(const asio::ip::tcp::endpoint &server)
+std::shared_ptr<ClientConnection> WebClient::takeIdle(const asio::ip::tcp::endpoint &server, const ConnectionHistory &history)
 {
+    closeExpired(server);
     const auto it = m_idleConnections.find(server);
     if (it == m_idleConnections.end()) {
         return nullptr;
     }
-    std::shared_ptr<ClientConnection> usable;
-    std::vector<IdleConnection> expired;
+    // Reuses the connection that has been idle longest, so that the server closes none of them between two bursts.
     auto &idle = it->second;
-    while (!idle.empty() && !usable) {
-        // Reuses the connection that has been idle longest, so that the server closes none of them between two bursts.
-        auto entry = std::move(idle.front());
-        idle.pop_front();
+    const auto entry =
+        std::find_if(idle.begin(), idle.end(), [&history](const IdleConnection &candidate) { return !history.contains(candidate.connection->number()); });
+    if (entry == idle.end()) {
+        return nullptr;
+    }
+    const auto connection = entry->connection;
+    idle.erase(entry);
+    return connection;
+}
+
+void WebClient::closeExpired(const asio::ip::tcp::endpoint &server)
+{
+    const auto it = m_idleConnections.find(server);
+    if (it == m_idleConnections.end()) {
+        return;
+    }
+    auto &idle = it->second;
+    const auto isUsable = [now = m_clock()](const IdleConnection &entry) {
         const auto timeout = entry.connection->keepAliveTimeout();
-        const bool isExpired = timeout.count() > 0 && m_clock() - entry.since + KeepAliveMargin >= timeout;
-        if (entry.connection->isConnected() && !isExpired) {
-            usable = std::move(entry.connection);
-        } else {
-            expired.push_back(std::move(entry));
-        }
+        const bool isExpired = timeout.count() > 0 && now - entry.since + KeepAliveMargin >= timeout;
+        return entry.connection->isConnected() && !isExpired;
+    };
+    std::vector<IdleConnection> expired;
+    while (!idle.empty() && !isUsable(idle.front())) {
+        expired.push_back(std::move(idle.front()));
+        idle.pop_front();
     }
     // Closed after the loop, because closing a connection modifies the pool.
     for (const auto &entry : expired) {
         entry.connection->close();
     }
-    return usable;
 }
 
 void WebClient::putIdle(const std::shared_ptr<ClientConnection> &connection)
--- a/src/http/webclient.h
+++ b/src/http/webclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/clientconnection.h"
+#include "http/connectionhistory.h"
 #include "http/connectionprobe.h"
 
 #include <asio/io_context.hpp>
@@ -50,6 +51,11 @@
     /// Sends a request. The hooks are called from the event loop, never from within this function.
     ClientCall send(const asio::ip::tcp::endpoint &server, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout);
 
+    /// Sends a request that may be sent more than once, on a connection that has not carried it. history: connections of the earlier
+    /// sendings, to which the one of this sending is added.
+    ClientCall
+    sendAgain(const asio::ip::tcp::endpoint &server, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout, ConnectionHistory &history);
+
     /// Finds out whether a process listens at the address. The callback is called from the event loop, once.
     void probe(const asio::ip::tcp::endpoint &server, Milliseconds timeout, std::function<void(ProbeResult)> callback);
 
@@ -67,7 +73,12 @@
         Timestamp since;
     };
 
-    std::shared_ptr<ClientConnection> takeIdle(const asio::ip::tcp::endpoint &server);
+    ClientCall startCall(const std::shared_ptr<ClientConnection> &connection, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout);
+    std::shared_ptr<ClientConnection> openConnection(const asio::ip::tcp::endpoint &server);
+    /// Returns an idle connection that is not in the history, or null.
+    std::shared_ptr<ClientConnection> takeIdle(const asio::ip::tcp::endpoint &server, const ConnectionHistory &history);
+    /// Closes the connections that have been idle longest, up to the first that can be used.
+    void closeExpired(const asio::ip::tcp::endpoint &server);
     void putIdle(const std::shared_ptr<ClientConnection> &connection);
     void removeFromIdle(ClientConnection *connection);
 
@@ -75,6 +86,7 @@
     std::function<Timestamp()> m_clock;
     std::map<asio::ip::tcp::endpoint, std::deque<IdleConnection>> m_idleConnections;
     WebClientCounts m_counts;
+    std::uint64_t m_lastConnection = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/scheduling/itemrun.cpp
+++ b/src/scheduling/itemrun.cpp
@@ -24,7 +24,7 @@
 {
 }
 
-void ItemRun::start(const BatchItem &item, const BatchIndex &batch, const RunStart &from)
+void ItemRun::start(const BatchItem &item, const BatchIndex &batch, const RunStart &from, ConnectionHistory &connections)
 {
     m_itemId = item.id;
     CallHooks hooks;
@@ -32,7 +32,8 @@
     hooks.onHead = [this](const ResponseHead &head) { acceptHead(head); };
     hooks.onBody = [this](std::string_view data) { acceptBody(data); };
     hooks.onEnd = [this](CallOutcome outcome) { acceptEnd(outcome); };
-    m_call = m_client.send(parseSocketEndpoint(m_endpoint.address), makeItemRequest(item, batch, m_endpoint.id, from), std::move(hooks), ConnectTimeout);
+    const auto request = makeItemRequest(item, batch, m_endpoint.id, from);
+    m_call = m_client.sendAgain(parseSocketEndpoint(m_endpoint.address), request, std::move(hooks), ConnectTimeout, connections);
 }
 
 void ItemRun::acceptBody(std::string_view data)
--- a/src/scheduling/itemrun.h
+++ b/src/scheduling/itemrun.h
@@ -36,7 +36,8 @@
     ItemRun(WebClient &client, EventLoop loop, const EndpointRecord &endpoint, std::uint64_t fallbackVersion, ItemRunHooks hooks);
 
     /// Sends the item to the endpoint; the hooks report the events and the end of the run.
-    void start(const BatchItem &item, const BatchIndex &batch, const RunStart &from);
+    /// connections: those of earlier runs of the item; the one of this run is added.
+    void start(const BatchItem &item, const BatchIndex &batch, const RunStart &from, ConnectionHistory &connections);
 
     const EndpointRecord &endpoint() const
     {
--- a/src/scheduling/itemruns.cpp
+++ b/src/scheduling/itemruns.cpp
@@ -45,7 +45,7 @@
                         {"running", m_context.tracker.runCount(endpoint.id)},
                         {"endpoint_version", m_hooks.endpoints.servedVersion(endpoint, state.submission().model)}});
     const RunStart from{progress.text.lastEventId(), m_hooks.endpoints.unreportedVersion(endpoint.id, state.submission().model)};
-    openRun.itemRun->start(state.item(item), state.index(), from);
+    openRun.itemRun->start(state.item(item), state.index(), from, progress.connections);
     m_context.requestLimiter.recordRequest(endpoint, m_context.loop.now());
     m_context.tracker.addRun(endpoint.id, run, runTokens(state.item(item), progress.text.eventCount()));
     batch.openRuns.emplace(item, std::move(openRun));
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "batches/batch.h"
+#include "http/connectionhistory.h"
 #include "scheduling/resumabletext.h"
 
 #include <cstddef>
@@ -41,6 +42,8 @@
     int runsWithoutEvent = 0;
     /// Whether a run of the item has been cancelled because another endpoint was faster.
     bool hasMoved = false;
+    /// Connections that have carried the item.
+    ConnectionHistory connections;
 };
 
 /// Settings of a batch's route that apply to its items.
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -169,8 +169,8 @@
                         {"call", call},
                         {"unfinished_in_group", entry.batch->unfinishedInGroup(entry.item)},
                         {"limit_ms", limit}});
-    entry.call = m_context.client.send(
-        parseSocketEndpoint(endpoint.address), makeRewardRequest(requestOf(entry), endpoint.id, limit), callHooks(number), ConnectTimeout);
+    const auto request = makeRewardRequest(requestOf(entry), endpoint.id, limit);
+    entry.call = m_context.client.sendAgain(parseSocketEndpoint(endpoint.address), request, callHooks(number), ConnectTimeout, entry.connections);
     m_context.loop.runAfter(limit + ResponseMargin, [this, number, call] { handleTimeout(number, call); });
 }
 
--- a/src/scheduling/rewardcalls.h
+++ b/src/scheduling/rewardcalls.h
@@ -93,6 +93,8 @@
         Timestamp sentAt;
         EndpointResponseFields responseFields;
         ClientCall call;
+        /// Connections that have carried the request.
+        ConnectionHistory connections;
         std::unique_ptr<IdentityCheck> check;
     };
 
--- /dev/null
+++ b/tests/gateway/rawanswers.cpp
@@ -0,0 +1,142 @@
+#include "gateway/gatewayprocess.h"
+#include "http/rawendpoint.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+using namespace Basilbend;
+
+namespace
+{
+
+constexpr const char *ConfigurationText = R"({"version":7,"services":[{"name":"s","health_path":"/health"}],"tenants":[{"name":"w","api_keys":["k"]}],
+ "routes":[
+ {"name":"once","host":"a.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":400,"service":"s","attempts":3},
+ {"name":"often","host":"a.example","path_prefix":"/often/","kind":"idempotent","timeout_ms":3000,"target_latency_ms":4000,"service":"s","attempts":3},
+ {"name":"kept","host":"a.example","path_prefix":"/kept/","kind":"streaming","resumable":true,"timeout_ms":9000,"target_latency_ms":400,"service":"s",
+  "attempts":3},
+ {"name":"stream","host":"a.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":9000,"target_latency_ms":400,"service":"s","attempts":3}]})";
+
+constexpr const char *Refusal = "HTTP/1.1 503 Service Unavailable\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *WholeAnswer = "HTTP/1.1 200 OK\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Server-Signature: s\r\nContent-Length: 5\r\n\r\nwhole";
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
+}
+
+/// A gateway and endpoints of which the tests write the responses.
+struct RawAnswerFixture {
+    using ConnectionPtr = RawEndpoint::ConnectionPtr;
+
+    asio::io_context io;
+    VirtualTime time{Timestamp(1'000'000)};
+    FakeMetadataStore store{time};
+    std::vector<std::unique_ptr<RawEndpoint>> endpoints;
+    std::unique_ptr<GatewayProcess> gateway;
+    WebClient client{io, systemNow};
+    ClientCall call;
+    int status = 0;
+    std::string body;
+    std::optional<CallOutcome> outcome;
+
+    /// A request that an endpoint crashed under is not sent to the last one that is left.
+    explicit RawAnswerFixture(int endpointCount = 4)
+    {
+        store.put("op/config", ConfigurationText);
+        for (int i = 1; i <= endpointCount; ++i) {
+            const auto id = "i-" + std::to_string(i);
+            endpoints.push_back(std::make_unique<RawEndpoint>(io, id, 1000));
+            const auto address = "127.0.0.1:" + std::to_string(endpoints.back()->port());
+            store.put("servers/" + id,
+                      nlohmann::json{{"service", "s"}, {"address", address}, {"zone", "z"}, {"slots", 8}, {"state", "ready"}, {"born", 1000}}.dump());
+        }
+        gateway = std::make_unique<GatewayProcess>(io, time, store);
+        time.advance(Milliseconds(50));
+    }
+
+    void send(const std::string &path)
+    {
+        CallHooks hooks;
+        hooks.onHead = [this](const ResponseHead &head) { status = head.status; };
+        hooks.onBody = [this](std::string_view data) { body.append(data); };
+        hooks.onEnd = [this](CallOutcome callOutcome) { outcome = callOutcome; };
+        RequestMessage request{
+            "POST", path, {{"Host", "a.example"}, {"X-Api-Key", "k"}, {"Basilbend-Attempt-Id", "r-1"}, {"Basilbend-Deadline-Ms", "5000"}}, "b"};
+        call = client.send({asio::ip::make_address("127.0.0.1"), gateway->server.port()}, request, std::move(hooks), Milliseconds(500));
+    }
+
+    /// Runs sockets and virtual time until the response has ended, for at most ms milliseconds of virtual time.
+    void run(int ms)
+    {
+        for (int i = 0; i < ms && !outcome; i += 10) {
+            io.restart();
+            io.run_for(std::chrono::milliseconds(2));
+            time.advance(Milliseconds(10));
+        }
+    }
+
+    /// Sets the behaviour for the first request, at whichever endpoint it arrives, and for all later requests.
+    void script(const std::function<void(RawEndpoint &, const ConnectionPtr &)> &onFirst, const std::function<void(const ConnectionPtr &)> &onLater)
+    {
+        auto hasFirst = std::make_shared<bool>(false);
+        for (const auto &endpoint : endpoints) {
+            endpoint->onRequest = [hasFirst, onFirst, onLater, raw = endpoint.get()](const ConnectionPtr &connection) {
+                if (*hasFirst) {
+                    onLater(connection);
+                } else {
+                    *hasFirst = true;
+                    onFirst(*raw, connection);
+                }
+            };
+        }
+    }
+
+    std::size_t runs() const
+    {
+        std::size_t n = 0;
+        for (const auto &endpoint : endpoints) {
+            n += endpoint->requests.size();
+        }
+        return n;
+    }
+};
+
+struct SingleEndpointFixture : RawAnswerFixture {
+    SingleEndpointFixture()
+        : RawAnswerFixture(1)
+    {
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(gateway, *boost::unit_test::label("gateway"))
+
+// Guards against a non-idempotent request that runs twice: the late copy of a refusal is taken for the response to the next sending of
+// the request, which the endpoint runs.
+BOOST_FIXTURE_TEST_CASE(a_late_copy_of_a_refusal_does_not_refuse_the_next_sending_of_the_request, SingleEndpointFixture)
+{
+    int executed = 0;
+    int received = 0;
+    endpoints.front()->onRequest = [&](const ConnectionPtr &connection) {
+        if (++received == 1) {
+            connection->write(Refusal);
+            return;
+        }
+        if (connection->requests > 1) {
+            connection->write(Refusal);
+        }
+        ++executed;
+        connection->write(WholeAnswer);
+    };
+    send("/once/a");
+    run(2000);
+    BOOST_TEST(status == 200);
+    BOOST_TEST(body == "whole");
+    BOOST_TEST(executed == 1);
+    BOOST_TEST(received == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/itemrun.cpp
+++ b/tests/scheduling/itemrun.cpp
@@ -45,7 +45,8 @@
         item.path = "/p";
         BatchIndex batch;
         batch.host = "a.example";
-        run.start(item, batch, {});
+        ConnectionHistory connections;
+        run.start(item, batch, {}, connections);
         for (int i = 0; i < 200 && !end; ++i) {
             io.restart();
             io.run_for(std::chrono::milliseconds(2));
@@ -93,7 +94,8 @@
     item.path = "/p";
     BatchIndex batch;
     batch.host = "a.example";
-    run.start(item, batch, {});
+    ConnectionHistory connections;
+    run.start(item, batch, {}, connections);
     for (int i = 0; i < 100 && !end; ++i) {
         io.restart();
         io.run_for(std::chrono::milliseconds(2));
--- a/tests/scheduling/rewardcalls.cpp
+++ b/tests/scheduling/rewardcalls.cpp
@@ -309,4 +309,23 @@
     BOOST_TEST(raw.requests.size() == 1U);
 }
 
+// Guards against a text that is given up an answer early: the late copy of a 500 counts as the answer to the next call, which succeeds.
+BOOST_FIXTURE_TEST_CASE(a_late_copy_of_a_500_does_not_count_as_another_answer, UnframedRewardFixture)
+{
+    const std::string failure = "HTTP/1.1 500 Internal Server Error\r\nBasilbend-Attempt-Id: r0\r\nBasilbend-Server-Signature: s\r\nContent-Length: 0\r\n\r\n";
+    raw.onRequest = [this, failure](const RawEndpoint::ConnectionPtr &connection) {
+        if (raw.requests.size() == 1) {
+            connection->write(failure);
+            return;
+        }
+        connection->write((connection->requests > 1 ? failure : std::string())
+                          + "HTTP/1.1 200 OK\r\nBasilbend-Attempt-Id: r0\r\nBasilbend-Server-Signature: scored\r\nContent-Length: 0\r\n\r\n");
+    };
+    finishTexts(1, 1);
+    run(500);
+    BOOST_TEST(serverErrors == 1);
+    BOOST_REQUIRE(scores.size() == 1U);
+    BOOST_TEST(scores.front().second == "scored");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/silence.cpp
+++ b/tests/scheduling/silence.cpp
@@ -38,7 +38,8 @@
         BatchItem item;
         item.id = "item";
         item.path = "/p";
-        itemRun->start(item, BatchIndex(), {});
+        ConnectionHistory connections;
+        itemRun->start(item, BatchIndex(), {}, connections);
     }
 
     void run(int ms)
