Confirm a version that an answer to an order claims by a report

Related to the late copies of answers: orders and reports name no attempt, so a copy of an earlier 200 passed for the answer "this order holds already", and items were placed for a version that the engine did not serve.

Evidence: weights/a_version_that_an_answer_to_an_order_claims_is_confirmed_by_a_report fails with the version confirmed by the answer.

Change: after such an answer the engine is asked for a report, and the order is repeated if the report does not show it.

--- a/src/weights/weightupdater.cpp
+++ b/src/weights/weightupdater.cpp
@@ -331,7 +331,10 @@
         return;
     }
     if (outcome == CallOutcome::Complete && order.status == 200) {
-        confirmVersion(order, order.version);
+        // The answer names no order, so it may be a late copy of another one; only a report shows the version.
+        order.phase = Phase::Loading;
+        order.load.isUnanswered = true;
+        requestReport(endpoint);
         return;
     }
     if (outcome == CallOutcome::Complete || outcome == CallOutcome::NotConnected) {
--- a/src/weights/weightupdater.h
+++ b/src/weights/weightupdater.h
@@ -87,7 +87,7 @@
         std::string body;
     };
 
-    /// The version that an endpoint last confirmed as loaded, in a report or in its answer to an order.
+    /// The version that an endpoint last reported as loaded.
     struct ConfirmedVersion {
         std::string model;
         std::uint64_t version = 0;
--- a/tests/weights/loads.cpp
+++ b/tests/weights/loads.cpp
@@ -27,6 +27,7 @@
     SystemView view{store, virtualLoop(time), log, ViewScope::Control, Milliseconds(2500), Milliseconds(5000)};
     std::optional<WeightUpdater> updater;
     bool answersOrders = true;
+    int orderStatus = 202;
     int plans = 0;
     std::string reported = report(1, 0, false);
     Timestamp orderedAt;
@@ -72,7 +73,7 @@
         orderedAt = time.now();
         reported = report(1, 1, true);
         if (answersOrders) {
-            exchange->respond({202, {}, {}});
+            exchange->respond({orderStatus, {}, {}});
         }
     }
 
@@ -129,6 +130,20 @@
     BOOST_TEST(updater->servedVersion(record(), Model) == 2U);
 }
 
+// Guards against work for a version that the engine does not serve: a late copy of another answer says that the order holds already.
+BOOST_FIXTURE_TEST_CASE(a_version_that_an_answer_to_an_order_claims_is_confirmed_by_a_report, LoadFixture)
+{
+    orderStatus = 200;
+    run(300);
+    BOOST_TEST(updater->isLoading(Endpoint, Model));
+    BOOST_TEST(updater->servedVersion(record(), Model) == 1U);
+    reported = report(2, 1, false);
+    run(400);
+    BOOST_TEST(!updater->isLoading(Endpoint, Model));
+    BOOST_TEST(updater->servedVersion(record(), Model) == 2U);
+    BOOST_TEST(updater->unreportedVersion(Endpoint, Model) == 0U);
+}
+
 // Guards against sending work to an engine whose order was lost or is carried out seconds later.
 BOOST_AUTO_TEST_CASE(an_unanswered_load_is_not_presumed_complete)
 {
