Confirm the end of a live response that has no length

Evidence: gateway/rawanswers, with endpoints killed within and between events on each kind of route: 4 tests fail with an unframed end taken as complete.

Change: the client's response stays open while the endpoint is asked who it is. A whole response ends; a resumable stream that was cut goes on elsewhere after its last event, another is broken off; an idempotent request runs elsewhere, others end in 502.

--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -1,5 +1,6 @@
 #include "gateway/livecall.h"
 
+#include "forwarding/answerend.h"
 #include "forwarding/servicechoice.h"
 #include "forwarding/warmupchoice.h"
 #include "gateway/rejection.h"
@@ -361,7 +362,7 @@
     hooks.matchResponse = [self](const ResponseHead &head) { return matchAttemptResponse(head, self->m_request.attemptId); };
     hooks.onHead = [self, index](const ResponseHead &head) { self->handleHead(index, head); };
     hooks.onBody = [self, index](std::string_view data) { self->handleBody(index, data); };
-    hooks.onEnd = [self, index](CallOutcome end) { self->handleEnd(index, end == CallOutcome::Unframed ? CallOutcome::Complete : end); };
+    hooks.onEnd = [self, index](CallOutcome end) { self->handleEnd(index, end); };
     return hooks;
 }
 
@@ -493,6 +494,41 @@
     attempt.ended = true;
     m_context.picker.recordEnded(attempt.endpoint.id);
     m_crashGuard.endTrial();
+    const bool isInsideEvent = m_eventStream && m_eventStream->isInsideEvent();
+    switch (judgeAnswerEnd(end, isInsideEvent, attempt.responseFields.notExecuted)) {
+    case AnswerEnd::Final:
+        acceptEnd(index, end);
+        break;
+    case AnswerEnd::Truncated:
+        acceptEnd(index, CallOutcome::Broken);
+        break;
+    case AnswerEnd::Unconfirmed:
+        confirmEnd(index);
+        break;
+    }
+}
+
+void LiveCall::confirmEnd(std::size_t index)
+{
+    auto &attempt = *m_attempts[index];
+    if (m_isFinished) {
+        return;
+    }
+    countUsage(attempt.sentAt);
+    attempt.isBeingChecked = true;
+    const auto *routes = m_context.view.routes();
+    const auto *service = routes == nullptr ? nullptr : routes->serviceNamed(attempt.endpoint.service);
+    const auto healthPath = service == nullptr ? std::string() : service->identityPath();
+    attempt.check = std::make_unique<IdentityCheck>(m_context.client, m_context.loop, attempt.endpoint, healthPath);
+    attempt.check->start([self = shared_from_this(), index](bool isSame) {
+        self->m_attempts[index]->isBeingChecked = false;
+        self->acceptEnd(index, isSame ? CallOutcome::Complete : CallOutcome::Broken);
+    });
+}
+
+void LiveCall::acceptEnd(std::size_t index, CallOutcome end)
+{
+    auto &attempt = *m_attempts[index];
     const bool mayHaveCrashed = !attempt.isAborted && (end == CallOutcome::ClosedUnanswered || end == CallOutcome::Broken);
     if (m_isFinished || !mayHaveCrashed) {
         concludeAttempt(index, end);
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -67,6 +67,10 @@
     /// Aborts an attempt whose response exceeds the buffer limits. The reason is logged.
     void abortAttempt(std::size_t index, const char *why);
     void handleEnd(std::size_t index, CallOutcome end);
+    /// Finds out whether the endpoint meant to end a response without a length.
+    void confirmEnd(std::size_t index);
+    /// end: not CallOutcome::Unframed, unless the head of the response says that the request did not run.
+    void acceptEnd(std::size_t index, CallOutcome end);
     void concludeAttempt(std::size_t index, CallOutcome end);
     void applyRetryDecision(std::size_t index, ForwardOutcome outcome);
     void waitForCapacity();
--- a/tests/gateway/rawanswers.cpp
+++ b/tests/gateway/rawanswers.cpp
@@ -139,4 +139,111 @@
     BOOST_TEST(received == 2);
 }
 
+// Guards against a stream that ends as complete before its last event: its endpoint is killed while the response has no length.
+BOOST_AUTO_TEST_CASE(a_stream_without_a_length_is_resumed_if_its_endpoint_was_killed)
+{
+    for (const std::string lastBytes : {"", "id: 3\ndata: ha"}) {
+        RawAnswerFixture fixture;
+        fixture.script(
+            [&lastBytes](RawEndpoint &endpoint, const RawEndpoint::ConnectionPtr &connection) {
+                connection->write(RawEndpoint::head("r-1") + event(1) + event(2) + lastBytes);
+                endpoint.kill();
+            },
+            [](const RawEndpoint::ConnectionPtr &connection) {
+                BOOST_TEST(connection->request.fields.value("Last-Event-Id") == "2");
+                connection->write(RawEndpoint::head("r-1") + event(3) + event(4));
+                connection->close();
+            });
+        fixture.send("/kept/a");
+        fixture.run(2000);
+        BOOST_REQUIRE(fixture.outcome.has_value());
+        BOOST_TEST((*fixture.outcome == CallOutcome::Complete));
+        BOOST_TEST(fixture.body == event(1) + event(2) + event(3) + event(4));
+        BOOST_TEST(fixture.runs() == 2U);
+    }
+}
+
+// Guards against a client that takes part of a stream for all of it: the stream may not be resumed, so it is broken off.
+BOOST_FIXTURE_TEST_CASE(a_stream_without_a_length_that_cannot_be_resumed_is_broken_off_if_its_endpoint_was_killed, RawAnswerFixture)
+{
+    script(
+        [](RawEndpoint &endpoint, const ConnectionPtr &connection) {
+            connection->write(RawEndpoint::head("r-1") + event(1) + event(2));
+            endpoint.kill();
+        },
+        [](const ConnectionPtr &) {});
+    send("/stream/a");
+    run(2000);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((*outcome == CallOutcome::Broken));
+    BOOST_TEST(runs() == 1U);
+}
+
+// Guards against a whole answer that is lost or run again because it has no length.
+BOOST_AUTO_TEST_CASE(a_response_without_a_length_is_delivered_if_its_endpoint_still_runs)
+{
+    for (const std::string path : {"/once/a", "/often/a", "/kept/a", "/stream/a"}) {
+        RawAnswerFixture fixture;
+        fixture.script(
+            [](RawEndpoint &, const RawEndpoint::ConnectionPtr &connection) {
+                connection->write(RawEndpoint::head("r-1") + event(1) + event(2));
+                connection->close();
+            },
+            [](const RawEndpoint::ConnectionPtr &) {});
+        fixture.send(path);
+        fixture.run(2000);
+        BOOST_REQUIRE(fixture.outcome.has_value());
+        BOOST_TEST((*fixture.outcome == CallOutcome::Complete), path);
+        BOOST_TEST(fixture.status == 200, path);
+        BOOST_TEST(fixture.body == event(1) + event(2), path);
+        BOOST_TEST(fixture.runs() == 1U, path);
+    }
+}
+
+// Guards against a success with part of the endpoint's body: the endpoint is killed while its response has no length.
+BOOST_FIXTURE_TEST_CASE(an_idempotent_request_runs_again_if_its_endpoint_was_killed_within_a_response_without_a_length, RawAnswerFixture)
+{
+    script(
+        [](RawEndpoint &endpoint, const ConnectionPtr &connection) {
+            connection->write(RawEndpoint::head("r-1") + "who");
+            endpoint.kill();
+        },
+        [](const ConnectionPtr &connection) { connection->write(WholeAnswer); });
+    send("/often/a");
+    run(2000);
+    BOOST_TEST(status == 200);
+    BOOST_TEST(body == "whole");
+    BOOST_TEST(runs() == 2U);
+}
+
+// Guards against a success with part of the endpoint's body for a request that may not run again.
+BOOST_FIXTURE_TEST_CASE(a_non_idempotent_request_fails_if_its_endpoint_was_killed_within_a_response_without_a_length, RawAnswerFixture)
+{
+    script(
+        [](RawEndpoint &endpoint, const ConnectionPtr &connection) {
+            connection->write(RawEndpoint::head("r-1") + "who");
+            endpoint.kill();
+        },
+        [](const ConnectionPtr &connection) { connection->write(WholeAnswer); });
+    send("/once/a");
+    run(2000);
+    BOOST_TEST(status == 502);
+    BOOST_TEST(runs() == 1U);
+}
+
+// Guards against a refusal without a length that counts as a run: its head says that the request did not run.
+BOOST_FIXTURE_TEST_CASE(a_refusal_without_a_length_is_not_a_run, RawAnswerFixture)
+{
+    script(
+        [](RawEndpoint &endpoint, const ConnectionPtr &connection) {
+            connection->write("HTTP/1.1 503 Service Unavailable\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Not-Executed: 1\r\n\r\n");
+            endpoint.kill();
+        },
+        [](const ConnectionPtr &connection) { connection->write(WholeAnswer); });
+    send("/once/a");
+    run(2000);
+    BOOST_TEST(status == 200);
+    BOOST_TEST(body == "whole");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
