Bound unread streams and texts of items in bytes

Operators of similar systems saw a process run out of memory under a faulty endpoint that sent bytes without end. Here, heads, buffered bodies and single events were bounded; events that clients had not read were bounded for each stream but not together, the text of an item by its number of events but not in bytes, and comments between events not at all.

A text at its limit of events was kept, too, so that another endpoint would have completed it after the events of the faulty one.

Evidence: these fail with the old limits: scheduling/a_text_beyond_its_token_limit_is_discarded, scheduling/a_text_that_would_not_fit_into_a_result_is_discarded, scheduling/long_texts_are_discarded_when_all_texts_together_exceed_their_limit, http/an_event_stream_of_comments_alone_fails, gateway/unread_streams_together_stay_within_the_buffer_budget. The limit on bodies that are not used has no test of its own.

Change: unread streams count in AnswerBudget; TextLimit bounds one text and all texts; a text that exceeds a limit is discarded and generated anew; bodies that are not used end after 1 MiB.

--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -30,7 +30,7 @@
 /// Age at which limits are forgotten while no leader grants requests: without a request nothing shows that a limit is over.
 constexpr Milliseconds MaxUngrantedLimitAge{10000};
 /// Limit of unsent bytes above which the stream of a slow client is aborted.
-constexpr std::size_t MaxPendingBytes = 1024 * 1024;
+constexpr std::size_t MaxUnsentBytes = 1024 * 1024;
 
 }
 
@@ -50,7 +50,7 @@
 
 LiveCall::~LiveCall()
 {
-    m_context.answerBudget.release(m_bufferedBytes);
+    m_context.answerBudget.release(m_bufferedBytes + m_unsentBytes);
 }
 
 Milliseconds LiveCall::timeLimit(const RouteRule &route, const ClientRequest &request)
@@ -449,12 +449,24 @@
     m_streamVersion.fix(m_attempts.back()->endpoint);
     m_lastEventId = event.hasId ? event.id : m_lastEventId;
     m_exchange->sendChunk(event.raw);
-    if (m_exchange->pendingBytes() > MaxPendingBytes) {
+    if (!reserveUnsent()) {
         m_exchange->abort();
         finish("client_too_slow", 0);
     }
 }
 
+bool LiveCall::reserveUnsent()
+{
+    const auto bytes = m_exchange->pendingBytes();
+    if (bytes <= m_unsentBytes) {
+        m_context.answerBudget.release(m_unsentBytes - bytes);
+    } else if (bytes > MaxUnsentBytes || !m_context.answerBudget.reserve(m_unsentBytes, bytes - m_unsentBytes)) {
+        return false;
+    }
+    m_unsentBytes = bytes;
+    return true;
+}
+
 void LiveCall::handleBody(std::size_t index, std::string_view data)
 {
     if (m_streamStarted && m_eventStream) {
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -93,6 +93,8 @@
     bool isStreamingRoute() const;
     void handleStreamHead(std::size_t index);
     void forwardEvent(const StreamEvent &event);
+    /// Reserves the bytes of the stream that the client has not taken yet in the buffer budget. Returns false if they exceed a limit.
+    bool reserveUnsent();
     void handleStreamEnd(std::size_t index, CallOutcome end);
     /// Checks periodically whether the stream makes progress, and ends an attempt that has sent no new event within the stall
     /// timeout.
@@ -133,6 +135,8 @@
     Timestamp m_lastProgressAt;
     /// Response bytes of this call that are reserved in the buffer budget.
     std::size_t m_bufferedBytes = 0;
+    /// Bytes of the stream that are reserved there because the client has not taken them yet.
+    std::size_t m_unsentBytes = 0;
     std::unique_ptr<EventStreamParser> m_eventStream;
 };
 
--- a/src/http/eventstreamparser.cpp
+++ b/src/http/eventstreamparser.cpp
@@ -32,8 +32,10 @@
 {
     while (!bytes.empty() && !m_hasFailed) {
         const auto end = bytes.find('\n');
-        m_line.append(bytes.substr(0, end));
-        if (m_line.size() + m_event.raw.size() > MaxEventBytes) {
+        const auto part = bytes.substr(0, end);
+        m_line.append(part);
+        m_bytesSinceEvent += part.size() + (end == std::string_view::npos ? 0 : 1);
+        if (m_bytesSinceEvent > MaxEventBytes) {
             m_hasFailed = true;
             m_line = {};
             m_event = {};
@@ -78,6 +80,7 @@
     m_event = {};
     m_hasData = false;
     if (hasContent) {
+        m_bytesSinceEvent = 0;
         m_onEvent(event);
     }
 }
--- a/src/http/eventstreamparser.h
+++ b/src/http/eventstreamparser.h
@@ -29,8 +29,8 @@
 public:
     explicit EventStreamParser(std::function<void(const StreamEvent &)> onEvent);
 
-    /// Parses the next bytes. Returns false once a line or an event exceeds MaxEventBytes, and ignores all further bytes: a
-    /// faulty server may send one endlessly.
+    /// Parses the next bytes. Returns false once MaxEventBytes have completed no event, and ignores all further bytes: a faulty server may
+    /// send an endless line, an endless event, or comments and empty lines without end.
     bool feed(std::string_view bytes);
 
     /// Whether an event has begun and its empty line has not arrived.
@@ -48,6 +48,8 @@
     std::function<void(const StreamEvent &)> m_onEvent;
     StreamEvent m_event;
     std::string m_line;
+    /// Bytes that have arrived since the last event was complete.
+    std::size_t m_bytesSinceEvent = 0;
     bool m_hasData = false;
     bool m_hasFailed = false;
 };
--- a/src/scheduling/itemrun.cpp
+++ b/src/scheduling/itemrun.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr Milliseconds ConnectTimeout{300};
+/// Limit on the body of a response that is no stream of events; such a body is not used.
+constexpr std::size_t MaxIgnoredBytes = 1024 * 1024;
 
 }
 
@@ -38,7 +40,12 @@
 
 void ItemRun::acceptBody(std::string_view data)
 {
-    if (!m_events || m_isAbandoned || m_events->feed(data)) {
+    if (m_isAbandoned) {
+        return;
+    }
+    m_ignoredBytes += m_events ? 0 : data.size();
+    const bool isBounded = m_events ? m_events->feed(data) : m_ignoredBytes <= MaxIgnoredBytes;
+    if (isBounded) {
         return;
     }
     m_isAbandoned = true;
--- a/src/scheduling/itemrun.h
+++ b/src/scheduling/itemrun.h
@@ -73,6 +73,7 @@
     std::unique_ptr<EventStreamParser> m_events;
     EndpointResponseFields m_responseFields;
     bool m_isAbandoned = false;
+    std::size_t m_ignoredBytes = 0;
     Timestamp m_startedAt;
     Timestamp m_lastProgressAt;
     ClientCall m_call;
--- a/src/scheduling/itemruns.cpp
+++ b/src/scheduling/itemruns.cpp
@@ -92,7 +92,8 @@
     openRun.hasEvent = true;
     openRun.lastEventAt = now;
     m_context.tracker.recordEvent(openRun.endpoint, run);
-    const bool isAccepted = batch->state->addEvent(item, event, std::move(data), version, rulesOf(m_context.view, *batch->state));
+    const auto otherTextBytes = m_context.batches.textBytes() - batch->state->textBytes();
+    const bool isAccepted = batch->state->addEvent(item, event, std::move(data), version, rulesOf(m_context.view, *batch->state), otherTextBytes);
     if (!isAccepted) {
         m_context.log.warning("event_rejected",
                               {{"batch", id},
--- a/src/scheduling/itemtext.cpp
+++ b/src/scheduling/itemtext.cpp
@@ -10,20 +10,12 @@
     if (!m_events.empty() && id != m_lastId + 1) {
         return false;
     }
+    m_bytes += data.size();
     m_events.push_back({std::move(data), version});
     m_lastId = id;
     return true;
 }
 
-std::size_t ItemText::bytes() const
-{
-    std::size_t n = 0;
-    for (const auto &event : m_events) {
-        n += event.data.size();
-    }
-    return n;
-}
-
 std::vector<std::uint64_t> ItemText::versions() const
 {
     std::vector<std::uint64_t> versions;
@@ -61,6 +53,7 @@
 {
     m_events.clear();
     m_lastId = 0;
+    m_bytes = 0;
 }
 
 }
--- a/src/scheduling/itemtext.h
+++ b/src/scheduling/itemtext.h
@@ -38,7 +38,10 @@
     }
 
     /// Total size of the event data in bytes.
-    std::size_t bytes() const;
+    std::size_t bytes() const
+    {
+        return m_bytes;
+    }
 
     /// Distinct versions that generated an event, in ascending order.
     std::vector<std::uint64_t> versions() const;
@@ -57,6 +60,7 @@
 private:
     std::vector<TextEvent> m_events;
     std::uint64_t m_lastId = 0;
+    std::size_t m_bytes = 0;
 };
 
 }
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/openbatch.h"
 
 #include "scheduling/grouporder.h"
+#include "scheduling/textlimit.h"
 
 #include <algorithm>
 #include <map>
@@ -67,6 +68,8 @@
         if (m_progress[i].phase != ItemPhase::Waiting || !hasAllowedVersions || text.eventCount() == 0) {
             continue;
         }
+        discardText(m_progress[i]);
+        m_textBytes += text.bytes();
         m_progress[i].text = text;
         if (it->second->isComplete) {
             complete(i);
@@ -75,18 +78,34 @@
     m_order = startOrder(m_submission, carried);
 }
 
-bool OpenBatch::addEvent(std::size_t i, std::uint64_t id, std::string data, std::uint64_t version, const BatchRules &rules)
+bool OpenBatch::addEvent(std::size_t i, std::uint64_t id, std::string data, std::uint64_t version, const BatchRules &rules, std::size_t otherTextBytes)
 {
     auto &progress = m_progress[i];
-    if (version < m_submission.minimumVersion || hasReachedLimit(m_submission.items[i], progress.text)) {
+    if (version < m_submission.minimumVersion) {
+        return false;
+    }
+    const auto growth = data.size();
+    const bool isTooLong =
+        hasReachedLimit(m_submission.items[i], progress.text) || !TextLimit::allows(progress.text.bytes() + growth, otherTextBytes + m_textBytes + growth);
+    if (isTooLong) {
+        // The events came from a faulty endpoint, so the text can't be continued by another one.
+        discardText(progress);
         return false;
     }
     progress.runsWithoutEvent = 0;
     if (rules.singleVersion && !progress.text.hasOnlyVersion(version)) {
-        progress.text.clear();
+        discardText(progress);
         return false;
     }
-    return progress.text.append(id, std::move(data), version);
+    const bool isAppended = progress.text.append(id, std::move(data), version);
+    m_textBytes += isAppended ? growth : 0;
+    return isAppended;
+}
+
+void OpenBatch::discardText(ItemProgress &progress)
+{
+    m_textBytes -= progress.text.bytes();
+    progress.text.clear();
 }
 
 void OpenBatch::complete(std::size_t i)
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -92,8 +92,15 @@
     /// weight versions are allowed. Also determines the start order.
     void restoreTexts(const std::vector<ResumableText> &resumable, const BatchRules &rules);
 
-    /// Appends an event of the current run. Returns false if the event cannot be appended and the run must be cancelled.
-    bool addEvent(std::size_t i, std::uint64_t id, std::string data, std::uint64_t version, const BatchRules &rules);
+    /// Appends an event of the current run. Returns false if the event cannot be appended and the run must be cancelled. otherTextBytes:
+    /// size of the texts of all other open batches.
+    bool addEvent(std::size_t i, std::uint64_t id, std::string data, std::uint64_t version, const BatchRules &rules, std::size_t otherTextBytes = 0);
+
+    /// Size of the texts of all items.
+    std::size_t textBytes() const
+    {
+        return m_textBytes;
+    }
 
     /// Marks the text of an item as complete. An item with a reward request then waits for its score.
     void complete(std::size_t i);
@@ -165,6 +172,7 @@
 private:
     void decide(std::size_t i, ItemOutcome outcome, std::string score = {});
     void decrementUnfinished(std::size_t i);
+    void discardText(ItemProgress &progress);
 
     BatchIndex m_index;
     BatchSubmission m_submission;
@@ -175,6 +183,7 @@
     std::vector<std::size_t> m_unfinishedInGroup;
     std::deque<ItemResult> m_pending;
     std::size_t m_decided = 0;
+    std::size_t m_textBytes = 0;
     std::vector<std::string> m_listed;
 };
 
--- a/src/scheduling/rewardcalls.cpp
+++ b/src/scheduling/rewardcalls.cpp
@@ -22,6 +22,8 @@
 /// The endpoint's response at its time limit may still be in transit when the limit expires here.
 constexpr Milliseconds ResponseMargin{20};
 constexpr int ServerErrorStatus = 500;
+/// Limit on the body of a response, which is not used.
+constexpr std::size_t MaxIgnoredBytes = 1024 * 1024;
 
 }
 
@@ -198,6 +200,7 @@
     };
     // Only the signature in the response head is used.
     hooks.onBody = [](std::string_view) {};
+    hooks.maxBodyBytes = MaxIgnoredBytes;
     hooks.onEnd = [this, number](CallOutcome end) { acceptEnd(number, end); };
     return hooks;
 }
--- a/src/scheduling/runningbatches.cpp
+++ b/src/scheduling/runningbatches.cpp
@@ -37,6 +37,15 @@
     return n;
 }
 
+std::size_t RunningBatches::textBytes() const
+{
+    std::size_t n = 0;
+    for (const auto &[id, batch] : m_batches) {
+        n += batch->state->textBytes();
+    }
+    return n;
+}
+
 bool RunningBatches::hasWaitingItems() const
 {
     return std::any_of(m_batches.begin(), m_batches.end(), [](const auto &entry) { return entry.second->lastWaitingCount > 0; });
--- a/src/scheduling/runningbatches.h
+++ b/src/scheduling/runningbatches.h
@@ -32,6 +32,9 @@
 
     std::size_t openRunCount() const;
 
+    /// Size of the texts of all batches.
+    std::size_t textBytes() const;
+
     /// Whether an item of any batch waited for a slot after the last round.
     bool hasWaitingItems() const;
 
--- a/tests/gateway/rawanswers.cpp
+++ b/tests/gateway/rawanswers.cpp
@@ -246,4 +246,41 @@
     BOOST_TEST(body == "whole");
 }
 
+// Guards against a gateway that runs out of memory: an endpoint sends whole events without end, and clients do not read them.
+BOOST_FIXTURE_TEST_CASE(unread_streams_together_stay_within_the_buffer_budget, SingleEndpointFixture)
+{
+    constexpr std::size_t Streams = 30;
+    const auto bytes = "id: 1\ndata: " + std::string(60'000, 'x') + "\n\n";
+    std::vector<ConnectionPtr> open;
+    endpoints.front()->onRequest = [&open](const ConnectionPtr &connection) {
+        connection->write(RawEndpoint::head("r-1"));
+        connection->socket.non_blocking(true);
+        open.push_back(connection);
+    };
+    const std::string request = "POST /stream/a HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k\r\nBasilbend-Attempt-Id: r-1\r\nContent-Length: 1\r\n\r\nb";
+    std::vector<asio::ip::tcp::socket> clients;
+    for (std::size_t i = 0; i < Streams; ++i) {
+        auto &client = clients.emplace_back(io);
+        client.open(asio::ip::tcp::v4());
+        client.set_option(asio::socket_base::receive_buffer_size(4096));
+        client.connect({asio::ip::make_address("127.0.0.1"), gateway->server.port()});
+        asio::write(client, asio::buffer(request));
+    }
+    std::size_t most = 0;
+    std::uint64_t event = 0;
+    for (int round = 0; round < 400; ++round) {
+        for (const auto &connection : open) {
+            asio::error_code ec;
+            connection->socket.write_some(asio::buffer("id: " + std::to_string(++event) + bytes.substr(5)), ec);
+        }
+        io.restart();
+        io.run_for(std::chrono::milliseconds(2));
+        time.advance(Milliseconds(1));
+        most = std::max(most, gateway->context.answerBudget.bufferedBytes());
+    }
+    BOOST_TEST(open.size() == Streams);
+    BOOST_TEST(most > 0U);
+    BOOST_TEST(most <= AnswerBudget::MaxBufferedBytes + Streams * AnswerBudget::GuaranteedResponseBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/http/endlessresponses.cpp
+++ b/tests/http/endlessresponses.cpp
@@ -119,4 +119,26 @@
     BOOST_TEST(!line.feed("\n\n"));
 }
 
+// Guards against a stream that never ends and brings no event: each comment is followed by the empty line that ends an event.
+BOOST_AUTO_TEST_CASE(an_event_stream_of_comments_alone_fails)
+{
+    int events = 0;
+    EventStreamParser parser([&events](const StreamEvent &) { ++events; });
+    std::size_t accepted = 0;
+    for (; accepted < 4 * EventStreamParser::MaxEventBytes && parser.feed(": keep-alive\n\n"); accepted += 14) {}
+    BOOST_TEST(accepted <= EventStreamParser::MaxEventBytes);
+    BOOST_TEST(events == 0);
+}
+
+// Guards against a long stream that fails though each of its events is small.
+BOOST_AUTO_TEST_CASE(a_long_event_stream_of_small_events_and_comments_does_not_fail)
+{
+    int events = 0;
+    EventStreamParser parser([&events](const StreamEvent &) { ++events; });
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST(parser.feed("data: " + std::string(10'000, 'x') + "\n\n: keep-alive\n\n"));
+    }
+    BOOST_TEST(events == 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/openbatch.cpp
+++ b/tests/scheduling/openbatch.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/openbatch.h"
 
 #include "batches/batchrecords.h"
+#include "scheduling/textlimit.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -277,4 +278,47 @@
     BOOST_TEST(!batch.addEvent(0, 5, "e", 5, {}));
 }
 
+// Guards against an item that another endpoint completes after the events of a faulty one: the text must be generated anew.
+BOOST_AUTO_TEST_CASE(a_text_beyond_its_token_limit_is_discarded)
+{
+    auto submission = makeSubmission(1, 1);
+    submission.items[0].tokens = 102;
+    submission.items[0].promptTokens = 100;
+    OpenBatch batch(makeIndex(), submission, {});
+    batch.progress(0).phase = ItemPhase::Running;
+    BOOST_TEST(batch.addEvent(0, 1, "e", 5, {}));
+    BOOST_TEST(batch.addEvent(0, 2, "e", 5, {}));
+    BOOST_TEST(!batch.addEvent(0, 3, "e", 5, {}));
+    BOOST_TEST(batch.progress(0).text.eventCount() == 0U);
+    BOOST_TEST(batch.textBytes() == 0U);
+}
+
+// Guards against a leader that runs out of memory under an endpoint whose whole events have no end.
+BOOST_AUTO_TEST_CASE(a_text_that_would_not_fit_into_a_result_is_discarded)
+{
+    OpenBatch batch(makeIndex(), makeSubmission(1, 1), {});
+    batch.progress(0).phase = ItemPhase::Running;
+    const std::string data(64 * 1024, 'x');
+    std::uint64_t id = 0;
+    while (id < 100 && batch.addEvent(0, id + 1, data, 5, {})) {
+        ++id;
+    }
+    BOOST_TEST(id * data.size() == TextLimit::MaxTextBytes);
+    BOOST_TEST(batch.progress(0).text.eventCount() == 0U);
+    BOOST_TEST(batch.textBytes() == 0U);
+}
+
+// Guards against texts of a faulty endpoint that are small enough each and use up the memory together.
+BOOST_AUTO_TEST_CASE(long_texts_are_discarded_when_all_texts_together_exceed_their_limit)
+{
+    OpenBatch batch(makeIndex(), makeSubmission(1, 2), {});
+    const std::string data(TextLimit::GuaranteedTextBytes, 'x');
+    const auto others = TextLimit::MaxOpenTextBytes;
+    BOOST_TEST(batch.addEvent(0, 1, data, 5, {}, others));
+    BOOST_TEST(batch.addEvent(1, 1, data, 5, {}, others));
+    BOOST_TEST(!batch.addEvent(0, 2, "e", 5, {}, others));
+    BOOST_TEST(batch.textBytes() == data.size());
+    BOOST_TEST(batch.progress(1).text.eventCount() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
