Decide a take-up by the stream's record, not by the gateway's own list

Operators of similar systems saw streams joined from two software versions: a gateway that was out of step during a release took streams of the new version up at the old one. It could happen here.

Cause: soleVersion() answered from the gateway's own list of endpoints, whose age nobody asked. The time that passes while a gateway stands still makes an old list look settled. nextBase() moved the base version from such a list, too.

Evidence: with the feed of endpoints of one of two gateways held, gateway/a_take_up_at_a_gateway_that_is_out_of_step_does_not_join_versions, gateway/a_take_up_that_names_no_attempt_is_refused_by_a_gateway_that_is_out_of_step and gateway/a_gateway_that_is_out_of_step_does_not_move_the_base_version fail on the old code.

Change: a take-up that names its attempt is decided by the record in the store, always. A list that was not verified for 6 s settles nothing. Price: without the store a take-up is refused, also while one version serves alone.

--- a/src/catalog/systemview.h
+++ b/src/catalog/systemview.h
@@ -92,6 +92,12 @@
         return m_operatorFeed.feed().verifiedAt();
     }
 
+    /// The time at which the registered endpoints were last verified to be current. Nothing before the first listing.
+    std::optional<Timestamp> endpointsVerifiedAt() const
+    {
+        return m_endpointFeed.feed().verifiedAt();
+    }
+
     /// Records that a response of the endpoint announced that it is about to leave. startedAtMs identifies the start of the
     /// endpoint that sent the response.
     void markEndpointLeaving(const std::string &id, std::int64_t startedAtMs);
--- a/src/gateway/streamorigins.cpp
+++ b/src/gateway/streamorigins.cpp
@@ -77,7 +77,7 @@
         service.versions.setRegistered(std::move(versions), m_loop.now());
         if (service.versions.mustReadBase()) {
             readBase(name);
-        } else if (const auto next = service.versions.nextBase(m_loop.now())) {
+        } else if (const auto next = service.versions.nextBase(settledAt())) {
             writeBase(name, *next);
         }
     }
@@ -175,15 +175,21 @@
 
 void StreamOrigins::find(const std::string &service, const std::string &attempt, const std::string &workspace, std::function<void(StreamOrigin)> callback)
 {
-    const auto it = m_services.find(service);
-    const auto sole = it == m_services.end() ? std::nullopt : it->second.versions.soleVersion(m_loop.now());
-    if (sole) {
-        callback({sole});
-    } else if (attempt.empty()) {
-        callback({std::nullopt});
-    } else {
+    // The own list of endpoints says nothing about a stream that another gateway has begun at a version which is missing in it.
+    if (!attempt.empty()) {
         findRecord(service, attempt, workspace, std::move(callback));
+        return;
     }
+    const auto it = m_services.find(service);
+    callback({it == m_services.end() ? std::nullopt : it->second.versions.soleVersion(settledAt())});
+}
+
+Timestamp StreamOrigins::settledAt() const
+{
+    const auto now = m_loop.now();
+    const auto verifiedAt = m_view.endpointsVerifiedAt();
+    const bool isCurrent = verifiedAt && now - *verifiedAt <= MaxListAge;
+    return isCurrent ? now : Timestamp();
 }
 
 void StreamOrigins::findRecord(const std::string &service, const std::string &attempt, const std::string &workspace, std::function<void(StreamOrigin)> callback)
--- a/src/gateway/streamorigins.h
+++ b/src/gateway/streamorigins.h
@@ -53,7 +53,8 @@
     /// before the function returns.
     void record(const StreamStart &stream, bool isForced, std::function<void(OriginRecording)> callback);
 
-    /// Finds the version that began the stream whose first event the attempt brought. attempt: empty if the client names none.
+    /// Finds the version that began the stream whose first event the attempt brought, from its record in the metadata store. attempt:
+    /// empty if the client names none; the version is then known only if one version alone has served for long.
     void find(const std::string &service, const std::string &attempt, const std::string &workspace, std::function<void(StreamOrigin)> callback);
 
     /// The base version, if endpoints of it are registered.
@@ -63,8 +64,13 @@
     static constexpr Milliseconds LeaseSpan{600000};
     /// A lease is used for new records for this long.
     static constexpr Milliseconds LeaseUse{300000};
+    /// Age up to which the list of endpoints counts as current. A watch without changes verifies it every few seconds.
+    static constexpr Milliseconds MaxListAge{6000};
 
 private:
+    /// The time at which the versions in the list of endpoints count as registered: now, or the epoch if the list is old. A process that
+    /// was paused or cut off holds an old list, which the time that has passed does not settle.
+    Timestamp settledAt() const;
     void readBase(const std::string &service);
     void writeBase(const std::string &service, const std::string &version);
     void withLease(std::function<void(std::uint64_t lease)> step);
--- a/tests/gateway/gatewayprocess.h
+++ b/tests/gateway/gatewayprocess.h
@@ -12,7 +12,7 @@
 
 /// A gateway with a simulated metadata store in virtual time. Clients connect to it over the loopback interface.
 struct GatewayProcess {
-    GatewayProcess(asio::io_context &io, VirtualTime &time, FakeMetadataStore &store)
+    GatewayProcess(asio::io_context &io, VirtualTime &time, MetadataStore &store)
         : log(
             EventLogSettings(), [&time] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); })
         , client(io, systemNow)
--- a/tests/gateway/streamversions.cpp
+++ b/tests/gateway/streamversions.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gatewayprocess.h"
 #include "http/versionedendpoint.h"
+#include "metadata/heldfeedstore.h"
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -154,6 +155,26 @@
     }
 };
 
+/// The second gateway is out of step with the store at times, after both have seen one version alone for long.
+struct OutOfStepFixture : VersionFixture {
+    HeldFeedStore heldStore{store, "servers/"};
+
+    OutOfStepFixture()
+    {
+        ended.push_back(std::move(gateways[1]));
+        gateways[1] = std::make_unique<GatewayProcess>(io, time, heldStore);
+        run(200);
+        time.advance(ServiceVersions::MaxStreamAge + Milliseconds(1000));
+        run(200);
+    }
+
+    ~OutOfStepFixture()
+    {
+        // The gateway uses the held store, which is destroyed before the base class.
+        gateways.clear();
+    }
+};
+
 }
 
 BOOST_AUTO_TEST_SUITE(gateway, *boost::unit_test::label("gateway"))
@@ -328,4 +349,83 @@
     BOOST_TEST(newOnes[0]->runs + newOnes[1]->runs == 0);
 }
 
+// Guards against a stream of the new version that goes on at the old one, at a gateway that has not heard of the new version yet.
+BOOST_FIXTURE_TEST_CASE(a_take_up_at_a_gateway_that_is_out_of_step_does_not_join_versions, OutOfStepFixture)
+{
+    heldStore.isHeld = true;
+    add(newOnes, "new");
+    for (int i = 0; i < 20 && stream.versions() != std::set<std::string>{"new"}; ++i) {
+        stream = {};
+        send(0);
+        run(200);
+    }
+    BOOST_REQUIRE((stream.versions() == std::set<std::string>{"new"}));
+    const auto begun = attemptId(attempts);
+    call = {};
+    send(1, begun);
+    run(500);
+    BOOST_TEST(stream.status == 503);
+    heldStore.release();
+    run(200);
+    send(1, begun);
+    run(1500);
+    BOOST_TEST((stream.versions() == std::set<std::string>{"new"}));
+    BOOST_TEST(isComplete());
+}
+
+// Guards against take-ups that a gateway out of step refuses though the version of the stream serves.
+BOOST_FIXTURE_TEST_CASE(a_take_up_of_the_known_version_goes_on_at_a_gateway_that_is_out_of_step, OutOfStepFixture)
+{
+    heldStore.isHeld = true;
+    send(0);
+    run(200);
+    call = {};
+    send(1, attemptId(1));
+    run(1500);
+    BOOST_TEST((stream.versions() == std::set<std::string>{"old"}));
+    BOOST_TEST(isComplete());
+}
+
+// Guards against a guess from an old list when the client names no attempt.
+BOOST_FIXTURE_TEST_CASE(a_take_up_that_names_no_attempt_is_refused_by_a_gateway_that_is_out_of_step, OutOfStepFixture)
+{
+    heldStore.isHeld = true;
+    send(0);
+    run(200);
+    call = {};
+    time.advance(StreamOrigins::MaxListAge);
+    run(100);
+    send(1);
+    run(300);
+    BOOST_TEST(stream.status == 503);
+}
+
+// Guards against a base version that is moved from an old list: streams without a record would count as of the version that has left.
+BOOST_FIXTURE_TEST_CASE(a_gateway_that_is_out_of_step_does_not_move_the_base_version, OutOfStepFixture)
+{
+    // The new version becomes the base; then the release is taken back, and the second gateway sees no more than that.
+    add(newOnes, "new");
+    removeAll(oldOnes);
+    time.advance(ServiceVersions::MaxStreamAge);
+    gateways[0]->context.origins.update();
+    run(100);
+    BOOST_TEST(store.peek("stream/base/s")->value == "new");
+    for (const auto &endpoint : oldOnes) {
+        endpoint->enter();
+    }
+    run(200);
+    removeAll(newOnes);
+    heldStore.isHeld = true;
+    run(100);
+    for (const auto &endpoint : newOnes) {
+        endpoint->enter();
+    }
+    run(200);
+    removeAll(oldOnes);
+    time.advance(ServiceVersions::MaxStreamAge + Milliseconds(1000));
+    gateways[1]->context.origins.update();
+    run(100);
+    BOOST_TEST(store.peek("stream/base/s")->value == "new");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
