Divide the stream that a client receives from the call that runs it

LiveCall held the parser, the position, the progress and the unread bytes of the client's stream beside the choice of endpoints. LiveStream now holds them. No change of behaviour.

--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -29,8 +29,6 @@
 constexpr Milliseconds UnresumableRetryAfter{500};
 /// Age at which limits are forgotten while no leader grants requests: without a request nothing shows that a limit is over.
 constexpr Milliseconds MaxUngrantedLimitAge{10000};
-/// Limit of unsent bytes above which the stream of a slow client is aborted.
-constexpr std::size_t MaxUnsentBytes = 1024 * 1024;
 
 }
 
@@ -44,13 +42,14 @@
     , m_streamVersion(context, m_route, m_request, m_workspace)
     , m_recorder(context, m_request.attemptId)
     , m_arrivedAt(context.loop.now())
+    , m_stream(*m_exchange, context.answerBudget, streamHooks())
 {
     m_deadline = m_arrivedAt + timeLimit(m_route, m_request);
 }
 
 LiveCall::~LiveCall()
 {
-    m_context.answerBudget.release(m_bufferedBytes + m_unsentBytes);
+    m_context.answerBudget.release(m_bufferedBytes);
 }
 
 Milliseconds LiveCall::timeLimit(const RouteRule &route, const ClientRequest &request)
@@ -329,8 +328,8 @@
 void LiveCall::dispatch(const EndpointRecord &endpoint, bool isIsolated)
 {
     auto message = makeForwardedRequest(m_exchange->request(), endpoint.id, m_workspace, timeLeft());
-    if (m_lastEventId > 0) {
-        setResumePosition(message, m_lastEventId);
+    if (m_stream.lastEventId() > 0) {
+        setResumePosition(message, m_stream.lastEventId());
     }
     const auto index = m_attempts.size();
     m_attempts.push_back(std::make_unique<LiveAttempt>());
@@ -409,19 +408,22 @@
 void LiveCall::handleStreamHead(std::size_t index)
 {
     countUsage(m_context.loop.now());
-    m_eventStream = std::make_unique<EventStreamParser>([this](const StreamEvent &event) { forwardEvent(event); });
-    if (!m_streamStarted) {
-        m_streamStarted = true;
-        auto head = m_attempts[index]->head;
-        head.fields.removeHopByHop();
-        m_exchange->beginStream(head);
-    }
+    m_stream.attach(m_attempts[index]->head);
     if (m_route.canResume) {
-        m_lastProgressAt = m_context.loop.now();
         checkStreamProgress(index);
     }
 }
 
+LiveStreamHooks LiveCall::streamHooks()
+{
+    return {m_context.loop.now,
+            [this] { m_streamVersion.fix(m_attempts.back()->endpoint); },
+            [this] {
+                m_exchange->abort();
+                finish("client_too_slow", 0);
+            }};
+}
+
 void LiveCall::checkStreamProgress(std::size_t index)
 {
     m_context.loop.runAfter(StallCheckInterval, [weak = weak_from_this(), index] {
@@ -430,7 +432,7 @@
             return;
         }
         const bool isLastAttempt = self->m_executedAttempts + 1 >= self->m_route.attempts;
-        if (isLastAttempt || self->m_context.loop.now() - self->m_lastProgressAt < StreamStallTimeout) {
+        if (isLastAttempt || self->m_context.loop.now() - self->m_stream.lastProgressAt() < StreamStallTimeout) {
             self->checkStreamProgress(index);
             return;
         }
@@ -440,37 +442,10 @@
     });
 }
 
-void LiveCall::forwardEvent(const StreamEvent &event)
-{
-    if (event.hasId && event.id <= m_lastEventId) {
-        return;
-    }
-    m_lastProgressAt = m_context.loop.now();
-    m_streamVersion.fix(m_attempts.back()->endpoint);
-    m_lastEventId = event.hasId ? event.id : m_lastEventId;
-    m_exchange->sendChunk(event.raw);
-    if (!reserveUnsent()) {
-        m_exchange->abort();
-        finish("client_too_slow", 0);
-    }
-}
-
-bool LiveCall::reserveUnsent()
-{
-    const auto bytes = m_exchange->pendingBytes();
-    if (bytes <= m_unsentBytes) {
-        m_context.answerBudget.release(m_unsentBytes - bytes);
-    } else if (bytes > MaxUnsentBytes || !m_context.answerBudget.reserve(m_unsentBytes, bytes - m_unsentBytes)) {
-        return false;
-    }
-    m_unsentBytes = bytes;
-    return true;
-}
-
 void LiveCall::handleBody(std::size_t index, std::string_view data)
 {
-    if (m_streamStarted && m_eventStream) {
-        if (!m_eventStream->feed(data)) {
+    if (m_stream.isAttached()) {
+        if (!m_stream.feed(data)) {
             abortAttempt(index, "event too large");
         }
         return;
@@ -506,8 +481,7 @@
     attempt.ended = true;
     m_context.picker.recordEnded(attempt.endpoint.id);
     m_crashGuard.endTrial();
-    const bool isInsideEvent = m_eventStream && m_eventStream->isInsideEvent();
-    switch (judgeAnswerEnd(end, isInsideEvent, attempt.responseFields.notExecuted)) {
+    switch (judgeAnswerEnd(end, m_stream.isInsideEvent(), attempt.responseFields.notExecuted)) {
     case AnswerEnd::Final:
         acceptEnd(index, end);
         break;
@@ -560,7 +534,7 @@
     if (m_isFinished) {
         return;
     }
-    if (m_streamStarted) {
+    if (m_stream.hasBegun()) {
         handleStreamEnd(index, end);
         return;
     }
@@ -600,7 +574,7 @@
 void LiveCall::handleStreamEnd(std::size_t index, CallOutcome end)
 {
     // A rejection by the endpoint at which the stream should resume is also a complete response, but does not end the stream.
-    const bool hadStream = m_eventStream != nullptr;
+    const bool hadStream = m_stream.isAttached();
     if (end == CallOutcome::Complete && hadStream) {
         m_crashGuard.recordAnswer();
         m_exchange->endStream();
@@ -613,9 +587,9 @@
         : classifyResponse(end, attempt.responseFields.status, attempt.responseFields.notExecuted, attempt.responseFields.isSigned());
     m_recorder.recordOutcome(attempt, end, outcome);
     m_executedAttempts += outcome == ForwardOutcome::NotRun ? 0 : 1;
-    m_eventStream.reset();
+    m_stream.detach();
     if (m_route.canResume && m_executedAttempts < m_route.attempts && timeLeft().count() > 0) {
-        m_context.log.info("stream_resumed", {{"request", m_request.attemptId}, {"after_event", m_lastEventId}});
+        m_context.log.info("stream_resumed", {{"request", m_request.attemptId}, {"after_event", m_stream.lastEventId()}});
         startAttempt();
         return;
     }
@@ -641,7 +615,7 @@
     if (m_isFinished) {
         return;
     }
-    if (m_streamStarted) {
+    if (m_stream.hasBegun()) {
         m_exchange->abort();
         finish("stream_timeout", 0);
         return;
@@ -678,7 +652,7 @@
     if (m_isFinished) {
         return;
     }
-    if (m_streamStarted) {
+    if (m_stream.hasBegun()) {
         m_exchange->abort();
         finish("stream_cut_by_shutdown", 0);
     } else if (mayHaveRun()) {
@@ -700,7 +674,7 @@
 void LiveCall::reject(int status, ResultCode code, const std::string &message, Milliseconds retryAfter)
 {
     const auto execution = status == 503 ? Execution::NotRun : Execution::Unknown;
-    if (m_streamStarted) {
+    if (m_stream.hasBegun()) {
         m_exchange->abort();
     } else {
         m_exchange->respond(makeRejection(status, Error{code, message, execution, retryAfter}, m_request.attemptId));
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -6,8 +6,8 @@
 #include "gateway/crashguard.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/liveattempt.h"
+#include "gateway/livestream.h"
 #include "gateway/streamversion.h"
-#include "http/eventstreamparser.h"
 #include "http/serverexchange.h"
 #include "platform/clientrequest.h"
 #include "platform/endpointcalls.h"
@@ -92,9 +92,7 @@
 
     bool isStreamingRoute() const;
     void handleStreamHead(std::size_t index);
-    void forwardEvent(const StreamEvent &event);
-    /// Reserves the bytes of the stream that the client has not taken yet in the buffer budget. Returns false if they exceed a limit.
-    bool reserveUnsent();
+    LiveStreamHooks streamHooks();
     void handleStreamEnd(std::size_t index, CallOutcome end);
     /// Checks periodically whether the stream makes progress, and ends an attempt that has sent no new event within the stall
     /// timeout.
@@ -128,16 +126,10 @@
     bool m_isPreparingStream = false;
     /// Retry-After of the leader's denial, until the next attempt is sent.
     std::optional<Milliseconds> m_grantDenial;
-    /// Streaming routes: the response head has been sent to the client.
-    bool m_streamStarted = false;
-    std::uint64_t m_lastEventId = 0;
-    /// Streaming routes: time of the last new event or of the response head.
-    Timestamp m_lastProgressAt;
     /// Response bytes of this call that are reserved in the buffer budget.
     std::size_t m_bufferedBytes = 0;
-    /// Bytes of the stream that are reserved there because the client has not taken them yet.
-    std::size_t m_unsentBytes = 0;
-    std::unique_ptr<EventStreamParser> m_eventStream;
+    /// Streaming routes: the response to the client.
+    LiveStream m_stream;
 };
 
 }
