Take only the record of the current candidacy for the leader's own

Found by the review in the code. A commit of an earlier candidacy may be executed late. When the answer to the next one was lost, the process took the earlier record for its own: a record under a lease that it does not renew, so that another could be elected beside it.

Evidence: election/a_record_of_an_earlier_candidacy_is_not_taken_for_that_of_the_current_one fails without the comparison of the attempt.

--- a/src/election/leaderelection.cpp
+++ b/src/election/leaderelection.cpp
@@ -76,6 +76,12 @@
     return record && record->node == m_settings.node && record->incarnation == m_settings.incarnation;
 }
 
+bool LeaderElection::isFromThisAttempt(const MetadataItem &item) const
+{
+    const auto record = decodeLeaderRecord(item.value);
+    return record && isFromThisIncarnation(item) && record->attempt == m_attempt;
+}
+
 void LeaderElection::applyItem(const MetadataItem &item)
 {
     if (item.key == RecentKey && !item.isRemoval) {
@@ -239,7 +245,8 @@
         if (generation != m_generation) {
             return;
         }
-        const bool isElected = reply.status == MetadataStatus::Done && !reply.items.empty() && isFromThisIncarnation(reply.items.front());
+        // The record of an earlier attempt is bound to another lease, which nobody renews.
+        const bool isElected = reply.status == MetadataStatus::Done && !reply.items.empty() && isFromThisAttempt(reply.items.front());
         if (isElected) {
             becomeLeader(reply.items.front().revision, lease, leaseSentAt, m_settings.leaseSpan);
             return;
--- a/src/election/leaderelection.h
+++ b/src/election/leaderelection.h
@@ -116,6 +116,8 @@
     /// Whether the record was written by an earlier process on this host, which has ended.
     bool isFromEarlierIncarnation(const MetadataItem &item) const;
     bool isFromThisIncarnation(const MetadataItem &item) const;
+    /// Whether the record was written by the last candidacy of this process.
+    bool isFromThisAttempt(const MetadataItem &item) const;
 
     MetadataStore &m_store;
     EventLoop m_loop;
--- a/tests/election/leaderelection.cpp
+++ b/tests/election/leaderelection.cpp
@@ -1,6 +1,7 @@
 #include "election/leaderelection.h"
 
 #include "metadata/fakemetadatastore.h"
+#include "metadata/latecommitstore.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -14,7 +15,7 @@
 
 /// A process that may become leader. While it is paused, its timers and the answers to its calls are deferred.
 struct Candidate {
-    Candidate(VirtualTime &clock, FakeMetadataStore &store, const std::string &node, std::uint64_t seed)
+    Candidate(VirtualTime &clock, MetadataStore &store, const std::string &node, std::uint64_t seed)
         : address("127.0.0.1:" + std::to_string(FirstPort + node.front()))
         , time(clock)
         , random(seed)
@@ -264,6 +265,20 @@
     BOOST_TEST(only.election->term() == store.peek(LeaderElection::holderKey())->revision);
 }
 
+// Guards against a leader whose record is bound to a lease that it does not renew: the commit of its first candidacy is executed late, and
+// its second one takes that record for its own.
+BOOST_FIXTURE_TEST_CASE(a_record_of_an_earlier_candidacy_is_not_taken_for_that_of_the_current_one, ElectionFixture)
+{
+    LateCommitStore late(store);
+    Candidate only(time, late, "a", 1);
+    for (int i = 0; i < 400; ++i) {
+        time.advance(Milliseconds(10));
+        const auto *holder = store.peek(LeaderElection::holderKey());
+        BOOST_TEST((!only.election->mayAct() || (holder != nullptr && decodeLeaderRecord(holder->value)->attempt == 3U)));
+    }
+    BOOST_TEST(only.election->mayAct());
+}
+
 // Guards against two leaders that alternate faster than the receivers of orders allow.
 BOOST_AUTO_TEST_CASE(a_former_leader_waits_before_it_runs_again)
 {
