Notice a successor in the list of recent leaders

Found by the review in the code. A leader whose feed lost the history of its successor's time saw a listing without a holder and went on with its old state.

Evidence: election/a_former_leader_whose_feed_missed_its_successor_does_not_continue fails without the change: the state is kept and onElected() says "continued".

Change: a newer list of recent leaders with another one at its front deposes the process.

--- a/src/election/leaderelection.cpp
+++ b/src/election/leaderelection.cpp
@@ -87,12 +87,27 @@
     if (item.key == RecentKey && !item.isRemoval) {
         m_recentLeaders = decodeRecentLeaders(item.value);
         m_recentLeadersRevision = item.revision;
+        noteSuccessor();
     } else if (item.key == HolderKey) {
         m_holder = item.isRemoval ? std::nullopt : std::optional(item);
         rememberAddress(item);
     }
 }
 
+void LeaderElection::noteSuccessor()
+{
+    const bool hasSuccessor = !m_recentLeaders.empty() && m_recentLeaders.front() != m_settings.node && m_recentLeadersRevision > m_lastTerm;
+    if (!m_mayContinue || !hasSuccessor) {
+        return;
+    }
+    if (m_term != 0) {
+        loseLease();
+    }
+    m_mayContinue = false;
+    m_log.warning("leadership_lost", {{"to", m_recentLeaders.front()}, {"revision", m_recentLeadersRevision}});
+    m_hooks.onDeposed();
+}
+
 void LeaderElection::rememberAddress(const MetadataItem &item)
 {
     const auto record = item.isRemoval ? std::nullopt : decodeLeaderRecord(item.value);
@@ -260,6 +275,7 @@
 {
     m_isCandidate = false;
     m_term = term;
+    m_lastTerm = term;
     m_lease = lease;
     m_leaseValidUntil = leaseSentAt + span - m_settings.leaseMargin;
     const bool continued = m_mayContinue;
--- a/src/election/leaderelection.h
+++ b/src/election/leaderelection.h
@@ -99,6 +99,8 @@
 
 private:
     void applyItem(const MetadataItem &item);
+    /// Ends the claim to continue if the list of recent leaders shows that another process has led since this one.
+    void noteSuccessor();
     void rememberAddress(const MetadataItem &item);
     void evaluate();
     void startCandidacy();
@@ -138,6 +140,8 @@
     bool m_hasResigned = false;
     std::uint64_t m_attempt = 0;
     std::uint64_t m_term = 0;
+    /// The term of the last leadership of this process; zero if it has not led.
+    std::uint64_t m_lastTerm = 0;
     std::uint64_t m_lease = 0;
     Timestamp m_leaseValidUntil;
     bool m_replacedEarlierIncarnation = false;
--- a/tests/election/leaderelection.cpp
+++ b/tests/election/leaderelection.cpp
@@ -1,6 +1,7 @@
 #include "election/leaderelection.h"
 
 #include "metadata/fakemetadatastore.h"
+#include "metadata/heldfeedstore.h"
 #include "metadata/latecommitstore.h"
 
 #include <algorithm>
@@ -279,6 +280,31 @@
     BOOST_TEST(only.election->mayAct());
 }
 
+// Guards against a leader that goes on with its old state after another one has led: its feed lost the history of that time, and the
+// listing shows no holder.
+BOOST_FIXTURE_TEST_CASE(a_former_leader_whose_feed_missed_its_successor_does_not_continue, ElectionFixture)
+{
+    HeldFeedStore held(store, "leader/");
+    Candidate first(time, held, "a", 1);
+    run(1000);
+    BOOST_REQUIRE(first.election->mayAct());
+    held.isHeld = true;
+    first.isPaused = true;
+    run(3000);
+    auto &second = add("b");
+    run(1000);
+    BOOST_REQUIRE(second.election->mayAct());
+    second.election->resign();
+    run(200);
+    store.faults.compactedRevision = store.peek("leader/recent")->revision + 1;
+    held.releaseWithLoss();
+    first.resume();
+    run(8000);
+    BOOST_TEST(first.election->mayAct());
+    BOOST_TEST(first.deposed == 1);
+    BOOST_TEST(!first.wasContinued);
+}
+
 // Guards against two leaders that alternate faster than the receivers of orders allow.
 BOOST_AUTO_TEST_CASE(a_former_leader_waits_before_it_runs_again)
 {
