Pass no "not run" on that the endpoint did not say

A 408, 421, 429 or 503 of an endpoint that does not say that the request has not run was passed on, and clients read these statuses as a promise.

Evidence: gateway/a_503_that_may_have_run_is_no_promise_to_the_client and forwarding/a_refusal_that_does_not_say_that_the_request_did_not_run_is_not_passed_on fail without the change.

Change: such an answer counts as "may have run": another attempt where that is allowed, otherwise 502.

--- a/src/forwarding/attemptrule.cpp
+++ b/src/forwarding/attemptrule.cpp
@@ -3,6 +3,17 @@
 namespace Basilbend
 {
 
+namespace
+{
+
+/// Whether clients read the status as a promise that the request has not run and will not run.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}
+
 ForwardOutcome classifyResponse(CallOutcome callOutcome, int status, bool notExecuted, bool isSigned)
 {
     if (callOutcome == CallOutcome::NotConnected) {
@@ -20,6 +31,10 @@
         // A success status without the endpoint's signature was not sent by the endpoint.
         return isSigned ? ForwardOutcome::FinalResponse : ForwardOutcome::MayHaveRun;
     }
+    if (promisesNotRun(status)) {
+        // Only a response that also says so means it; passed on, it would promise what the endpoint did not.
+        return ForwardOutcome::MayHaveRun;
+    }
     return status >= 500 ? ForwardOutcome::ServerError : ForwardOutcome::FinalResponse;
 }
 
--- a/tests/forwarding/decisions.cpp
+++ b/tests/forwarding/decisions.cpp
@@ -131,6 +131,15 @@
     BOOST_TEST((classifyResponse(CallOutcome::ClosedUnanswered, 0, false, false) == ForwardOutcome::MayHaveRun));
 }
 
+// Guards against a status that tells the client "not run" for a request that may have run: the endpoint did not say so.
+BOOST_AUTO_TEST_CASE(a_refusal_that_does_not_say_that_the_request_did_not_run_is_not_passed_on)
+{
+    for (const int status : {408, 421, 429, 503}) {
+        BOOST_TEST((classifyResponse(CallOutcome::Complete, status, false, true) == ForwardOutcome::MayHaveRun), status);
+        BOOST_TEST((classifyResponse(CallOutcome::Complete, status, true, true) == ForwardOutcome::NotRun), status);
+    }
+}
+
 // Guards against running a non-repeatable request twice, and against reporting "not run" for a request that ran.
 BOOST_AUTO_TEST_CASE(a_non_repeatable_request_is_retried_only_if_it_has_not_run)
 {
--- a/tests/gateway/rawanswers.cpp
+++ b/tests/gateway/rawanswers.cpp
@@ -283,4 +283,18 @@
     BOOST_TEST(most <= AnswerBudget::MaxBufferedBytes + Streams * AnswerBudget::GuaranteedResponseBytes);
 }
 
+// Guards against a client that sends a request again which has run: the endpoint answers 503 and does not say that it did not run it.
+BOOST_FIXTURE_TEST_CASE(a_503_that_may_have_run_is_no_promise_to_the_client, RawAnswerFixture)
+{
+    script(
+        [](RawEndpoint &, const ConnectionPtr &connection) {
+            connection->write("HTTP/1.1 503 Service Unavailable\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Server-Signature: s\r\nContent-Length: 0\r\n\r\n");
+        },
+        [](const ConnectionPtr &connection) { connection->write(WholeAnswer); });
+    send("/once/a");
+    run(2000);
+    BOOST_TEST(status == 502);
+    BOOST_TEST(runs() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
