Keep open batches, however old

Found by the review in the code. A batch that nobody had ended was removed an hour after its submission, though its results are readable while it is open.

Evidence: the longer scheduling/an_open_batch_outlives_ended_ones_and_a_deposed_leader_removes_nothing fails without the change.

Price: a trainer that never ends its batches fills the store.

--- a/src/scheduling/batchcleaner.cpp
+++ b/src/scheduling/batchcleaner.cpp
@@ -41,7 +41,7 @@
 
 bool BatchCleaner::isDue(const TrackedBatch &batch) const
 {
-    return m_loop.now() - batch.submittedAt > (batch.ended ? EndedRetention : OpenRetention);
+    return batch.ended && m_loop.now() - batch.submittedAt > EndedRetention;
 }
 
 void BatchCleaner::poll()
--- a/src/scheduling/batchcleaner.h
+++ b/src/scheduling/batchcleaner.h
@@ -13,7 +13,8 @@
 namespace Basilbend
 {
 
-/// Removes batches from the metadata store once clients can no longer request them, one at a time and with the index last.
+/// Removes ended batches from the metadata store once clients can no longer request them, one at a time and with the index last. An
+/// open batch is kept, however old it is.
 class BatchCleaner
 {
 public:
@@ -31,8 +32,6 @@
 
     /// Time after submission until which the results of an ended batch are readable.
     static constexpr Milliseconds EndedRetention{180 * 1000};
-    /// Time after submission until which a batch that was never ended is kept.
-    static constexpr Milliseconds OpenRetention{3600 * 1000};
 
 private:
     struct TrackedBatch {
--- a/tests/scheduling/batchstorage.cpp
+++ b/tests/scheduling/batchstorage.cpp
@@ -216,6 +216,11 @@
     cleaner.poll();
     time.advance(Milliseconds(500));
     BOOST_TEST(store.keysBelow("batch/").size() == 3U);
+    // Results stay readable while their batch is open, so its age does not matter.
+    time.advance(Milliseconds(2 * 3600 * 1000));
+    cleaner.poll();
+    time.advance(Milliseconds(500));
+    BOOST_TEST(store.keysBelow("batch/").size() == 3U);
     index.ended = true;
     cleaner.track(index);
     store.put(LeaderElection::holderKey(), "another");
