Soak: endpoints whose responses never end, and a bound on memory

Faulty endpoints of the plain service and of the engines answer in seven forms until the caller closes.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -27,6 +27,8 @@
 /// Grace period of the settings plus one second.
 constexpr Milliseconds StopTime{6000};
 constexpr Milliseconds ReplacementTime{300};
+/// Memory of the smallest host that runs a gateway.
+constexpr long MaxMemoryKib = 110 * 1024;
 
 /// One soak run: a phase with faults, recovery, a phase in which requests have to be served, a read of all batches, and shutdown.
 class SoakRun
@@ -94,7 +96,15 @@
         for (const auto &node : m_system.nodes()) {
             out << " " << node.name << " " << node.process->processorTime().count();
         }
-        out << "\n";
+        out << "; peak memory in MiB:";
+        for (const auto &node : m_system.nodes()) {
+            out << " " << node.process->peakMemoryKib() / 1024;
+        }
+        std::uint64_t endlessBytes = 0;
+        for (const auto &endpoint : m_system.endlessEndpoints()) {
+            endlessBytes += endpoint->sentBytes();
+        }
+        out << "; endless responses: " << endlessBytes / (1024 * 1024) << " MiB taken\n";
     }
 
     /// Replaces one engine after the other: in each round by the other software version, so that both serve side by side.
@@ -121,6 +131,9 @@
     {
         m_faults.stop();
         m_isReleasing = false;
+        for (const auto &endpoint : m_system.endlessEndpoints()) {
+            endpoint->stop();
+        }
         m_clients.stopDeadlyRequests();
         m_loop.runAfter(SettleTime, [this] { measureServedShare(); });
     }
@@ -169,6 +182,7 @@
             const bool isRunning = node.process->isRunning();
             m_checker.expect(!isRunning, node.name + " still runs after its grace period");
             m_checker.expect(isRunning || node.process->exitCode() == 0, node.name + " did not exit with code 0");
+            m_checker.expect(node.process->peakMemoryKib() <= MaxMemoryKib, node.name + " has used too much memory");
         }
         m_io.stop();
     }
@@ -219,6 +233,7 @@
     app.add_option("--deadly-interval", deadlyIntervalMs, "milliseconds between two requests that crash their endpoints; 0: none")->check(CLI::Range(0, 60000));
     app.add_option("--release-interval", releaseIntervalMs, "milliseconds between two replacements of an engine by one of another software version")
         ->check(CLI::Range(0, 60000));
+    app.add_option("--endless-endpoints", settings.endlessEndpoints, "number of faulty endpoints whose responses never end")->check(CLI::Range(0, 100));
     app.add_option("--engines", settings.engines, "number of model engines")->check(CLI::Range(1, 1000));
     app.add_option("--engine-slots", settings.engineSlots, "runs at once of an engine")->check(CLI::Range(1, 256));
     app.add_option("--event-interval", eventIntervalMs, "milliseconds between two events of a run")->check(CLI::Range(1, 10000));
--- a/tests/soak/soakprocess.cpp
+++ b/tests/soak/soakprocess.cpp
@@ -1,5 +1,6 @@
 #include "soak/soakprocess.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <csignal>
@@ -95,6 +96,7 @@
     m_exitCode = WIFEXITED(status) ? std::optional(WEXITSTATUS(status)) : std::nullopt;
     const auto span = [](const timeval &time) { return Milliseconds(time.tv_sec * 1000 + time.tv_usec / 1000); };
     m_processorTime += span(usage.ru_utime) + span(usage.ru_stime);
+    m_peakMemoryKib = std::max(m_peakMemoryKib, usage.ru_maxrss);
     return true;
 }
 
--- a/tests/soak/soakprocess.h
+++ b/tests/soak/soakprocess.h
@@ -49,6 +49,12 @@
         return m_processorTime;
     }
 
+    /// Largest resident memory of an ended run of the process, in KiB.
+    long peakMemoryKib() const
+    {
+        return m_peakMemoryKib;
+    }
+
     /// Exit code of the last run; nothing when a signal ended it, or while the process runs.
     std::optional<int> exitCode() const
     {
@@ -71,6 +77,7 @@
     pid_t m_pid = 0;
     std::optional<int> m_exitCode;
     Milliseconds m_processorTime{0};
+    long m_peakMemoryKib = 0;
 };
 
 }
--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -71,6 +71,11 @@
         const SoakEndpointSettings service{"desk", "d" + std::to_string(i), {}, 8};
         m_endpoints.push_back(std::make_unique<SoakEndpoint>(io, loop, random, checker, service, writeKey));
     }
+    for (int i = 0; i < m_settings.endlessEndpoints; ++i) {
+        const bool isPlain = i % 2 == 0;
+        const auto models = isPlain ? std::vector<std::string>() : m_settings.models;
+        m_endlessEndpoints.push_back(std::make_unique<EndlessEndpoint>(io, isPlain ? "desk" : "engine", "x" + std::to_string(i), models, writeKey));
+    }
     publishConfiguration();
     for (int i = 0; i < m_settings.gateways; ++i) {
         addNode("gateway", i);
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "http/webserver.h"
+#include "soak/endlessendpoint.h"
 #include "soak/faultproxy.h"
 #include "soak/invariantchecker.h"
 #include "soak/soakendpoint.h"
@@ -28,6 +29,8 @@
     /// Time between two events of a run at an engine.
     Milliseconds eventInterval{25};
     int services = 2;
+    /// Number of faulty endpoints, of the plain service and of the engines in turn, whose responses never end.
+    int endlessEndpoints = 0;
     /// Time between two replacements of an engine by one of another software version; zero: there are none.
     Milliseconds releaseInterval{0};
     std::vector<std::string> models = {"alpha", "beta"};
@@ -69,6 +72,11 @@
         return m_endpoints;
     }
 
+    const std::vector<std::unique_ptr<EndlessEndpoint>> &endlessEndpoints() const
+    {
+        return m_endlessEndpoints;
+    }
+
     FakeMetadataStore &store()
     {
         return m_store.store();
@@ -116,6 +124,7 @@
     StoreServer m_store;
     WebServer m_reportServer;
     std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
+    std::vector<std::unique_ptr<EndlessEndpoint>> m_endlessEndpoints;
     std::vector<SoakNode> m_nodes;
     std::vector<std::string> m_peers;
     std::map<std::string, std::uint64_t> m_versions;
