Log how the end of a response without a length was judged

unframed_answer_checked names the request, the endpoint and whether the response was whole, so that an operator can tell a cut response from a whole one.

--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -508,6 +508,8 @@
     attempt.check = std::make_unique<IdentityCheck>(m_context.client, m_context.loop, attempt.endpoint, healthPath);
     attempt.check->start([self = shared_from_this(), index](bool isSame) {
         self->m_attempts[index]->isBeingChecked = false;
+        self->m_context.log.info("unframed_answer_checked",
+                                 {{"request", self->m_request.attemptId}, {"endpoint", self->m_attempts[index]->endpoint.id}, {"whole", isSame}});
         self->acceptEnd(index, isSame ? CallOutcome::Complete : CallOutcome::Broken);
     });
 }
