Protect the last endpoint from suspects after crashes under any request

The rule that no suspect runs at the last available endpoint within 5 s of a crash counted the crashes of the same request only, which were 10 s past; the crashes a second ago were under the other two.

Evidence: gateway/a_suspect_does_not_run_at_the_last_endpoint_after_crashes_under_other_requests fails with the time of the request's own crash.

Weighed and taken back: leaving endpoints on trial out of the count; two existing tests showed that sound requests beside a deadly one then fail.

--- a/src/forwarding/crashhistory.cpp
+++ b/src/forwarding/crashhistory.cpp
@@ -62,6 +62,7 @@
         return false;
     }
     crashes.push_back({crash.endpoint, crash.run, now});
+    m_lastCrashAt = now;
     return true;
 }
 
@@ -104,16 +105,14 @@
         return {};
     }
     int evidence = 0;
-    Timestamp lastCrashAt;
     Timestamp lastTrialAt;
     for (const auto &crash : it->second.crashes) {
-        lastCrashAt = std::max(lastCrashAt, crash.at);
         if (crash.run != CrashedRun::Regular) {
             evidence += evidenceOf(crash.run);
             lastTrialAt = std::max(lastTrialAt, crash.at);
         }
     }
-    RequestStanding standing{RequestStanding::Kind::Suspected, Milliseconds(0), now - lastCrashAt};
+    RequestStanding standing{RequestStanding::Kind::Suspected, Milliseconds(0)};
     if (evidence >= QuarantineEvidence) {
         standing.quarantinedFor = std::max(Milliseconds(0), lastTrialAt + quarantineFor(evidence) - now);
     }
--- a/src/forwarding/crashhistory.h
+++ b/src/forwarding/crashhistory.h
@@ -46,8 +46,6 @@
     Kind kind = Kind::Unsuspected;
     /// Remaining time of the quarantine.
     Milliseconds quarantinedFor{0};
-    /// Time since the newest crash that is known.
-    Milliseconds sinceLastCrash{0};
 };
 
 /// Decides which requests may run after endpoints have crashed under them.
@@ -70,6 +68,12 @@
 
     RequestStanding standingOf(const RequestFingerprint &request, Timestamp now) const;
 
+    /// Time since the newest crash under any request; the retention if none is known.
+    Milliseconds sinceLastCrash(Timestamp now) const
+    {
+        return m_lastCrashAt ? now - *m_lastCrashAt : Retention;
+    }
+
     void removeExpired(Timestamp now);
 
     bool isEmpty() const
@@ -111,6 +115,7 @@
 
     std::map<RequestFingerprint, Request> m_requests;
     std::map<std::string, std::size_t> m_requestsOfWorkspace;
+    std::optional<Timestamp> m_lastCrashAt;
 };
 
 }
--- a/src/forwarding/trialchoice.h
+++ b/src/forwarding/trialchoice.h
@@ -18,7 +18,8 @@
     const RequestFingerprint &request;
     /// Endpoints that the request was sent to.
     const std::set<std::string> &excluded;
-    /// See RequestStanding.
+    /// Time since the newest crash under any request. After a quarantine the request's own crashes are long past, but other suspects may
+    /// have crashed the other endpoints just now.
     Milliseconds sinceLastCrash{0};
     /// Time since the trial was first asked for.
     Milliseconds waited{0};
--- a/src/gateway/crashguard.cpp
+++ b/src/gateway/crashguard.cpp
@@ -46,7 +46,7 @@
     const auto now = m_context.loop.now();
     m_trialWantedAt = m_trialWantedAt.value_or(now);
     auto &trials = m_context.crashes.trials();
-    const TrialState state{fingerprint(), excluded, standing().sinceLastCrash, now - *m_trialWantedAt};
+    const TrialState state{fingerprint(), excluded, m_context.crashes.history().sinceLastCrash(now), now - *m_trialWantedAt};
     const auto choice = Basilbend::chooseTrial(endpoints, state, m_context.picker, trials, now);
     if (choice.endpoint != nullptr) {
         trials.reserve(choice.endpoint->id, fingerprint(), m_attempt, now + m_maxIsolation, choice.step == TrialChoice::Step::Send);
--- a/tests/forwarding/crashhistory.cpp
+++ b/tests/forwarding/crashhistory.cpp
@@ -49,6 +49,16 @@
     BOOST_TEST((standing.quarantinedFor == CrashHistory::FirstQuarantine));
 }
 
+// Guards against a suspect that counts only its own crashes when it asks whether endpoints have crashed lately.
+BOOST_AUTO_TEST_CASE(the_newest_crash_is_that_under_any_request)
+{
+    CrashHistory history;
+    BOOST_TEST((history.sinceLastCrash(Start) == CrashHistory::Retention));
+    history.record(crashOf(Deadly, "a", CrashedRun::Regular), Start);
+    history.record(crashOf({"other"}, "b", CrashedRun::Regular), Start + Milliseconds(3000));
+    BOOST_TEST((history.sinceLastCrash(Start + Milliseconds(4000)) == Milliseconds(1000)));
+}
+
 BOOST_AUTO_TEST_CASE(two_shared_trials_prove_as_much_as_an_isolated_one)
 {
     CrashHistory history;
--- a/tests/gateway/deadlyrequests.cpp
+++ b/tests/gateway/deadlyrequests.cpp
@@ -217,6 +217,26 @@
     BOOST_TEST(serve("sound").status == 200);
 }
 
+// Guards against the loss of the last endpoint to a suspect whose quarantine has ended, while others have crashed under another request.
+BOOST_FIXTURE_TEST_CASE(a_suspect_does_not_run_at_the_last_endpoint_after_crashes_under_other_requests, CrashFixture)
+{
+    serve("deadly");
+    run(4000);
+    time.advance(CrashHistory::FirstQuarantine);
+    const auto before = crashes();
+    endpoints[1]->crash();
+    endpoints[2]->crash();
+    endpoints[0]->deadlyBodies = {"deadly", "other"};
+    endpoints[3]->deadlyBodies = {"deadly", "other"};
+    for (int i = 0; i < 8; ++i) {
+        serve("sound-" + std::to_string(i));
+    }
+    serve("other");
+    serve("deadly");
+    BOOST_TEST(crashes() == before + 3);
+    BOOST_TEST(serve("sound").status == 200);
+}
+
 // Guards against requests that are rejected as if all endpoints were full, because the only running one is reserved for a trial.
 BOOST_FIXTURE_TEST_CASE(requests_use_a_reserved_endpoint_when_the_others_have_crashed, CrashFixture)
 {
