Soak: give each run a port range of its own

The ranges of two runs with adjacent process ids overlapped when a port was taken in between, and ranges repeated each 1000 process ids.

A run now holds the first port of its range, and takes another range when that is taken.

--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -17,8 +17,25 @@
 /// Ports of the processes are below those that the system assigns to outgoing connections, and in a separate range for each run,
 /// because a process that is started again must find its port free.
 constexpr int FirstPort = 10000;
-constexpr int PortRanges = 1000;
-constexpr int PortsPerRun = 22;
+constexpr int PortRanges = 500;
+constexpr int PortsPerRun = 44;
+
+/// Binds the first port of a range that no other run has, so that runs side by side never share a port. Throws asio::system_error if
+/// all ranges are taken.
+asio::ip::tcp::acceptor reservePortRange(asio::io_context &io)
+{
+    asio::error_code ec = asio::error::address_in_use;
+    for (int i = 0; i < PortRanges; ++i) {
+        const auto port = FirstPort + (::getpid() + i) % PortRanges * PortsPerRun;
+        asio::ip::tcp::acceptor acceptor(io);
+        acceptor.open(asio::ip::tcp::v4());
+        acceptor.bind({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)}, ec);
+        if (!ec) {
+            return acceptor;
+        }
+    }
+    throw asio::system_error(ec);
+}
 
 json route(const char *name, const char *prefix, const char *kind, const char *service, Milliseconds timeout)
 {
@@ -53,7 +70,8 @@
     , m_settings(std::move(settings))
     , m_store(io, loop)
     , m_reportServer(io, "127.0.0.1:0", reportHooks(checker))
-    , m_lastPort(static_cast<std::uint16_t>(FirstPort + ::getpid() % PortRanges * PortsPerRun))
+    , m_portRange(reservePortRange(io))
+    , m_lastPort(m_portRange.local_endpoint().port())
 {
     const auto writeKey = [this](const std::string &key, const std::string &value) {
         if (value.empty()) {
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -10,6 +10,7 @@
 #include "soak/storeserver.h"
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -130,6 +131,8 @@
     std::map<std::string, std::uint64_t> m_versions;
     std::vector<std::string> m_apiKeys = {"w1-a", "w1-b", "w1-c", "w1-d"};
     std::uint64_t m_configuration = 0;
+    /// Holds the first port of the range of this run.
+    asio::ip::tcp::acceptor m_portRange;
     std::uint16_t m_lastPort;
     Milliseconds m_routeTimeout{2000};
 };
