--- a/src/http/webclient.cpp
+++ b/src/http/webclient.cpp
@@ -129,7 +129,7 @@
     if (entry == idle.end()) {
         return nullptr;
     }
-    const auto connection = entry->connection;
+    auto connection = entry->connection;
     idle.erase(entry);
     return connection;
 }
