--- a/tests/soak/endlessendpoint.cpp
+++ b/tests/soak/endlessendpoint.cpp
@@ -57,8 +57,7 @@
 };
 
 EndlessEndpoint::EndlessEndpoint(asio::io_context &io, const std::string &service, std::string id, const std::vector<std::string> &models, WriteKey writeKey)
-    : m_io(io)
-    , m_acceptor(io, {asio::ip::address_v4::loopback(), 0})
+    : m_acceptor(io, {asio::ip::address_v4::loopback(), 0})
     , m_id(std::move(id))
     , m_writeKey(std::move(writeKey))
 {
--- a/tests/soak/endlessendpoint.h
+++ b/tests/soak/endlessendpoint.h
@@ -47,7 +47,6 @@
     void respond(const ConnectionPtr &connection);
     void write(const ConnectionPtr &connection, const std::string &bytes);
 
-    asio::io_context &m_io;
     asio::ip::tcp::acceptor m_acceptor;
     std::string m_id;
     WriteKey m_writeKey;
