Test the limits on bodies that are not used

Evidence: with the limits taken away both tests fail, the item's run has no end within 2 s and the reward call none within 250 ms; with them both pass. No source changes.

--- a/tests/http/rawendpoint.h
+++ b/tests/http/rawendpoint.h
@@ -19,7 +19,7 @@
 class RawEndpoint
 {
 public:
-    struct Connection {
+    struct Connection : std::enable_shared_from_this<Connection> {
         explicit Connection(asio::ip::tcp::socket from)
             : socket(std::move(from))
         {
@@ -31,6 +31,7 @@
         std::unique_ptr<MessageParser> parser;
         /// Number of requests that the connection has carried, among them those that ask who the endpoint is.
         int requests = 0;
+        std::string repeated = {};
 
         void write(const std::string &bytes)
         {
@@ -38,6 +39,17 @@
             asio::write(socket, asio::buffer(bytes), ec);
         }
 
+        /// Writes the bytes again and again until the connection closes.
+        void repeat(const std::string &bytes)
+        {
+            repeated = bytes;
+            asio::async_write(socket, asio::buffer(repeated), [self = shared_from_this()](const asio::error_code &ec, std::size_t) {
+                if (!ec) {
+                    self->repeat(self->repeated);
+                }
+            });
+        }
+
         void close()
         {
             asio::error_code ec;
--- a/tests/scheduling/itemrun.cpp
+++ b/tests/scheduling/itemrun.cpp
@@ -171,4 +171,15 @@
     BOOST_TEST((*end == RunEnd::Broken));
 }
 
+// Guards against a leader that reads the body of a response without end: the response is no stream of events, so nothing of it is used.
+BOOST_FIXTURE_TEST_CASE(an_endless_body_that_is_no_stream_of_events_ends_the_run, UnframedRunFixture)
+{
+    const auto end = run([](const RawEndpoint::ConnectionPtr &connection) {
+        connection->write("HTTP/1.1 500 Internal Server Error\r\nBasilbend-Attempt-Id: i\r\nTransfer-Encoding: chunked\r\n\r\n");
+        connection->repeat("3e80\r\n" + std::string(16'000, 'x') + "\r\n");
+    });
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == RunEnd::Oversized));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/rewardcalls.cpp
+++ b/tests/scheduling/rewardcalls.cpp
@@ -328,4 +328,18 @@
     BOOST_TEST(scores.front().second == "scored");
 }
 
+// Guards against a reward call that reads a body without end until its time limit.
+BOOST_FIXTURE_TEST_CASE(an_endless_body_ends_a_reward_call_before_its_time_limit, UnframedRewardFixture)
+{
+    raw.onRequest = [this](const RawEndpoint::ConnectionPtr &connection) {
+        addFirst();
+        connection->write("HTTP/1.1 200 OK\r\nBasilbend-Attempt-Id: r0\r\nBasilbend-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+        connection->repeat("3e80\r\n" + std::string(16'000, 'x') + "\r\n");
+    };
+    finishTexts(1, 1);
+    run(250);
+    BOOST_REQUIRE(scores.size() == 1U);
+    BOOST_TEST(scores.front().second == "scored-r0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
