--- a/src/endpoints/identitycheck.h
+++ b/src/endpoints/identitycheck.h
@@ -28,7 +28,7 @@
 
     void start(Callback callback);
 
-    /// A loaded endpoint answers within some hundred milliseconds.
+    /// Half of the two seconds without an event after which clients abandon a stream.
     static constexpr Milliseconds Timeout{1000};
 
 private:
--- a/src/gateway/streamorigins.h
+++ b/src/gateway/streamorigins.h
@@ -64,7 +64,7 @@
     static constexpr Milliseconds LeaseSpan{600000};
     /// A lease is used for new records for this long.
     static constexpr Milliseconds LeaseUse{300000};
-    /// Age up to which the list of endpoints counts as current. A watch without changes verifies it every few seconds.
+    /// Age up to which the list of endpoints counts as current. A watch without changes verifies it every 5 s.
     static constexpr Milliseconds MaxListAge{6000};
 
 private:
