Test a process against clients that keep to no limit

Clients saw: a gateway or a scheduler ran out of memory and ended while other clients sent requests ahead without reading, heads of thousands of short fields, or bodies that never end; every caller on it lost its connection.

Each test starts one process of the system on loopback addresses with the memory of the smallest host (110 MiB, as a limit of the system on its private memory) and checks that it lives, that its memory and descriptors stay under the bound, and that one ordinary request at each of its listeners is answered afterwards. No time and no share of requests is checked.

--- a/tests/soak/soakprocess.cpp
+++ b/tests/soak/soakprocess.cpp
@@ -13,6 +13,20 @@
 namespace Basilbend
 {
 
+namespace
+{
+
+/// Async-signal-safe, because it runs between fork() and execv().
+void applyLimit(__rlimit_resource resource, std::uint64_t value)
+{
+    if (value > 0) {
+        const rlimit limit{value, value};
+        ::setrlimit(resource, &limit);
+    }
+}
+
+}
+
 SoakProcess::SoakProcess(std::string program, std::string role, std::string settingsFile, std::string logFile)
     : m_program(std::move(program))
     , m_role(std::move(role))
@@ -58,6 +72,8 @@
     if (m_pid == 0) {
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
+        applyLimit(RLIMIT_DATA, m_memoryLimit);
+        applyLimit(RLIMIT_NOFILE, m_descriptorLimit);
         ::execv(m_program.c_str(), arguments.data());
         ::_exit(127);
     }
--- a/tests/soak/soakprocess.h
+++ b/tests/soak/soakprocess.h
@@ -2,6 +2,7 @@
 
 #include "base/timestamp.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -25,9 +26,27 @@
         m_isOutputRead = false;
     }
 
+    /// Limits the private memory of the process in bytes, from the next start on.
+    void limitMemory(std::uint64_t bytes)
+    {
+        m_memoryLimit = bytes;
+    }
+
+    /// Limits the open descriptors of the process, from the next start on.
+    void limitDescriptors(std::uint64_t descriptors)
+    {
+        m_descriptorLimit = descriptors;
+    }
+
     /// Throws std::system_error when the process can't be created or its log can't be opened.
     void start();
 
+    /// Process id; zero when the process has ended.
+    pid_t id() const
+    {
+        return m_pid;
+    }
+
     /// Sends a signal; does nothing when the process has ended.
     void signal(int number);
 
@@ -74,6 +93,9 @@
     bool m_isStopRequested = false;
     /// Read end of the pipe that is never read; -1 when there is none.
     int m_unreadPipe = -1;
+    /// Zero: the limit of this process applies.
+    std::uint64_t m_memoryLimit = 0;
+    std::uint64_t m_descriptorLimit = 0;
     pid_t m_pid = 0;
     std::optional<int> m_exitCode;
     Milliseconds m_processorTime{0};
