Refuse base64 texts with white space at an end

Clients saw, or would have seen: a gateway ends when one client submits a batch with a body such as "AAA " in an item; every other request on it is lost. Any client with a key can send it, and so can an endpoint's entry or the store's value, which use the same decoder.

Cause: EVP_DecodeBlock skips white space at both ends and so decodes fewer groups than the length of the text says. fromBase64() subtracted the padding from that number, which wraps around, and read the last group beyond the decoded bytes: std::out_of_range or std::length_error, which nothing catches in the event loop.

Change: a text that decodes to fewer bytes than its length says is no base64.

Sanitizers were not used.

--- a/src/net/base64.cpp
+++ b/src/net/base64.cpp
@@ -25,12 +25,13 @@
     const int n = text.size() % 4 != 0
         ? -1
         : EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
-    if (n < 0) {
+    // EVP_DecodeBlock skips white space at both ends, so that it decodes fewer groups than the text has.
+    if (n < 0 || static_cast<std::size_t>(n) != bytes.size()) {
         return std::nullopt;
     }
     // EVP_DecodeBlock includes padding in its length, as zero bytes.
     const auto padding = text.substr(text.size() - 2) == "==" ? 2U : text.back() == '=' ? 1U : 0U;
-    bytes.resize(static_cast<std::size_t>(n) - padding);
+    bytes.resize(bytes.size() - padding);
     // EVP_DecodeBlock also accepts padding in the middle, white space at both ends and non-zero unused bits in the last group.
     const bool isPaddedAtEnd = text.find('=') >= text.size() - padding;
     const bool hasWhiteSpace = std::isspace(static_cast<unsigned char>(text.front())) != 0 || std::isspace(static_cast<unsigned char>(text.back())) != 0;
