Bound what the connections of all clients hold together

Clients saw: a process ran out of memory and ended, or had no descriptor left for its calls, when other clients kept to no limit; all requests on it were lost.

Causes: the next request of a connection was begun however many responses lay unread; reading went on after each request although the input buffer was full; a head's limit counts bytes as sent while a field of four bytes was held in 64 and more; nothing added up over connections; accepting took the last descriptors.

Change: ConnectionBudget, one for all listening addresses of a process and without I/O, closes or refuses (503, code 1201, nothing has run) the connections that hold most, never one that is being served. No request begins above 64 KiB of unread responses, a client that takes nothing for 15 s is closed, heads are held as one text until they are complete, fields of a connection are removed in one pass. Large blocks of memory go back to the system when they are freed.

Ruled out on the way: with buffers that double or keep their capacity when an empty text is assigned, 40 open bodies still ended the process with 40 MB counted.

--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
+#include <malloc.h>
 #include <poll.h>
 #include <random>
 #include <sstream>
@@ -38,14 +39,19 @@
     return text.str();
 }
 
-/// Raises the limit of open descriptors, and so of connections, to the hard limit of the system.
-void raiseDescriptorLimit()
+/// Blocks of this size and more are returned to the system as soon as they are freed. Large bodies that grow side by side would otherwise
+/// leave gaps in the heap of several times their size.
+constexpr int LargeBlockBytes = 128 * 1024;
+
+/// Raises the limit of open descriptors, and so of connections, to the hard limit of the system. Returns the limit.
+std::size_t raiseDescriptorLimit()
 {
     rlimit limit{};
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
         limit.rlim_cur = limit.rlim_max;
         setrlimit(RLIMIT_NOFILE, &limit);
     }
+    return availableDescriptors();
 }
 
 }
@@ -64,8 +70,15 @@
     , m_relay(m_directTransport, m_client, m_loop, m_log, otherPeers(m_settings), m_random.below(FirstPeerBound), isPeer(m_settings))
     , m_store(m_relay)
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+    , m_connectionBudget(std::make_shared<ConnectionBudget>(connectionLimitsFor(availableMemoryBytes(), raiseDescriptorLimit())))
 {
-    raiseDescriptorLimit();
+    mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+    m_connectionBudget->onYield = [this](ConnectionYield reason) {
+        m_metrics.count("basilbend_connections_yielded_total", {{"reason", connectionYieldName(reason)}});
+        m_log.warning(
+            "connection_yielded",
+            {{"reason", connectionYieldName(reason)}, {"connections", m_connectionBudget->connectionCount()}, {"held_bytes", m_connectionBudget->heldBytes()}});
+    };
     std::signal(SIGPIPE, SIG_IGN);
     m_log.info("process_started", {{"role", m_settings.role}, {"zone", m_settings.zone}, {"settings_digest", std::hash<std::string>()(m_settingsText)}});
     serveMetrics();
@@ -97,13 +110,22 @@
         if (onMetricsRequested) {
             onMetricsRequested();
         }
+        m_metrics.setGauge("basilbend_server_connections", static_cast<double>(m_connectionBudget->connectionCount()));
+        m_metrics.setGauge("basilbend_server_connection_bytes", static_cast<double>(m_connectionBudget->heldBytes()));
         m_metrics.setGauge("basilbend_log_lines_dropped", static_cast<double>(m_log.droppedLines()));
         m_metrics.setGauge("basilbend_outgoing_connections_opened", static_cast<double>(m_client.counts().connects));
         m_metrics.setGauge("basilbend_store_calls", static_cast<double>(m_store.counts().calls));
         m_metrics.setGauge("basilbend_store_calls_unanswered", static_cast<double>(m_store.counts().unanswered));
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.toText()});
     });
-    m_metricsServer = std::make_unique<WebServer>(m_io, m_settings.metricsListenAddress, std::move(hooks));
+    m_metricsServer = std::make_unique<WebServer>(m_io, m_settings.metricsListenAddress, sharedServerHooks(std::move(hooks)));
+}
+
+ServerHooks DaemonRuntime::sharedServerHooks(ServerHooks hooks)
+{
+    hooks.budget = m_connectionBudget;
+    hooks.onAcceptFailed = [this](const asio::error_code &ec) { m_log.warning("accept_failed", {{"reason", ec.message()}}); };
+    return hooks;
 }
 
 void DaemonRuntime::waitForSignal()
--- a/src/daemon/daemonruntime.h
+++ b/src/daemon/daemonruntime.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "daemon/daemonsettings.h"
 #include "daemon/loopdelaymonitor.h"
+#include "http/connectionbudget.h"
 #include "http/webclient.h"
 #include "http/webserver.h"
 #include "log/eventlog.h"
@@ -72,6 +73,9 @@
     {
         return m_store;
     }
+    /// Adds to the hooks of a server what all servers of the process share.
+    ServerHooks sharedServerHooks(ServerHooks hooks);
+
     RelayedTransport &relay()
     {
         return m_relay;
@@ -110,6 +114,8 @@
     RelayedTransport m_relay;
     PlatformStore m_store;
     asio::signal_set m_signals;
+    /// Limits what the connections of clients use, at all listening addresses together.
+    std::shared_ptr<ConnectionBudget> m_connectionBudget;
     std::unique_ptr<WebServer> m_metricsServer;
     PlatformStoreCounts m_loggedCounts;
     LoopDelayMonitor m_loopDelay;
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -34,6 +34,14 @@
 constexpr Milliseconds FinalResponseTime{200};
 constexpr Milliseconds DrainCheckInterval{50};
 
+/// Retry-After of a request that is refused for lack of memory for connections; the client may return at another gateway.
+constexpr Milliseconds OverloadRetryAfter{500};
+
+const char *rejectionMessage(int status)
+{
+    return status == 503 ? "the connections of this process hold too much memory" : "the request can't be read";
+}
+
 ResultCode resultCodeForStatus(int status)
 {
     switch (status) {
@@ -43,6 +51,8 @@
         return ResultCode::BodyTooLarge;
     case 431:
         return ResultCode::HeadersTooLarge;
+    case 503:
+        return ResultCode::Overloaded;
     default:
         return ResultCode::MalformedRequest;
     }
@@ -72,15 +82,17 @@
                     AnswerBudget(),
                     RequestLimiter(runtime.settings().warmupTolerance, 1.0 / runtime.settings().gatewayCount)}
         , m_service(m_context, freshnessRuleFor(runtime.settings()))
-        , m_clientServer(runtime.io(), runtime.settings().clientListenAddress, clientHooks())
-        , m_readinessServer(
-              runtime.io(), runtime.settings().readinessListenAddress, defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
-                  exchange->respond(isReadinessRequest(exchange->request()) ? m_service.readiness() : ResponseMessage{404, {}, {}});
-              }))
+        , m_clientServer(runtime.io(), runtime.settings().clientListenAddress, runtime.sharedServerHooks(clientHooks()))
+        , m_readinessServer(runtime.io(),
+                            runtime.settings().readinessListenAddress,
+                            runtime.sharedServerHooks(defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
+                                exchange->respond(isReadinessRequest(exchange->request()) ? m_service.readiness() : ResponseMessage{404, {}, {}});
+                            })))
         , m_feedHub(runtime.loop(), runtime.log())
-        , m_internalServer(runtime.io(), runtime.settings().internalAddress, defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) {
-                               serveInternalRequest(exchange);
-                           }))
+        , m_internalServer(
+              runtime.io(),
+              runtime.settings().internalAddress,
+              runtime.sharedServerHooks(defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) { serveInternalRequest(exchange); })))
     {
         m_view.shareFeeds(m_feedHub, [this] { return makeFollower(); });
         m_context.crashes.ledger().feed().share(m_feedHub, makeFollower());
@@ -124,7 +136,8 @@
         hooks.errorResponse = [this](int status) {
             m_runtime.metrics().count("basilbend_refused_messages_total", {{"status", std::to_string(status)}});
             m_runtime.log().warning("message_refused", {{"status", status}});
-            return makeRejection(status, Error{resultCodeForStatus(status), "the request can't be read"}, {});
+            const auto retryAfter = status == 503 ? OverloadRetryAfter : Milliseconds(0);
+            return makeRejection(status, Error{resultCodeForStatus(status), rejectionMessage(status), Execution::NotRun, retryAfter}, {});
         };
         hooks.limits = [this] { return m_service.limits(); };
         hooks.isDraining = [this] { return m_service.isDraining(); };
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -86,10 +86,10 @@
         m_view.onVersionPublished = [this] { startDueWeightOrders(); };
         m_view.onHostsToEmptyChanged = [this] { retireHosts(); };
         if (!runtime.settings().internalAddress.empty()) {
-            m_internalServer =
-                std::make_unique<WebServer>(runtime.io(),
-                                            runtime.settings().internalAddress,
-                                            defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) { serveInternalRequest(exchange); }));
+            m_internalServer = std::make_unique<WebServer>(
+                runtime.io(),
+                runtime.settings().internalAddress,
+                runtime.sharedServerHooks(defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) { serveInternalRequest(exchange); })));
         }
         m_startedAt = m_runtime.loop().now();
         m_runtime.onStopRequested = [this] { stop(); };
--- a/src/http/httpfields.cpp
+++ b/src/http/httpfields.cpp
@@ -1,6 +1,7 @@
 #include "http/httpfields.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Basilbend
 {
@@ -13,6 +14,13 @@
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
+std::string lowerCased(std::string_view text)
+{
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(), lowerCase);
+    return result;
+}
+
 /// Splits a comma-separated list and strips the whitespace around its elements.
 std::vector<std::string> splitList(std::string_view text)
 {
@@ -64,6 +72,15 @@
     m_fields.push_back({std::move(name), std::move(value)});
 }
 
+std::size_t HttpFields::heldBytes() const
+{
+    std::size_t n = m_fields.capacity() * sizeof(HttpField);
+    for (const auto &field : m_fields) {
+        n += field.name.size() + field.value.size();
+    }
+    return n;
+}
+
 void HttpFields::set(std::string_view name, std::string value)
 {
     remove(name);
@@ -78,12 +95,13 @@
 
 void HttpFields::removeHopByHop()
 {
+    std::set<std::string> names;
     for (const auto &name : splitList(value("Connection"))) {
-        remove(name);
-    }
-    for (const auto *name : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Upgrade", "TE", "Trailer", "Proxy-Connection", "Expect"}) {
-        remove(name);
+        names.insert(lowerCased(name));
     }
+    names.insert({"connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te", "trailer", "proxy-connection", "expect"});
+    m_fields.erase(std::remove_if(m_fields.begin(), m_fields.end(), [&names](const HttpField &field) { return names.count(lowerCased(field.name)) > 0; }),
+                   m_fields.end());
 }
 
 }
--- a/src/http/httpfields.h
+++ b/src/http/httpfields.h
@@ -43,6 +43,14 @@
 
     void add(std::string name, std::string value);
 
+    void reserve(std::size_t fields)
+    {
+        m_fields.reserve(fields);
+    }
+
+    /// Memory that the fields hold, in bytes. A field of a few bytes on the wire holds many times as much.
+    std::size_t heldBytes() const;
+
     /// Replaces all fields with this name by a single one.
     void set(std::string_view name, std::string value);
 
--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -62,29 +62,45 @@
 
 void MessageParser::addFieldName(std::string_view text)
 {
-    if (m_readingValue) {
-        m_head.fields.add(std::move(m_fieldName), std::move(m_fieldValue));
-        m_fieldName.clear();
-        m_fieldValue.clear();
+    if (m_fieldSizes.empty() || m_readingValue) {
+        m_fieldSizes.emplace_back();
         m_readingValue = false;
     }
-    m_fieldName.append(text);
+    m_headText.append(text);
+    m_fieldSizes.back().name += static_cast<std::uint32_t>(text.size());
 }
 
 void MessageParser::addFieldValue(std::string_view text)
 {
     m_readingValue = true;
-    m_fieldValue.append(text);
+    m_headText.append(text);
+    m_fieldSizes.back().value += static_cast<std::uint32_t>(text.size());
 }
 
-int MessageParser::completeHead()
+void MessageParser::clearFields()
 {
-    if (!m_fieldName.empty()) {
-        m_head.fields.add(std::move(m_fieldName), std::move(m_fieldValue));
-    }
-    m_fieldName.clear();
-    m_fieldValue.clear();
+    // Assigning empty values would keep the buffers.
+    std::string().swap(m_headText);
+    std::vector<FieldSize>().swap(m_fieldSizes);
     m_readingValue = false;
+}
+
+HttpFields MessageParser::takeFields()
+{
+    HttpFields fields;
+    fields.reserve(m_fieldSizes.size());
+    std::size_t position = 0;
+    for (const auto &size : m_fieldSizes) {
+        fields.add(m_headText.substr(position, size.name), m_headText.substr(position + size.name, size.value));
+        position += size.name + size.value;
+    }
+    clearFields();
+    return fields;
+}
+
+int MessageParser::completeHead()
+{
+    m_head.fields = takeFields();
     m_readingHead = false;
     m_incompleteHeadBytes = 0;
     m_head.keepAlive = http_should_keep_alive(&m_parser) != 0;
@@ -108,9 +124,7 @@
 int MessageParser::completeMessage()
 {
     // Trailer fields are ignored.
-    m_fieldName.clear();
-    m_fieldValue.clear();
-    m_readingValue = false;
+    clearFields();
     if (m_isInterim) {
         m_isInterim = false;
         return 0;
@@ -152,6 +166,15 @@
     return (error == HPE_OK || error == HPE_PAUSED) && !m_insideMessage;
 }
 
+void MessageParser::discard()
+{
+    m_failed = true;
+    m_insideMessage = false;
+    m_incompleteHeadBytes = 0;
+    m_head = {};
+    clearFields();
+}
+
 bool MessageParser::hasFailed() const
 {
     return m_failed;
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -7,6 +7,7 @@
 #include <http_parser.h>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Basilbend
 {
@@ -60,6 +61,15 @@
         return m_insideMessage;
     }
 
+    /// Frees what is held of the current message. The parser uses no more bytes; must not be called from a hook.
+    void discard();
+
+    /// Memory that the head that is being read holds, in bytes.
+    std::size_t heldBytes() const
+    {
+        return m_head.target.capacity() + m_headText.capacity() + m_fieldSizes.capacity() * sizeof(FieldSize);
+    }
+
     /// Size in bytes of the head that is being read; zero once the head is complete.
     std::size_t incompleteHeadBytes() const
     {
@@ -67,9 +77,17 @@
     }
 
 private:
+    /// Sizes of the name and the value of a field in m_headText.
+    struct FieldSize {
+        std::uint32_t name = 0;
+        std::uint32_t value = 0;
+    };
+
     static MessageParser &self(http_parser *parser);
     void addFieldName(std::string_view text);
     void addFieldValue(std::string_view text);
+    void clearFields();
+    HttpFields takeFields();
     int completeHead();
     int completeMessage();
     static const http_parser_settings &callbacks();
@@ -78,8 +96,10 @@
     MessageHooks m_hooks;
     Kind m_kind;
     MessageHead m_head;
-    std::string m_fieldName;
-    std::string m_fieldValue;
+    /// Names and values of the fields one after the other. Heads are kept like this until they are complete, because a client may send
+    /// thousands of fields of a few bytes and never end the head.
+    std::string m_headText;
+    std::vector<FieldSize> m_fieldSizes;
     bool m_insideMessage = false;
     bool m_readingHead = false;
     bool m_readingValue = false;
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -1,10 +1,11 @@
 #include "http/serversession.h"
 
+#include "base/systemclock.h"
 #include "http/socketoptions.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
-#include <asio/write.hpp>
 
 namespace Basilbend
 {
@@ -15,10 +16,40 @@
 /// Limit on the input that is buffered while a response is pending; above it, reading pauses until the response has ended.
 constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
 
+/// Responses that the client has not taken, above which its next request is not begun.
+constexpr std::size_t MaxUnreadBytes = 64 * 1024;
+
+/// Parsed input is removed from the buffer in pieces of this size, so that many small requests do not each move the whole buffer.
+constexpr std::size_t InputCompactionBytes = 16 * 1024;
+
+/// A client that takes nothing of a response for the idle limit, or for this long if that is shorter, has left without a close.
+constexpr Milliseconds MinReaderTimeout{15000};
+
 /// Time for which input is read and discarded before a close. Closing a socket with unread input resets the connection, and
 /// the reset may reach the client before the response does.
 constexpr Milliseconds LingerDuration{400};
 
+/// Appends to a text that may become large. A text that doubles its buffer each time would hold up to twice its size.
+void appendCompactly(std::string &text, std::string_view data)
+{
+    constexpr std::size_t SmallBytes = 256 * 1024;
+    constexpr std::size_t GrowthDivisor = 4;
+    const auto needed = text.size() + data.size();
+    if (needed > text.capacity() && needed > SmallBytes) {
+        std::string grown;
+        grown.reserve(needed + needed / GrowthDivisor);
+        grown.append(text);
+        text.swap(grown);
+    }
+    text.append(data);
+}
+
+/// Assigning an empty text would keep the buffer.
+void freeText(std::string &text)
+{
+    std::string().swap(text);
+}
+
 std::size_t headSize(const MessageHead &head)
 {
     std::size_t n = head.target.size();
@@ -43,21 +74,37 @@
 ServerSession::ServerSession(asio::ip::tcp::socket socket, const ServerHooks &hooks)
     : m_socket(std::move(socket))
     , m_hooks(hooks)
+    , m_budget(hooks.budget)
     , m_timer(m_socket.get_executor())
     , m_parser(MessageParser::Kind::Request,
                {[this](MessageHead &&head) { handleHead(std::move(head)); }, [this](std::string_view data) { handleBody(data); }, [this] { handleMessage(); }})
     , m_reader(m_socket,
                {[this](std::string_view bytes) { handleBytes(bytes); },
                 [this](bool) { handleDisconnect(); },
-                [this] { return !m_closed && m_input.size() < MaxPipelinedBytes; }})
+                [this] { return !m_closed && !m_isReadingPaused && m_input.size() < MaxPipelinedBytes; }})
+    , m_readerTimer(m_socket.get_executor())
+    , m_lastTakenAt(systemNow())
+    , m_lastProgressAt(m_lastTakenAt)
 {
 }
 
-ServerSession::~ServerSession() = default;
+ServerSession::~ServerSession()
+{
+    if (!m_closed && m_budget != nullptr) {
+        m_budget->remove(this);
+    }
+}
 
 void ServerSession::start()
 {
     applyConnectionOptions(m_socket);
+    if (m_budget != nullptr) {
+        m_budget->add(this, m_lastProgressAt, [weak = weak_from_this()](ConnectionYield reason) {
+            if (const auto self = weak.lock()) {
+                self->yield(reason);
+            }
+        });
+    }
     armIdleTimer(m_hooks.limits().idleTimeout, m_hooks.limits().idleTimeout);
     waitForInput();
 }
@@ -76,25 +123,42 @@
 
 void ServerSession::waitForInput()
 {
-    m_reader.wait(shared_from_this());
+    // Each wait ends with a read, so a full buffer would grow with every request that is taken from it.
+    if (m_input.size() - m_inputOffset < MaxPipelinedBytes) {
+        m_reader.wait(shared_from_this());
+    }
 }
 
 void ServerSession::handleBytes(std::string_view bytes)
 {
-    if (m_lingering) {
+    // What follows a request that ends the connection is not used.
+    if (m_lingering || m_closeAfterWrite) {
         return;
     }
+    m_lastProgressAt = systemNow();
     m_input.append(bytes);
     if (!m_exchange) {
         feedInput();
     }
+    if (!keepBudget()) {
+        // The rest stays unread until the current request has ended.
+        m_isReadingPaused = m_exchange != nullptr;
+    }
+}
+
+bool ServerSession::isWaitingForReader() const
+{
+    return pendingBytes() >= MaxUnreadBytes;
 }
 
 void ServerSession::feedInput()
 {
-    while (!m_closed && !m_closeAfterWrite && !m_exchange && !m_input.empty()) {
-        const auto n = m_parser.feed(m_input);
-        m_input.erase(0, n);
+    while (!m_closed && !m_closeAfterWrite && !m_exchange && !isWaitingForReader() && m_inputOffset < m_input.size()) {
+        m_inputOffset += m_parser.feed(std::string_view(m_input).substr(m_inputOffset));
+        if (m_inputOffset == m_input.size() || m_inputOffset >= InputCompactionBytes) {
+            m_input.erase(0, m_inputOffset);
+            m_inputOffset = 0;
+        }
         if (m_closed || m_closeAfterWrite) {
             return;
         }
@@ -113,6 +177,19 @@
     }
 }
 
+void ServerSession::resumeInput()
+{
+    m_isReadingPaused = false;
+    // The next request may be buffered already. It is parsed from the event loop, not from within a handler.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_closed) {
+            self->feedInput();
+            self->reportUse();
+            self->waitForInput();
+        }
+    });
+}
+
 void ServerSession::handleHead(MessageHead &&head)
 {
     m_requestKeepsAlive = head.keepAlive;
@@ -125,6 +202,7 @@
         reject(400);
         return;
     }
+    m_requestFieldBytes = head.fields.heldBytes();
     m_request = RequestMessage{std::move(head.method), std::move(head.target), std::move(head.fields), {}};
     if (m_expectsContinue) {
         send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -141,7 +219,7 @@
         reject(413);
         return;
     }
-    m_request.body.append(data);
+    appendCompactly(m_request.body, data);
 }
 
 void ServerSession::handleMessage()
@@ -153,6 +231,11 @@
     m_headTimerRunning = false;
     m_exchange = std::make_shared<ServerExchange>(weak_from_this(), std::move(m_request));
     m_request = {};
+    if (!keepBudget()) {
+        m_exchange = nullptr;
+        reject(503);
+        return;
+    }
     // Posted so that it runs after the parser has returned, because a handler may respond at once and start the next request.
     asio::post(m_socket.get_executor(), [self = shared_from_this(), exchange = m_exchange] {
         if (!self->m_closed) {
@@ -191,31 +274,129 @@
 
 void ServerSession::writeNext()
 {
-    m_writeBuffer.swap(m_output);
-    m_output.clear();
-    asio::async_write(m_socket, asio::buffer(m_writeBuffer), [self = shared_from_this()](const asio::error_code &ec, std::size_t) {
-        self->m_writeBuffer.clear();
+    if (m_writeBuffer.empty()) {
+        m_writeBuffer.swap(m_output);
+        m_lastTakenAt = systemNow();
+        watchReader();
+    }
+    const auto unwritten = asio::buffer(m_writeBuffer) + m_writeOffset;
+    m_socket.async_write_some(unwritten, [self = shared_from_this()](const asio::error_code &ec, std::size_t n) {
         if (self->m_closed) {
             return;
         }
         if (ec) {
             self->handleDisconnect();
-        } else if (!self->m_output.empty()) {
-            self->writeNext();
-        } else if (self->m_closeAfterWrite && !self->m_exchange) {
-            self->beginLingering();
+        } else {
+            self->handleWritten(n);
+        }
+    });
+}
+
+void ServerSession::handleWritten(std::size_t bytes)
+{
+    const bool wasWaiting = isWaitingForReader();
+    m_writeOffset += bytes;
+    m_lastTakenAt = systemNow();
+    m_lastProgressAt = m_lastTakenAt;
+    if (m_writeOffset == m_writeBuffer.size()) {
+        m_writeOffset = 0;
+        // A buffer that has been large is not kept.
+        if (m_writeBuffer.capacity() > MaxUnreadBytes) {
+            freeText(m_writeBuffer);
+        } else {
+            m_writeBuffer.clear();
+        }
+    }
+    if (pendingBytes() > 0) {
+        writeNext();
+    } else if (m_closeAfterWrite && !m_exchange) {
+        beginLingering();
+        return;
+    }
+    reportUse();
+    if (wasWaiting && !isWaitingForReader() && !m_exchange) {
+        resumeInput();
+    }
+}
+
+void ServerSession::watchReader()
+{
+    if (m_isReaderWatched) {
+        return;
+    }
+    m_isReaderWatched = true;
+    const auto limit = std::max(MinReaderTimeout, m_hooks.limits().idleTimeout);
+    m_readerTimer.expires_at(asio::steady_timer::clock_type::now() + limit);
+    m_readerTimer.async_wait([self = weak_from_this(), limit](const asio::error_code &ec) {
+        const auto session = self.lock();
+        if (ec || !session || session->m_closed) {
+            return;
+        }
+        session->m_isReaderWatched = false;
+        if (session->pendingBytes() == 0) {
+            return;
+        }
+        if (systemNow() - session->m_lastTakenAt < limit) {
+            session->watchReader();
+            return;
+        }
+        const auto budget = session->m_budget;
+        session->handleDisconnect();
+        if (budget != nullptr && budget->onYield) {
+            budget->onYield(ConnectionYield::Unread);
         }
     });
 }
 
 std::size_t ServerSession::pendingBytes() const
 {
-    return m_output.size() + m_writeBuffer.size();
+    return m_output.size() + m_writeBuffer.size() - m_writeOffset;
+}
+
+std::size_t ServerSession::heldBytes() const
+{
+    const auto body = m_exchange ? m_exchange->request().body.capacity() : m_request.body.capacity();
+    return m_input.capacity() + m_output.capacity() + m_writeBuffer.capacity() + m_parser.heldBytes() + m_requestFieldBytes + body;
+}
+
+void ServerSession::reportUse()
+{
+    if (m_budget != nullptr && !m_closed) {
+        m_budget->update(this, {heldBytes(), m_exchange != nullptr, pendingBytes() > 0, m_lastTakenAt, m_lastProgressAt});
+    }
+}
+
+bool ServerSession::keepBudget()
+{
+    reportUse();
+    if (m_budget == nullptr || m_closed) {
+        return true;
+    }
+    const auto limits = m_hooks.limits();
+    return m_budget->relieve(limits.maxHeadBytes + limits.maxBodyBytes, systemNow());
+}
+
+void ServerSession::yield(ConnectionYield reason)
+{
+    // Nothing of a request that is not complete has run, so it is refused. Responses that nobody reads are dropped.
+    const bool canRefuse = reason == ConnectionYield::Memory && !m_closed && !m_exchange && !m_closeAfterWrite && pendingBytes() == 0;
+    freeText(m_input);
+    m_inputOffset = 0;
+    freeText(m_request.body);
+    m_request.fields = HttpFields();
+    m_requestFieldBytes = 0;
+    m_parser.discard();
+    if (canRefuse) {
+        reject(503);
+    } else {
+        closeNow();
+    }
 }
 
 void ServerSession::finishExchange()
 {
     m_exchange = nullptr;
+    m_requestFieldBytes = 0;
     if (m_closed || m_closeAfterWrite) {
         if (!m_closed && m_writeBuffer.empty() && m_output.empty()) {
             beginLingering();
@@ -223,13 +404,10 @@
         return;
     }
     armIdleTimer(m_hooks.limits().idleTimeout, m_hooks.limits().idleTimeout);
-    // The next request may be buffered already. It is parsed from the event loop, not from within the handler.
-    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (!self->m_closed) {
-            self->feedInput();
-            self->waitForInput();
-        }
-    });
+    reportUse();
+    if (!isWaitingForReader()) {
+        resumeInput();
+    }
 }
 
 void ServerSession::armTimer(Milliseconds span, void (ServerSession::*action)())
@@ -257,6 +435,11 @@
         armIdleTimer(m_hooks.limits().idleTimeout, left);
         return;
     }
+    if (!m_exchange && !m_parser.isInsideMessage() && isBusy()) {
+        // The client still reads.
+        armIdleTimer(m_hooks.limits().idleTimeout, m_hooks.limits().idleTimeout);
+        return;
+    }
     closeIfIdle();
 }
 
@@ -298,6 +481,10 @@
     m_closed = true;
     m_exchange = nullptr;
     m_timer.cancel();
+    m_readerTimer.cancel();
+    if (m_budget != nullptr) {
+        m_budget->remove(this);
+    }
     asio::error_code ec;
     m_socket.close(ec);
     m_hooks.onClosed(this);
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/timestamp.h"
+#include "http/connectionbudget.h"
 #include "http/messageparser.h"
 #include "http/serverexchange.h"
 #include "http/socketreader.h"
@@ -31,11 +32,15 @@
 /// Callbacks that the sessions of a server share.
 struct ServerHooks {
     std::function<void(std::shared_ptr<ServerExchange>)> onRequest;
-    /// Creates the response to a request that is rejected before it reaches onRequest (status 400, 408, 413 or 431).
+    /// Creates the response to a request that is rejected before it reaches onRequest (status 400, 408, 413, 431 or 503).
     std::function<ResponseMessage(int status)> errorResponse;
     std::function<ServerLimits()> limits;
     std::function<bool()> isDraining;
     std::function<void(ServerSession *)> onClosed;
+    /// Limits what the connections of all servers of the process use together. Null: they are not limited.
+    std::shared_ptr<ConnectionBudget> budget = nullptr;
+    /// Called when a connection can't be accepted, for example for lack of descriptors, once until the next one is accepted. May be null.
+    std::function<void(const asio::error_code &)> onAcceptFailed = nullptr;
 };
 
 /// Returns hooks for a server that clients do not reach: default limits, no draining, and error responses without a body.
@@ -67,6 +72,9 @@
     void waitForInput();
     void handleBytes(std::string_view bytes);
     void feedInput();
+    /// Whether the next request must wait until the client has taken the responses to earlier ones.
+    bool isWaitingForReader() const;
+    void resumeInput();
     void handleHead(MessageHead &&head);
     void handleBody(std::string_view data);
     void handleMessage();
@@ -76,11 +84,21 @@
     void onHeadTimeout();
     void onIdleTimeout();
     void writeNext();
+    void handleWritten(std::size_t bytes);
+    void watchReader();
     void handleDisconnect();
     void beginLingering();
+    std::size_t heldBytes() const;
+    /// Reports to the budget what this connection uses.
+    void reportUse();
+    /// Reports to the budget, which may close connections. Returns false if the limits are exceeded nevertheless.
+    bool keepBudget();
+    void yield(ConnectionYield reason);
 
     asio::ip::tcp::socket m_socket;
     const ServerHooks &m_hooks;
+    /// Shared because a connection may outlive its server. Null: it is not limited.
+    std::shared_ptr<ConnectionBudget> m_budget;
     asio::steady_timer m_timer;
     /// The idle limit for which the idle timer was last started.
     Milliseconds m_idleLimit{0};
@@ -90,14 +108,25 @@
     std::shared_ptr<ServerExchange> m_exchange;
     /// Received bytes that follow the current request. Reading pauses at MaxPipelinedBytes.
     std::string m_input;
+    /// Bytes of m_input that have been parsed.
+    std::size_t m_inputOffset = 0;
     std::string m_output;
     std::string m_writeBuffer;
+    /// Bytes of m_writeBuffer that have been written.
+    std::size_t m_writeOffset = 0;
+    asio::steady_timer m_readerTimer;
+    bool m_isReaderWatched = false;
+    Timestamp m_lastTakenAt;
+    Timestamp m_lastProgressAt;
+    /// Memory that the fields of the current request hold.
+    std::size_t m_requestFieldBytes = 0;
     bool m_closed = false;
     bool m_closeAfterWrite = false;
     bool m_requestKeepsAlive = true;
     bool m_expectsContinue = false;
     bool m_headTimerRunning = false;
     bool m_lingering = false;
+    bool m_isReadingPaused = false;
 };
 
 }
--- a/src/http/webserver.cpp
+++ b/src/http/webserver.cpp
@@ -1,7 +1,9 @@
 #include "http/webserver.h"
 
+#include "base/systemclock.h"
 #include "http/socketoptions.h"
 
+#include <utility>
 #include <vector>
 
 namespace Basilbend
@@ -47,6 +49,9 @@
             return;
         }
         if (ec) {
+            if (!std::exchange(m_hasAcceptFailed, true) && m_hooks.onAcceptFailed) {
+                m_hooks.onAcceptFailed(ec);
+            }
             m_retryTimer.expires_after(AcceptRetryDelay);
             m_retryTimer.async_wait([this, alive](const asio::error_code &timerError) {
                 if (!timerError && *alive) {
@@ -55,6 +60,12 @@
             });
             return;
         }
+        m_hasAcceptFailed = false;
+        if (m_hooks.budget != nullptr && !m_hooks.budget->makeRoom(systemNow())) {
+            // All connections are being served; the new one is closed.
+            accept();
+            return;
+        }
         const auto session = std::make_shared<ServerSession>(std::move(socket), m_hooks);
         m_sessions.emplace(session.get(), session);
         session->start();
--- a/src/http/webserver.h
+++ b/src/http/webserver.h
@@ -39,6 +39,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_retryTimer;
     std::unordered_map<ServerSession *, std::weak_ptr<ServerSession>> m_sessions;
+    bool m_hasAcceptFailed = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
