Account for the time of each step

Change: the leader keeps a BatchAccount beside each open batch, in which every item is in one activity at any time. When the groups that the trainer waits for are listed, one line (step_ready) tells what the item that was listed last spent its time on; counters do so by model.

--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -16,6 +16,13 @@
 /// Minimum time between two scheduling rounds. Under load many runs end in this time, and one round handles them all.
 constexpr Milliseconds MinRoundInterval{10};
 
+/// What keeps the waiting items of a batch from running: most endpoints that could serve it are full, or most have older weights.
+ItemActivity waitReasonOf(const std::vector<PlacementEndpoint> &endpoints, std::uint64_t minimumVersion)
+{
+    const auto obstacles = countObstacles(endpoints, minimumVersion);
+    return obstacles.outdated > obstacles.full ? ItemActivity::WaitingForWeights : ItemActivity::WaitingForSlot;
+}
+
 }
 
 BatchRunner::BatchRunner(EventLoop loop,
@@ -30,6 +37,7 @@
                          BatchRunnerHooks hooks)
     : m_loop(std::move(loop))
     , m_log(log)
+    , m_accountReport(log, metrics)
     , m_groupedStore(store, m_loop)
     , m_view(view)
     , m_hooks(std::move(hooks))
@@ -63,7 +71,10 @@
     ResultWriter::Hooks hooks;
     hooks.term = m_hooks.term;
     hooks.onListedElsewhere = [this, id] { reload(id); };
-    hooks.onListed = [this, id](const std::vector<ItemResult> &results) { m_resultServer.addListed(id, results); };
+    hooks.onListed = [this, id](const std::vector<ItemResult> &results) {
+        m_resultServer.addListed(id, results);
+        recordListed(id, results);
+    };
     return hooks;
 }
 
@@ -73,6 +84,7 @@
     hooks.onScore = [this](const std::string &id, std::size_t item, std::string score) {
         if (auto *batch = m_batches.find(id)) {
             batch->state->acceptScore(item, std::move(score));
+            batch->account.enter(item, ItemActivity::Listing, m_loop.now());
             pollResults(id);
         }
     };
@@ -145,6 +157,12 @@
         std::move(loaded.progress.begin(), loaded.progress.end(), std::back_inserter(texts));
         batch->state->restoreTexts(texts, rulesOf(*route));
     }
+    batch->account = BatchAccount(batch->state->submission().items.size(), batch->openedAt);
+    for (const auto &listed : batch->state->listed()) {
+        if (const auto item = batch->state->indexOf(listed)) {
+            batch->account.finish(*item, batch->openedAt);
+        }
+    }
     batch->writer = std::make_shared<ResultWriter>(m_groupedStore, m_loop, m_log, batch->state, writerHooks(id));
     batch->progressWriter = std::make_shared<ProgressWriter>(m_groupedStore, m_loop, m_log, batch->state, m_hooks.term);
     m_log.info("batch_opened",
@@ -174,12 +192,40 @@
     }
 }
 
+void BatchRunner::recordListed(const std::string &id, const std::vector<ItemResult> &results)
+{
+    auto *batch = m_batches.find(id);
+    if (batch == nullptr || results.empty()) {
+        return;
+    }
+    std::optional<std::size_t> last;
+    for (const auto &result : results) {
+        if (const auto item = batch->state->indexOf(result.id)) {
+            batch->account.finish(*item, m_loop.now());
+            last = item;
+        }
+    }
+    if (last && !batch->isAccountReported && batch->state->areWantedGroupsListed()) {
+        batch->isAccountReported = true;
+        m_accountReport.reportReady(*batch->state, batch->account, *last, dueTimeOf(*batch->state), m_loop.now());
+    }
+}
+
+Milliseconds BatchRunner::dueTimeOf(const OpenBatch &batch) const
+{
+    const auto *route = routeOf(m_view, batch);
+    return route == nullptr ? Milliseconds(0) : route->resultDeadline;
+}
+
 void BatchRunner::close(const std::string &id)
 {
     const auto batch = m_batches.take(id);
     if (batch == nullptr) {
         return;
     }
+    if (!batch->isAccountReported) {
+        m_accountReport.reportUnfinished(*batch->state, batch->account, dueTimeOf(*batch->state), m_loop.now());
+    }
     m_rewardCalls.drop(id);
     m_resultServer.close(id);
     batch->writer->stop();
@@ -277,10 +323,14 @@
         table = m_tableBuilder.buildTable(now);
     }
     m_tableBuilder.setEligibility(*table, *route, state.index().workspace, state.submission().model);
+    batch.account.setWaitReason(waitReasonOf(table->endpoints, state.submission().minimumVersion));
     std::size_t started = 0;
     if (m_hooks.mayStart() && hasFreeSlot(table->endpoints, state.submission().minimumVersion)) {
         const auto items = batch.waitingItems(m_runTracker, now);
         m_counts.examinedItems += items.size();
+        for (const auto &item : items) {
+            batch.account.beginWaiting(item.index, now);
+        }
         for (const auto &assignment : assignItems(items, table->endpoints)) {
             if (const auto *endpoint = m_view.endpoints().find(assignment.endpoint)) {
                 m_itemRuns.start(batch, assignment.item, *endpoint);
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -6,6 +6,7 @@
 #include "log/eventlog.h"
 #include "metadata/groupingstore.h"
 #include "net/metrics.h"
+#include "scheduling/accountreport.h"
 #include "scheduling/batchdemand.h"
 #include "scheduling/batchwatch.h"
 #include "scheduling/endpointhealth.h"
@@ -124,6 +125,10 @@
     void close(const std::string &id);
     void reload(const std::string &id);
     void recordDuration(const OpenBatch &batch);
+    /// Time after its submission at which the results of a batch are due; zero if there is none.
+    Milliseconds dueTimeOf(const OpenBatch &batch) const;
+    /// Takes over into the account of the batch that results are listed, and reports the account once the trainer has what it waits for.
+    void recordListed(const std::string &id, const std::vector<ItemResult> &results);
 
     void scheduleRound();
     void runRound();
@@ -145,6 +150,7 @@
 
     EventLoop m_loop;
     EventLog &m_log;
+    AccountReport m_accountReport;
     /// Combines the result and progress writes of all batches.
     GroupingStore m_groupedStore;
     SystemView &m_view;
--- a/src/scheduling/itemruns.cpp
+++ b/src/scheduling/itemruns.cpp
@@ -29,6 +29,7 @@
     auto &progress = state.progress(item);
     const auto run = ++m_lastRunNumber;
     const auto id = state.index().id;
+    batch.account.enter(item, ItemActivity::Prompt, m_context.loop.now());
     progress.phase = ItemPhase::Running;
     progress.runNumber = run;
     progress.endpoint = endpoint.id;
@@ -87,7 +88,10 @@
     auto &openRun = batch->openRuns.at(item);
     const auto now = m_context.loop.now();
     if (openRun.hasEvent) {
+        batch->account.recordEvent(item, now - openRun.lastEventAt, m_context.health.eventIntervalMs(openRun.endpoint, now));
         m_context.health.recordInterval(openRun.endpoint, now - openRun.lastEventAt, now);
+    } else {
+        batch->account.enter(item, ItemActivity::Generating, now);
     }
     openRun.hasEvent = true;
     openRun.lastEventAt = now;
@@ -138,8 +142,18 @@
     } else if (end == RunEnd::ServerError) {
         state.recordServerError(item, rulesOf(m_context.view, state));
     }
-    if (state.progress(item).phase != ItemPhase::Decided) {
+    switch (state.progress(item).phase) {
+    case ItemPhase::Decided:
+        batch->account.enter(item, ItemActivity::Listing, now);
+        break;
+    case ItemPhase::Scoring:
+        batch->account.enter(item, ItemActivity::Scoring, now);
+        break;
+    case ItemPhase::Running:
+    case ItemPhase::Waiting:
         state.requeue(item, endpoint, now + RetryDelay);
+        batch->account.recordRestart(item, now);
+        break;
     }
     if (!isTextComplete) {
         m_context.log.warning("run_failed",
@@ -181,6 +195,7 @@
                            {"events", batch.state->progress(item).text.eventCount()},
                            {"silent_ms", m_context.loop.now() - openRun->itemRun->lastProgressAt()}});
     batch.state->requeue(item, endpoint, Timestamp());
+    batch.account.recordRestart(item, m_context.loop.now());
     m_context.metrics.count("basilbend_item_runs_cancelled_total", {{"why", why}});
     ++m_context.counts.cancelledRuns;
     m_hooks.onRunCancelled();
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -31,20 +31,24 @@
     , m_progress(m_submission.items.size())
     , m_order(startOrder(m_submission, {}))
 {
-    std::unordered_map<std::string, std::size_t> positions;
     std::unordered_map<std::string, std::size_t> groups;
     for (std::size_t i = 0; i < m_submission.items.size(); ++i) {
-        positions.emplace(m_submission.items[i].id, i);
+        m_indexOf.emplace(m_submission.items[i].id, i);
         m_groupOf.push_back(groups.emplace(m_submission.items[i].group, groups.size()).first->second);
-        m_unfinishedInGroup.resize(groups.size());
-        ++m_unfinishedInGroup[m_groupOf.back()];
+        m_groups.resize(groups.size());
+        auto &group = m_groups[m_groupOf.back()];
+        ++group.unfinished;
+        ++group.undecided;
+        ++group.unlisted;
     }
     for (const auto &id : listed) {
-        const auto it = positions.find(id);
-        if (it != positions.end() && m_progress[it->second].phase != ItemPhase::Decided) {
-            decrementUnfinished(it->second);
-            m_progress[it->second].phase = ItemPhase::Decided;
+        const auto i = indexOf(id);
+        if (i && m_progress[*i].phase != ItemPhase::Decided) {
+            decrementUnfinished(*i);
+            m_progress[*i].phase = ItemPhase::Decided;
             ++m_decided;
+            --m_groups[m_groupOf[*i]].undecided;
+            --m_groups[m_groupOf[*i]].unlisted;
         }
     }
     m_listed = std::move(listed);
@@ -63,6 +67,7 @@
             continue;
         }
         carried.insert(it->first);
+        m_groups[m_groupOf[i]].isCarried = true;
         const auto &text = it->second->text;
         const bool hasAllowedVersions = text.hasMinimumVersion(m_submission.minimumVersion) && (!rules.singleVersion || text.versions().size() <= 1);
         if (m_progress[i].phase != ItemPhase::Waiting || !hasAllowedVersions || text.eventCount() == 0) {
@@ -141,10 +146,30 @@
 {
     const auto phase = m_progress[i].phase;
     if (phase != ItemPhase::Scoring && phase != ItemPhase::Decided) {
-        --m_unfinishedInGroup[m_groupOf[i]];
+        --m_groups[m_groupOf[i]].unfinished;
     }
 }
 
+std::optional<std::size_t> OpenBatch::indexOf(const std::string &id) const
+{
+    const auto it = m_indexOf.find(id);
+    return it == m_indexOf.end() ? std::nullopt : std::optional(it->second);
+}
+
+bool OpenBatch::hasWantedGroups(std::size_t GroupProgress::*open) const
+{
+    std::size_t complete = 0;
+    for (const auto &group : m_groups) {
+        if (group.*open == 0) {
+            ++complete;
+        } else if (group.isCarried) {
+            return false;
+        }
+    }
+    const auto wanted = m_submission.desiredGroups == 0 ? m_groups.size() : std::min(m_submission.desiredGroups, m_groups.size());
+    return complete >= wanted;
+}
+
 void OpenBatch::terminate(std::size_t i)
 {
     decide(i, ItemOutcome::Terminated);
@@ -166,6 +191,7 @@
     decrementUnfinished(i);
     progress.phase = ItemPhase::Decided;
     ++m_decided;
+    --m_groups[m_groupOf[i]].undecided;
     ItemResult result;
     result.id = m_submission.items[i].id;
     result.outcome = outcome;
@@ -226,6 +252,9 @@
 void OpenBatch::markListed(std::size_t n)
 {
     for (; n > 0 && !m_pending.empty(); --n) {
+        if (const auto i = indexOf(m_pending.front().id)) {
+            --m_groups[m_groupOf[*i]].unlisted;
+        }
         m_listed.push_back(std::move(m_pending.front().id));
         m_pending.pop_front();
     }
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Basilbend
@@ -115,9 +116,24 @@
     /// Number of items in the same group whose text is incomplete.
     std::size_t unfinishedInGroup(std::size_t i) const
     {
-        return m_unfinishedInGroup[m_groupOf[i]];
+        return m_groups[m_groupOf[i]].unfinished;
     }
 
+    /// Whether the results of all groups that the trainer waits for are final.
+    bool areWantedGroupsDecided() const
+    {
+        return hasWantedGroups(&GroupProgress::undecided);
+    }
+
+    /// Whether the results of all groups that the trainer waits for are listed, so that it may end the batch.
+    bool areWantedGroupsListed() const
+    {
+        return hasWantedGroups(&GroupProgress::unlisted);
+    }
+
+    /// Index of an item; empty if the batch has no item with this id.
+    std::optional<std::size_t> indexOf(const std::string &id) const;
+
     /// Counts a 500 or 504 response to a run of an item. Terminates the item after as many attempts as the route allows.
     void recordServerError(std::size_t i, const BatchRules &rules);
 
@@ -170,17 +186,28 @@
     std::vector<ResumableText> resumableTexts() const;
 
 private:
+    /// How many items of a group have not reached a state yet.
+    struct GroupProgress {
+        std::size_t unfinished = 0;
+        std::size_t undecided = 0;
+        std::size_t unlisted = 0;
+        /// The trainer waits for this group whichever others are complete.
+        bool isCarried = false;
+    };
+
     void decide(std::size_t i, ItemOutcome outcome, std::string score = {});
     void decrementUnfinished(std::size_t i);
+    bool hasWantedGroups(std::size_t GroupProgress::*open) const;
     void discardText(ItemProgress &progress);
 
     BatchIndex m_index;
     BatchSubmission m_submission;
     std::vector<ItemProgress> m_progress;
     std::vector<std::size_t> m_order;
-    /// Index of each item's group in m_unfinishedInGroup.
+    std::unordered_map<std::string, std::size_t> m_indexOf;
+    /// Index of each item's group in m_groups.
     std::vector<std::size_t> m_groupOf;
-    std::vector<std::size_t> m_unfinishedInGroup;
+    std::vector<GroupProgress> m_groups;
     std::deque<ItemResult> m_pending;
     std::size_t m_decided = 0;
     std::size_t m_textBytes = 0;
--- a/src/scheduling/runningbatch.h
+++ b/src/scheduling/runningbatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduling/batchaccount.h"
 #include "scheduling/endpointhealth.h"
 #include "scheduling/itemrun.h"
 #include "scheduling/openbatch.h"
@@ -46,6 +47,9 @@
     std::shared_ptr<ProgressWriter> progressWriter;
     std::map<std::size_t, OpenRun> openRuns;
     Timestamp openedAt;
+    BatchAccount account;
+    /// Whether the account has been reported.
+    bool isAccountReported = false;
     /// Number of items that waited for a slot after the last round.
     std::size_t lastWaitingCount = 0;
     WaitLog waitLog;
--- a/tests/scheduling/openbatch.cpp
+++ b/tests/scheduling/openbatch.cpp
@@ -321,4 +321,37 @@
     BOOST_TEST(batch.progress(1).text.eventCount() == 1U);
 }
 
+// Guards against a batch that counts as ready for its trainer while a group that it waits for lacks an item.
+BOOST_AUTO_TEST_CASE(wanted_groups_are_complete_only_with_all_their_items_and_all_carried_groups)
+{
+    BatchSubmission submission;
+    submission.desiredGroups = 2;
+    for (int i = 0; i < 6; ++i) {
+        BatchItem item;
+        item.id = "i" + std::to_string(i);
+        item.group = "g" + std::to_string(i / 2);
+        submission.items.push_back(item);
+    }
+    OpenBatch batch({}, submission, {"i0", "i1"});
+    ResumableText carried;
+    carried.itemId = "i4";
+    batch.restoreTexts({carried}, {});
+    const auto complete = [&batch](std::size_t i) {
+        batch.progress(i).phase = ItemPhase::Running;
+        batch.addEvent(i, 1, "text", 1, {});
+        batch.complete(i);
+    };
+    complete(2);
+    complete(3);
+    BOOST_TEST(!batch.areWantedGroupsDecided());
+    complete(4);
+    complete(5);
+    BOOST_TEST(batch.areWantedGroupsDecided());
+    BOOST_TEST(!batch.areWantedGroupsListed());
+    batch.markListed(4);
+    BOOST_TEST(batch.areWantedGroupsListed());
+    BOOST_TEST((batch.indexOf("i3") == std::optional<std::size_t>(3)));
+    BOOST_TEST(!batch.indexOf("other"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
