Check a configuration before it is sent

Operators learnt only from refused requests that a route was hidden by another one, that a service was missing, or whose keys a new version withdraws.

Change: basilbend check-config FILE [--against FILE] [--host-memory MB] [--json] reads a configuration with the decoder and the route table of the running system and prints errors, entries that can never match, limits that contradict each other, and what differs from the version in force by meaning. Exit codes 0, 1 and 2. Nothing that the system accepts is an error.

Errors of the decoder name the field but no line. No fuzz run of the command, only of the decoder that it uses.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,4 +1,5 @@
 #include "app/checkcommand.h"
+#include "app/checkconfigcommand.h"
 #include "app/codescommand.h"
 #include "app/daemoncommands.h"
 #include "app/democommand.h"
@@ -17,6 +18,7 @@
     CLI::App app{"basilbend: rollout service for reinforcement learning"};
     app.require_subcommand(1);
     Basilbend::addCheckCommand(app);
+    Basilbend::addCheckConfigCommand(app);
     Basilbend::addCodesCommand(app);
     Basilbend::addDaemonCommands(app);
     Basilbend::addExplainCommand(app);
