Name the eviction of connections by its usual term

"Yield" is not what the field calls a connection that is closed to protect the process. Names, one metric and one log line change; no decision does.

--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -73,11 +73,12 @@
     , m_connectionBudget(std::make_shared<ConnectionBudget>(connectionLimitsFor(availableMemoryBytes(), raiseDescriptorLimit())))
 {
     mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
-    m_connectionBudget->onYield = [this](ConnectionYield reason) {
-        m_metrics.count("basilbend_connections_yielded_total", {{"reason", connectionYieldName(reason)}});
-        m_log.warning(
-            "connection_yielded",
-            {{"reason", connectionYieldName(reason)}, {"connections", m_connectionBudget->connectionCount()}, {"held_bytes", m_connectionBudget->heldBytes()}});
+    m_connectionBudget->onEvicted = [this](ConnectionEviction reason) {
+        m_metrics.count("basilbend_connections_evicted_total", {{"reason", connectionEvictionName(reason)}});
+        m_log.warning("connection_evicted",
+                      {{"reason", connectionEvictionName(reason)},
+                       {"connections", m_connectionBudget->connectionCount()},
+                       {"held_bytes", m_connectionBudget->heldBytes()}});
     };
     std::signal(SIGPIPE, SIG_IGN);
     m_log.info("process_started", {{"role", m_settings.role}, {"zone", m_settings.zone}, {"settings_digest", std::hash<std::string>()(m_settingsText)}});
--- a/src/http/connectionbudget.cpp
+++ b/src/http/connectionbudget.cpp
@@ -46,14 +46,14 @@
     return systemLimit(RLIMIT_NOFILE);
 }
 
-const char *connectionYieldName(ConnectionYield reason)
+const char *connectionEvictionName(ConnectionEviction reason)
 {
     switch (reason) {
-    case ConnectionYield::Memory:
+    case ConnectionEviction::Memory:
         return "memory";
-    case ConnectionYield::Descriptors:
+    case ConnectionEviction::Descriptors:
         return "descriptors";
-    case ConnectionYield::Unread:
+    case ConnectionEviction::Unread:
         return "unread";
     }
     return "unknown";
@@ -69,7 +69,7 @@
 {
 }
 
-void ConnectionBudget::add(Key connection, Timestamp now, std::function<void(ConnectionYield)> close)
+void ConnectionBudget::add(Key connection, Timestamp now, std::function<void(ConnectionEviction)> close)
 {
     m_connections[connection] = {{0, false, false, now, now}, std::move(close)};
 }
@@ -93,19 +93,19 @@
 }
 
 template <typename Order>
-ConnectionBudget::Connections::iterator ConnectionBudget::firstToYield(Timestamp now, Order isEarlier)
+ConnectionBudget::Connections::iterator ConnectionBudget::firstToEvict(Timestamp now, Order isEarlier)
 {
     auto first = m_connections.end();
     for (auto it = m_connections.begin(); it != m_connections.end(); ++it) {
-        const bool mayYield = !it->second.isClosing && !it->second.use.isServing(now);
-        if (mayYield && (first == m_connections.end() || isEarlier(it->second.use, first->second.use))) {
+        const bool mayBeEvicted = !it->second.isClosing && !it->second.use.isServing(now);
+        if (mayBeEvicted && (first == m_connections.end() || isEarlier(it->second.use, first->second.use))) {
             first = it;
         }
     }
     return first;
 }
 
-void ConnectionBudget::close(Connections::iterator it, ConnectionYield reason)
+void ConnectionBudget::close(Connections::iterator it, ConnectionEviction reason)
 {
     // The connection removes itself, or remains with less memory until its refusal is sent.
     const auto closeConnection = it->second.close;
@@ -113,8 +113,8 @@
     it->second.use.heldBytes = 0;
     it->second.isClosing = true;
     closeConnection(reason);
-    if (onYield) {
-        onYield(reason);
+    if (onEvicted) {
+        onEvicted(reason);
     }
 }
 
@@ -123,13 +123,13 @@
     const auto needed = static_cast<std::size_t>(LargestRequestFactor * static_cast<double>(requestBytes));
     const auto limit = std::clamp(needed, m_limits.heldBytes, m_limits.maxHeldBytes);
     while (m_heldBytes > limit) {
-        const auto it = firstToYield(now, [](const ConnectionUse &a, const ConnectionUse &b) {
+        const auto it = firstToEvict(now, [](const ConnectionUse &a, const ConnectionUse &b) {
             return a.heldBytes != b.heldBytes ? a.heldBytes > b.heldBytes : a.lastProgressAt < b.lastProgressAt;
         });
         if (it == m_connections.end() || it->second.use.heldBytes == 0) {
             return false;
         }
-        close(it, ConnectionYield::Memory);
+        close(it, ConnectionEviction::Memory);
     }
     return true;
 }
@@ -139,9 +139,9 @@
     if (m_connections.size() < m_limits.connections) {
         return true;
     }
-    const auto it = firstToYield(now, [](const ConnectionUse &a, const ConnectionUse &b) { return a.lastProgressAt < b.lastProgressAt; });
+    const auto it = firstToEvict(now, [](const ConnectionUse &a, const ConnectionUse &b) { return a.lastProgressAt < b.lastProgressAt; });
     if (it != m_connections.end()) {
-        close(it, ConnectionYield::Descriptors);
+        close(it, ConnectionEviction::Descriptors);
     }
     return m_connections.size() < m_limits.connections;
 }
--- a/src/http/connectionbudget.h
+++ b/src/http/connectionbudget.h
@@ -35,14 +35,14 @@
 std::size_t availableDescriptors();
 
 /// Why a connection was closed to protect the process.
-enum class ConnectionYield {
+enum class ConnectionEviction {
     Memory,
     Descriptors,
     /// Its client has read nothing of its responses for too long.
     Unread,
 };
 
-const char *connectionYieldName(ConnectionYield reason);
+const char *connectionEvictionName(ConnectionEviction reason);
 
 /// What one connection uses.
 struct ConnectionUse {
@@ -61,7 +61,7 @@
     static constexpr Milliseconds ReadingPause{1000};
 };
 
-/// Decides which connections of clients yield when the memory or the descriptors of the process run short: those that hold most, and of
+/// Decides which connections of clients are evicted when the memory or the descriptors of the process run short: those that hold most, and of
 /// equal ones those without progress for longest, never one that is being served. Performs no I/O.
 class ConnectionBudget
 {
@@ -71,7 +71,7 @@
     explicit ConnectionBudget(ConnectionLimits limits);
 
     /// Adds a connection. close: closes it and frees what it holds; called from relieve() and makeRoom().
-    void add(Key connection, Timestamp now, std::function<void(ConnectionYield)> close);
+    void add(Key connection, Timestamp now, std::function<void(ConnectionEviction)> close);
     void remove(Key connection);
 
     void update(Key connection, const ConnectionUse &use);
@@ -93,20 +93,20 @@
     }
 
     /// Called for each connection that has been closed, also by the connections themselves. May be null.
-    std::function<void(ConnectionYield)> onYield;
+    std::function<void(ConnectionEviction)> onEvicted;
 
 private:
     struct Connection {
         ConnectionUse use;
-        std::function<void(ConnectionYield)> close;
+        std::function<void(ConnectionEviction)> close;
         bool isClosing = false;
     };
     using Connections = std::unordered_map<Key, Connection>;
 
-    void close(Connections::iterator it, ConnectionYield reason);
+    void close(Connections::iterator it, ConnectionEviction reason);
     /// The connection to close first; the end if all are being served.
     template <typename Order>
-    Connections::iterator firstToYield(Timestamp now, Order isEarlier);
+    Connections::iterator firstToEvict(Timestamp now, Order isEarlier);
 
     ConnectionLimits m_limits;
     Connections m_connections;
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -99,9 +99,9 @@
 {
     applyConnectionOptions(m_socket);
     if (m_budget != nullptr) {
-        m_budget->add(this, m_lastProgressAt, [weak = weak_from_this()](ConnectionYield reason) {
+        m_budget->add(this, m_lastProgressAt, [weak = weak_from_this()](ConnectionEviction reason) {
             if (const auto self = weak.lock()) {
-                self->yield(reason);
+                self->evict(reason);
             }
         });
     }
@@ -342,8 +342,8 @@
         }
         const auto budget = session->m_budget;
         session->handleDisconnect();
-        if (budget != nullptr && budget->onYield) {
-            budget->onYield(ConnectionYield::Unread);
+        if (budget != nullptr && budget->onEvicted) {
+            budget->onEvicted(ConnectionEviction::Unread);
         }
     });
 }
@@ -376,10 +376,10 @@
     return m_budget->relieve(limits.maxHeadBytes + limits.maxBodyBytes, systemNow());
 }
 
-void ServerSession::yield(ConnectionYield reason)
+void ServerSession::evict(ConnectionEviction reason)
 {
     // Nothing of a request that is not complete has run, so it is refused. Responses that nobody reads are dropped.
-    const bool canRefuse = reason == ConnectionYield::Memory && !m_closed && !m_exchange && !m_closeAfterWrite && pendingBytes() == 0;
+    const bool canRefuse = reason == ConnectionEviction::Memory && !m_closed && !m_exchange && !m_closeAfterWrite && pendingBytes() == 0;
     freeText(m_input);
     m_inputOffset = 0;
     freeText(m_request.body);
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -93,7 +93,7 @@
     void reportUse();
     /// Reports to the budget, which may close connections. Returns false if the limits are exceeded nevertheless.
     bool keepBudget();
-    void yield(ConnectionYield reason);
+    void evict(ConnectionEviction reason);
 
     asio::ip::tcp::socket m_socket;
     const ServerHooks &m_hooks;
--- a/tests/http/connectionbudget.cpp
+++ b/tests/http/connectionbudget.cpp
@@ -12,7 +12,7 @@
 constexpr Timestamp Now(100000);
 constexpr std::size_t SmallRequest = 16;
 
-/// Connections with names instead of sockets; those that yield are removed at once.
+/// Connections with names instead of sockets; those that are evicted are removed at once.
 struct BudgetFixture {
     ConnectionBudget budget{{1000, 2000, 4}};
     std::map<std::string, int> keys;
@@ -21,7 +21,7 @@
     void add(const std::string &name, const ConnectionUse &use)
     {
         const auto *key = &keys[name];
-        budget.add(key, use.lastProgressAt, [this, name, key](ConnectionYield) {
+        budget.add(key, use.lastProgressAt, [this, name, key](ConnectionEviction) {
             closed.push_back(name);
             budget.remove(key);
         });
@@ -48,8 +48,8 @@
 
 BOOST_AUTO_TEST_SUITE(http)
 
-// Guards against a crowd that holds the memory that ordinary clients need: what holds most yields first.
-BOOST_FIXTURE_TEST_CASE(the_connections_that_hold_most_yield_first, BudgetFixture)
+// Guards against a crowd that holds the memory that ordinary clients need: what holds most is evicted first.
+BOOST_FIXTURE_TEST_CASE(the_connections_that_hold_most_are_evicted_first, BudgetFixture)
 {
     add("small", idle(100, Milliseconds(0)));
     add("large", idle(600, Milliseconds(0)));
@@ -60,7 +60,7 @@
 }
 
 // Guards against cutting requests that run and responses on their way to clients that read.
-BOOST_FIXTURE_TEST_CASE(connections_that_are_served_never_yield, BudgetFixture)
+BOOST_FIXTURE_TEST_CASE(connections_that_are_served_are_never_evicted, BudgetFixture)
 {
     add("running", running(900));
     add("reading", reading(600, Milliseconds(200)));
