Correct two comments on memory and on clients that do not read

The limit on a client that takes nothing is the longer of 15 s and the idle limit, not the shorter. Comments only.

--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -40,7 +40,7 @@
 }
 
 /// Blocks of this size and more are returned to the system as soon as they are freed. Large bodies that grow side by side would otherwise
-/// leave gaps in the heap of several times their size.
+/// leave gaps of about their own size in the heap.
 constexpr int LargeBlockBytes = 128 * 1024;
 
 /// Raises the limit of open descriptors, and so of connections, to the hard limit of the system. Returns the limit.
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -22,7 +22,7 @@
 /// Parsed input is removed from the buffer in pieces of this size, so that many small requests do not each move the whole buffer.
 constexpr std::size_t InputCompactionBytes = 16 * 1024;
 
-/// A client that takes nothing of a response for the idle limit, or for this long if that is shorter, has left without a close.
+/// A client that takes nothing of a response for this long, or for the idle limit if that is longer, has left without a close.
 constexpr Milliseconds MinReaderTimeout{15000};
 
 /// Time for which input is read and discarded before a close. Closing a socket with unread input resets the connection, and
