--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -15,6 +15,7 @@
 
 constexpr const char *EngineService = "huvo11a";
 constexpr const char *DeskService = "wuno96b";
+constexpr const char *StreamService = "stre10c";
 constexpr int EngineSlots = 12;
 constexpr int DeskSlots = 6;
 constexpr int DeskWorkMs = 25;
@@ -251,43 +252,113 @@
     return results.size() < Items ? Verdict::NotRun : Verdict::Held;
 }
 
-/// Replicas of two software versions serve side by side, and some of one version crash.
-Verdict playMixedVersions(System &system, bool isTroubled)
+/// A stream as its client has it, joined over its tries.
+struct ClientStream {
+    std::string text;
+    int lastEvent = 0;
+    std::string firstAttempt;
+    bool isWhole = false;
+};
+
+/// Appends the whole events of an answer.
+void appendEvents(ClientStream &stream, const std::string &attempt, const std::string &body)
 {
-    constexpr int Engines = 12;
-    constexpr int Crashes = 2;
-    constexpr std::size_t Items = 60;
-    for (int i = 0; i < Engines; ++i) {
-        system.addReplica({"i-engine" + std::to_string(i), EngineService, System::Model, EngineSlots, 20, 100, i % 2 == 0 ? "v1" : "v2"});
+    for (std::size_t at = 0, end = 0; (end = body.find("\n\n", at)) != std::string::npos; at = end + 2) {
+        const auto event = body.substr(at, end - at);
+        if (event.compare(0, 4, "id: ") == 0) {
+            stream.lastEvent = std::atoi(event.c_str() + 4);
+            stream.firstAttempt = stream.firstAttempt.empty() ? attempt : stream.firstAttempt;
+            stream.text += event.substr(event.find('\n') + 1) + "\n";
+        }
+    }
+}
+
+/// Plays a client that takes its stream up at other gateways until it is whole or its time is over.
+ClientStream playStream(System &system, std::size_t number)
+{
+    constexpr int StreamTimeMs = 12000;
+    constexpr int MaxTries = 8;
+    ClientStream stream;
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(StreamTimeMs);
+    for (int i = 0; i < MaxTries && !stream.isWhole && std::chrono::steady_clock::now() < until; ++i) {
+        const auto attempt = "9c41d07be2a3" + std::to_string(10 + number) + "0" + std::to_string(i);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now()).count();
+        const auto response =
+            system.stream(number + static_cast<std::size_t>(i), firstTenant(), attempt, stream.firstAttempt, stream.lastEvent, static_cast<int>(left));
+        if (response.status == 200) {
+            appendEvents(stream, attempt, response.body);
+            stream.isWhole = response.isWhole;
+        }
+        sleepMs(stream.isWhole ? 0 : RetryPauseMs);
+    }
+    return stream;
+}
+
+/// A service goes over to a new software version, the store is down for some seconds, a replica of the old version joins, and a gateway
+/// is killed.
+Verdict playUnrecordedStreams(System &system, bool isTroubled)
+{
+    constexpr int Replicas = 4;
+    constexpr int ReleaseTimeMs = 5000;
+    constexpr std::size_t Streams = 30;
+    constexpr int Events = 40;
+    constexpr int EventIntervalMs = 200;
+    constexpr int StoreDownMs = 4500;
+    const auto add = [&system](const std::string &version, int i) {
+        system.addReplica({"i-" + version + "-" + std::to_string(i), StreamService, System::Model, EngineSlots, Events, EventIntervalMs, version});
+    };
+    for (int i = 0; i < Replicas; ++i) {
+        add("v1", i);
     }
     if (!system.start(3, 2)) {
         return Verdict::NotRun;
     }
-    const std::string batch = "7c41e09b52d6a3f8";
-    auto items = json::array();
-    for (std::size_t i = 0; i < Items; ++i) {
-        items.push_back(makeItem("5b2907c14da6f" + std::to_string(100 + i), "g" + std::to_string(i / 4), "prompt " + std::to_string(i)));
+    sleepMs(1500);
+    // Two releases, each of half of the replicas: the new ones start first, the old ones drain.
+    for (int first = 0; first < Replicas; first += Replicas / 2) {
+        for (int i = first; i < first + Replicas / 2; ++i) {
+            add("v2", i);
+        }
+        sleepMs(1000);
+        for (int i = first; i < first + Replicas / 2; ++i) {
+            system.replicas()[static_cast<std::size_t>(i)]->leave();
+        }
+        sleepMs(ReleaseTimeMs);
     }
-    if (!isAccepted(system.submit(0, firstTenant(), batch, makeBatch(items, Items / 4)))) {
-        return Verdict::NotRun;
+    if (isTroubled) {
+        system.record().add("the store answers 503 for 4.5 s");
+        system.store().setBusy(true);
     }
     sleepMs(1000);
-    for (std::size_t i = 0; i < (isTroubled ? Crashes : 0); ++i) {
-        system.replicas()[2 * i]->crash();
-    }
-    const auto results = system.readUntil(firstTenant(), batch, Items, 20000);
-    int mixed = 0;
-    for (const auto &result : results) {
-        const auto text = result.at("text").get<std::string>();
-        if (text.find("software v1") != std::string::npos && text.find("software v2") != std::string::npos) {
-            ++mixed;
-            system.record().add("the text of item " + result.at("id").get<std::string>() + " holds events of two software versions: " + json(text).dump());
+    std::vector<ClientStream> streams(Streams);
+    std::vector<std::thread> clients;
+    for (std::size_t i = 0; i < Streams; ++i) {
+        clients.emplace_back([&system, &streams, i] { streams[i] = playStream(system, i); });
+    }
+    sleepMs(StoreDownMs - 1000);
+    system.store().setBusy(false);
+    system.record().add("the store is back; a replica of v1 joins");
+    add("v1", Replicas);
+    sleepMs(2500);
+    system.processes().front()->kill();
+    for (auto &client : clients) {
+        client.join();
+    }
+    std::size_t joined = 0;
+    std::size_t whole = 0;
+    for (const auto &stream : streams) {
+        whole += stream.isWhole ? 1 : 0;
+        if (stream.text.find("software v1") != std::string::npos && stream.text.find("software v2") != std::string::npos) {
+            ++joined;
+            system.record().add("stream " + stream.firstAttempt + " holds events of two software versions: " + json(stream.text).dump());
         }
     }
-    if (results.size() < Items) {
-        return Verdict::NotRun;
+    system.record().add(std::to_string(whole) + " of " + std::to_string(Streams) + " streams are whole, " + std::to_string(joined)
+                        + " hold events of two versions");
+    if (joined > 2) {
+        return Verdict::Broken;
     }
-    return mixed > 2 ? Verdict::Broken : Verdict::Held;
+    return whole < Streams / 2 ? Verdict::NotRun : Verdict::Held;
 }
 
 /// The operator has storage hosts emptied, one after the other, all in the end. The platform removes those that are reported as empty.
@@ -391,9 +462,9 @@
         {"many-batches", playManyBatches},
         {"large-batch", playLargeBatch},
         {"emptied-hosts", playEmptiedHosts},
+        {"unrecorded-streams", playUnrecordedStreams},
         {"prefix-of-batch", playPrefixOfBatch},
         {"foreign-text", playForeignText},
-        {"mixed-versions", playMixedVersions},
         {"smuggled-request", playSmuggledRequest},
         {"odd-bytes", playOddBytes},
     };
--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -86,7 +86,7 @@
     return isSameName(fields.value("Transfer-Encoding"), "chunked");
 }
 
-/// Takes a body in chunks from the input. Returns false while it is not complete.
+/// Takes a body in chunks from the input. Returns false while it is not complete; the body then holds the chunks that are.
 bool takeChunks(const std::string &input, std::size_t &at, std::string &body)
 {
     while (true) {
@@ -106,6 +106,27 @@
     }
 }
 
+/// Reads what has arrived of a response. Returns whether it is whole.
+bool readResponse(const std::string &input, Response &response)
+{
+    const auto headEnd = input.find("\r\n\r\n");
+    if (headEnd == std::string::npos) {
+        return false;
+    }
+    response = {};
+    const auto line = parseHead(input.substr(0, headEnd), response.fields);
+    response.status = std::atoi(line.c_str() + std::min(line.find(' '), line.size()));
+    auto at = headEnd + 4;
+    if (isChunked(response.fields)) {
+        response.isWhole = takeChunks(input, at, response.body);
+    } else {
+        const auto size = std::strtoull(response.fields.value("Content-Length").c_str(), nullptr, 10);
+        response.body = input.substr(at, size);
+        response.isWhole = response.body.size() == size;
+    }
+    return response.isWhole;
+}
+
 }
 
 void Fields::add(const std::string &name, const std::string &value)
@@ -313,26 +334,7 @@
         sent += n > 0 ? static_cast<std::size_t>(n) : 0;
     }
     char buf[ReadBytes];
-    while (isOpen) {
-        const auto headEnd = input.find("\r\n\r\n");
-        if (headEnd != std::string::npos) {
-            Fields fields;
-            const auto line = parseHead(input.substr(0, headEnd), fields);
-            auto at = headEnd + 4;
-            std::string body;
-            bool isComplete = false;
-            if (isChunked(fields)) {
-                isComplete = takeChunks(input, at, body);
-            } else {
-                const auto size = std::strtoull(fields.value("Content-Length").c_str(), nullptr, 10);
-                isComplete = input.size() >= at + size;
-                body = isComplete ? input.substr(at, size) : std::string();
-            }
-            if (isComplete) {
-                response = {std::atoi(line.c_str() + std::min(line.find(' '), line.size())), fields, body};
-                break;
-            }
-        }
+    while (!readResponse(input, response) && isOpen) {
         const auto n = ::recv(descriptor, buf, sizeof buf, 0);
         isOpen = n > 0;
         input.append(buf, n > 0 ? static_cast<std::size_t>(n) : 0);
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -96,13 +96,15 @@
 };
 
 struct Response {
-    /// Zero when there was no whole response.
+    /// Zero when there was no whole head.
     int status = 0;
     Fields fields;
+    /// The body, as far as it arrived.
     std::string body;
+    bool isWhole = false;
 };
 
-/// Sends a request on a new connection to a loopback port and waits for the response.
+/// Sends a request on a new connection to a loopback port and waits for the end of the response.
 Response call(std::uint16_t port, const Request &request, int timeoutMs);
 
 std::string toBase64(std::string_view bytes);
--- a/review/standins-2/replica.cpp
+++ b/review/standins-2/replica.cpp
@@ -11,6 +11,8 @@
 using nlohmann::json;
 
 constexpr int HeartbeatMs = 1200;
+/// The time that a replica serves on after it has reported that it drains, with some margin.
+constexpr int ServedWhileDrainingMs = 2500;
 constexpr int ReportVersion = 1;
 constexpr std::size_t MaxRecordedBytes = 60;
 
@@ -64,27 +66,44 @@
 
 void Replica::registerPeriodically()
 {
-    for (int sequence = 1; !m_isDown; ++sequence) {
-        json entry{{"service", m_settings.service},
-                   {"address", m_server.address()},
-                   {"zone", "malda-a"},
-                   {"version", m_settings.softwareVersion},
-                   {"slots", m_settings.slots},
-                   {"state", "ready"},
-                   {"cold_remaining_ms", 0},
-                   {"sequence", sequence},
-                   {"born", m_startedAtMs}};
-        if (!m_settings.model.empty()) {
-            entry["stage"] = "both";
-            entry["models"] = json::array({{{"name", m_settings.model}, {"version", ReportVersion}, {"adapters", json::array()}}});
-        }
-        m_store.put("servers/" + m_settings.id, entry.dump());
+    while (!m_isDown) {
+        writeEntry();
         sleepMs(HeartbeatMs);
     }
-    sleepMs(3 * HeartbeatMs);
+    sleepMs(m_isDraining ? 0 : 3 * HeartbeatMs);
     m_store.erase("servers/" + m_settings.id);
 }
 
+void Replica::writeEntry()
+{
+    json entry{{"service", m_settings.service},
+               {"address", m_server.address()},
+               {"zone", "malda-a"},
+               {"version", m_settings.softwareVersion},
+               {"slots", m_settings.slots},
+               {"state", m_isDraining ? "draining" : "ready"},
+               {"cold_remaining_ms", 0},
+               {"sequence", ++m_sequence},
+               {"born", m_startedAtMs}};
+    if (!m_settings.model.empty()) {
+        entry["stage"] = "both";
+        entry["models"] = json::array({{{"name", m_settings.model}, {"version", ReportVersion}, {"adapters", json::array()}}});
+    }
+    m_store.put("servers/" + m_settings.id, entry.dump());
+}
+
+void Replica::leave()
+{
+    m_record.add("replica " + m_settings.id + " leaves");
+    m_isDraining = true;
+    writeEntry();
+    std::thread([this] {
+        sleepMs(ServedWhileDrainingMs);
+        m_isDown = true;
+        m_server.close();
+    }).detach();
+}
+
 void Replica::crash()
 {
     m_record.add("replica " + m_settings.id + " crashes");
--- a/review/standins-2/replica.h
+++ b/review/standins-2/replica.h
@@ -44,6 +44,9 @@
 
     static constexpr const char *LengthMark = ", events: ";
 
+    /// Lets the replica leave: it reports that it drains, serves on for some seconds and ends.
+    void leave();
+
     /// Ends the replica for good, in the middle of its streams. Its entry is removed after three heartbeats.
     void crash();
 
@@ -58,6 +61,7 @@
 
 private:
     void registerPeriodically();
+    void writeEntry();
     bool handle(Channel &channel, const Request &request);
     bool refuse(Channel &channel, int status, const Request &request) const;
     bool report(Channel &channel) const;
@@ -69,6 +73,8 @@
     ReplicaSettings m_settings;
     std::int64_t m_startedAtMs;
     std::atomic<int> m_running{0};
+    std::atomic<int> m_sequence{0};
+    std::atomic<bool> m_isDraining{false};
     std::atomic<bool> m_isDown{false};
     mutable std::mutex m_mutex;
     std::vector<Run> m_runs;
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -72,14 +72,11 @@
     return it == m_items.end() ? std::string() : it->second.value;
 }
 
-std::size_t Store::count(const std::string &prefix)
+void Store::setBusy(bool isBusy)
 {
     const std::lock_guard lock(m_mutex);
-    std::size_t n = 0;
-    for (auto it = m_items.lower_bound(prefix); it != m_items.end() && startsWith(it->first, prefix); ++it) {
-        ++n;
-    }
-    return n;
+    m_isBusy = isBusy;
+    m_changed.notify_all();
 }
 
 json Store::itemObject(const std::string &key, const Item &item) const
@@ -149,7 +146,9 @@
     }
     const std::lock_guard lock(m_mutex);
     expireLeases();
-    if (path == "/-/kv-key") {
+    if (m_isBusy) {
+        answer(channel, 503, json::object());
+    } else if (path == "/-/kv-key") {
         const auto it = m_items.find(request.query("key"));
         if (it == m_items.end()) {
             answer(channel, 404, {{"current_rev", m_revision}});
@@ -208,9 +207,10 @@
     const auto until = Clock::now() + std::chrono::milliseconds(number(request.query("wait_ms")));
     auto events = json::array();
     std::uint64_t revision = 0;
+    bool isBusy = false;
     {
         std::unique_lock lock(m_mutex);
-        while (true) {
+        while (!m_isBusy) {
             if (!m_history.empty() && m_history.size() >= KeptEvents && m_history.front().item.revision > after + 1) {
                 break;
             }
@@ -225,6 +225,11 @@
                 break;
             }
         }
+        isBusy = m_isBusy;
+    }
+    if (isBusy) {
+        answer(channel, 503, json::object());
+        return;
     }
     answer(channel, revision == 0 ? 410 : 200, {{"events", events}, {"current_rev", revision}});
 }
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -28,8 +28,8 @@
     void erase(const std::string &key);
     /// The value of a key; empty if there is none.
     std::string get(const std::string &key);
-    /// Number of keys with the prefix.
-    std::size_t count(const std::string &prefix);
+    /// Makes the store answer each call with 503, as while it is down; the operator and the replicas still reach it.
+    void setBusy(bool isBusy);
 
 private:
     using Clock = std::chrono::steady_clock;
@@ -68,6 +68,7 @@
     std::map<std::string, Item> m_items;
     std::deque<Event> m_history;
     std::map<std::uint64_t, Lease> m_leases;
+    bool m_isBusy = false;
     std::uint64_t m_revision = 100;
     std::uint64_t m_lastLease = 0;
     Server m_server;
--- a/review/standins-2/system.cpp
+++ b/review/standins-2/system.cpp
@@ -211,6 +211,17 @@
                                 {"public", false},
                                 {"sticky", true},
                                 {"resumable", true}},
+                               {{"name", "r-stre10c"},
+                                {"host", Host},
+                                {"path_prefix", StreamPath},
+                                {"kind", "streaming"},
+                                {"timeout_ms", 12000},
+                                {"target_latency_ms", 500},
+                                {"priority", 1},
+                                {"service", "stre10c"},
+                                {"attempts", 3},
+                                {"public", false},
+                                {"resumable", true}},
                                {{"name", "r-qrh4jcd"},
                                 {"host", Host},
                                 {"path_prefix", PingPath},
@@ -226,6 +237,7 @@
                                 {"health_path", "/health"},
                                 {"connection_limit", 170},
                                 {"engine", {{"slots", 12}, {"kv_cache_tokens", 39885}, {"models", {{{"name", Model}}}}}}},
+                               {{"name", "stre10c"}, {"health_path", "/health"}, {"connection_limit", 110}},
                                {{"name", "wuno96b"}, {"health_path", "/health"}, {"connection_limit", 110}}}},
                              {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 33554432}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
                              {"tenants", tenantList}};
@@ -393,6 +405,21 @@
     return response;
 }
 
+Response System::stream(std::size_t gateway, const Tenant &tenant, const std::string &attempt, const std::string &firstAttempt, int lastEvent, int timeoutMs)
+{
+    Request request{"POST", std::string(StreamPath) + "1", {}, "prompt"};
+    request.fields.add("Basilbend-Attempt-Id", attempt);
+    request.fields.add("Basilbend-Deadline-Ms", std::to_string(timeoutMs));
+    if (lastEvent > 0) {
+        request.fields.add("Last-Event-Id", std::to_string(lastEvent));
+        request.fields.add("Resumes", firstAttempt);
+    }
+    const auto response = send(gateway, tenant, request, timeoutMs);
+    m_record.add("stream " + attempt + " at gateway " + std::to_string(gateway % m_clientPorts.size() + 1) + " after event " + std::to_string(lastEvent) + ": "
+                 + (response.status == 0 ? "no answer" : std::to_string(response.status)) + (response.isWhole ? ", whole" : ", broken off"));
+    return response;
+}
+
 Response System::ping(std::size_t gateway, const Tenant &tenant, const std::string &attempt)
 {
     Request request{"POST", std::string(PingPath) + "2f", {}, "ping"};
--- a/review/standins-2/system.h
+++ b/review/standins-2/system.h
@@ -127,6 +127,8 @@
     Response submit(std::size_t gateway, const Tenant &tenant, const std::string &batch, const std::string &body, int timeoutMs = 4000);
     Response read(std::size_t gateway, const Tenant &tenant, const std::string &batch, std::size_t after);
     Response endBatch(std::size_t gateway, const Tenant &tenant, const std::string &batch);
+    /// Begins a stream, or takes up the one that firstAttempt began after the event lastEvent.
+    Response stream(std::size_t gateway, const Tenant &tenant, const std::string &attempt, const std::string &firstAttempt, int lastEvent, int timeoutMs);
     Response ping(std::size_t gateway, const Tenant &tenant, const std::string &attempt);
 
     /// Reads results from a position on until there are n, or the time is over. Reads at all gateways in turn.
@@ -134,6 +136,7 @@
 
     static constexpr const char *Host = "ficu95.example";
     static constexpr const char *BatchPath = "/pufi791/";
+    static constexpr const char *StreamPath = "/kite552/";
     static constexpr const char *PingPath = "/lohu930/";
     static constexpr const char *Model = "daka510000";
 
