--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -79,6 +79,12 @@
     m_changed.notify_all();
 }
 
+bool Store::isBusy()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isBusy;
+}
+
 json Store::itemObject(const std::string &key, const Item &item) const
 {
     return {{"key", key}, {"value", toBase64(item.value)}, {"revision", item.revision}, {"created", item.created}, {"lease", item.lease}};
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -28,8 +28,9 @@
     void erase(const std::string &key);
     /// The value of a key; empty if there is none.
     std::string get(const std::string &key);
-    /// Makes the store answer each call with 503, as while it is down; the operator and the replicas still reach it.
+    /// Makes the store answer each call with 503, as while it is down.
     void setBusy(bool isBusy);
+    bool isBusy();
 
 private:
     using Clock = std::chrono::steady_clock;
