--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -55,6 +55,8 @@
     return {[this](const std::vector<MetadataItem> &items) {
                 // Evacuations first: the first configuration allows requests to be sent.
                 replaceEvacuations(items);
+                // A request that was withdrawn while the history was lost is not among the items.
+                m_hostsToEmpty.clear();
                 for (const auto &item : items) {
                     applyOperatorItem(item);
                 }
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "billing/usagewindowreporter.h"
 #include "catalog/systemview.h"
+#include "daemon/hostretirement.h"
 #include "election/leaderelection.h"
 #include "election/leaderprobe.h"
 #include "http/socketoptions.h"
@@ -15,7 +16,8 @@
 
 #include <algorithm>
 #include <memory>
-#include <set>
+#include <optional>
+#include <utility>
 
 namespace Basilbend
 {
@@ -34,6 +36,10 @@
 /// Time from SIGTERM to the end of the process, for the release of the lease.
 constexpr Milliseconds LeaseReleaseTime{400};
 constexpr Milliseconds RetireRetryPause{500};
+/// Interval of the checks for a successor while the leader's own host is to be emptied.
+constexpr Milliseconds SuccessorCheckInterval{1000};
+/// Time after a hand-over that nobody followed before the next one, because each one interrupts the running items.
+constexpr Milliseconds HandOverRetryPause{10000};
 /// Margin above the leader turn time for the delivery of an order.
 constexpr Milliseconds LeaderTurnMargin{500};
 
@@ -53,7 +59,8 @@
                      electionSettings(runtime),
                      {[this](bool continued) { becomeLeader(continued); },
                       [this] { becomeFollower(); },
-                      [this](const std::string &address, std::function<void(bool)> callback) { m_leaderProbe.ask(address, std::move(callback)); }})
+                      [this](const std::string &address, std::function<void(bool)> callback) { m_leaderProbe.ask(address, std::move(callback)); },
+                      [this] { retireHosts(); }})
         , m_batchRunner(runtime.loop(),
                         runtime.log(),
                         runtime.metrics(),
@@ -72,6 +79,7 @@
                       runtime.client(),
                       {runtime.settings().node, runtime.settings().reportsAddress, runtime.settings().usageWindow, runtime.settings().usageReportDeadline},
                       {[this] { return m_election.mayAct(); }, [this] { return m_election.term(); }})
+        , m_retirement(runtime.settings().node)
     {
         m_view.setRegions(runtime.settings().regionOfZone);
         m_view.onConfigurationChanged = [this] { m_batchRunner.requestRound(); };
@@ -229,33 +237,61 @@
         }
     }
 
-    /// Reports the hosts that the operator wants emptied as empty. Hosts hold no persistent data, so a host without the leader is
-    /// empty; a leader on such a host hands over first.
+    /// Empties the hosts that the operator wants emptied, see HostRetirement.
     void retireHosts()
     {
-        if (!m_isLeading || m_isHandingOver || !m_election.mayAct()) {
+        if (!m_isLeading || m_isHandingOver || !m_election.mayAct() || m_view.hostsToEmpty().empty()) {
             return;
         }
-        for (const auto &[host, revision] : m_view.hostsToEmpty()) {
-            if (m_reportedHosts.count({host, revision}) > 0) {
-                continue;
-            }
-            if (host == m_runtime.settings().node) {
-                handOver("host_to_empty", [] {});
-                return;
-            }
-            m_reportedHosts.insert({host, revision});
-            reportHostEmpty(host, revision);
+        const auto plan = m_retirement.plan(m_view.hostsToEmpty(), m_election.successorOffers());
+        for (const auto &host : plan.emptyHosts) {
+            reportHostEmpty(host);
+        }
+        if (!plan.ownHost) {
+            return;
+        }
+        const bool mayHandOver = !m_handedOverAt || m_runtime.loop().now() - *m_handedOverAt >= HandOverRetryPause;
+        if (plan.successor && mayHandOver) {
+            handOverTo(*plan.successor);
+            return;
+        }
+        if (plan.mustReportRunning) {
+            reportHostRunning(*plan.ownHost);
+        }
+        m_election.requestSuccessor();
+        checkForSuccessorLater();
+    }
+
+    void checkForSuccessorLater()
+    {
+        if (std::exchange(m_isSuccessorCheckSet, true)) {
+            return;
         }
+        m_runtime.loop().runAfter(SuccessorCheckInterval, [this] {
+            m_isSuccessorCheckSet = false;
+            retireHosts();
+        });
+    }
+
+    void reportHostEmpty(const HostToEmpty &host)
+    {
+        m_retirement.markReported(host);
+        reportHost(host, true, [this, host] { m_retirement.unmarkReported(host); });
+    }
+
+    void reportHostRunning(const HostToEmpty &host)
+    {
+        m_retirement.markReportedRunning(host);
+        reportHost(host, false, [this, host] { m_retirement.unmarkReportedRunning(host); });
     }
 
-    void reportHostEmpty(const std::string &host, std::uint64_t revision)
+    void reportHost(const HostToEmpty &host, bool isEmpty, std::function<void()> onFailed)
     {
-        const MetadataChange change{{{LeaderElection::holderKey(), m_election.term()}}, {{retireStatusKey(host), encodeRetireStatus(true), 0}}, {}};
-        m_runtime.store().commit(change, [this, host, revision](const MetadataReply &reply) {
-            m_runtime.log().info("host_reported_empty", {{"host", host}, {"store", metadataStatusName(reply.status)}});
+        const MetadataChange change{{{LeaderElection::holderKey(), m_election.term()}}, {{retireStatusKey(host.first), encodeRetireStatus(isEmpty), 0}}, {}};
+        m_runtime.store().commit(change, [this, host, isEmpty, onFailed = std::move(onFailed)](const MetadataReply &reply) {
+            m_runtime.log().info("host_reported", {{"host", host.first}, {"empty", isEmpty}, {"store", metadataStatusName(reply.status)}});
             if (reply.status != MetadataStatus::Done) {
-                m_reportedHosts.erase({host, revision});
+                onFailed();
                 m_runtime.loop().runAfter(RetireRetryPause, [this] { retireHosts(); });
             }
         });
@@ -291,23 +327,52 @@
         m_loggedCalls = calls;
     }
 
+    /// Ends the leadership for good.
     void stop()
     {
-        handOver("stop", [this] { m_runtime.loop().runAfter(LeaseReleaseTime, [this] { m_runtime.quit(); }); });
+        m_isStopping = true;
+        prepareHandOver("stop", [this] {
+            becomeFollower();
+            m_election.resign();
+            m_runtime.loop().runAfter(LeaseReleaseTime, [this] { m_runtime.quit(); });
+        });
+    }
+
+    /// Passes the leadership to the process, which has offered to lead. The running items are interrupted only once the metadata store
+    /// has confirmed the choice, and this process leads again if nobody follows.
+    void handOverTo(const std::string &successor)
+    {
+        const auto term = m_election.term();
+        prepareHandOver("host_to_empty", [this, successor, term] {
+            if (m_isStopping || m_election.term() != term) {
+                endHandOver();
+                return;
+            }
+            m_election.nameSuccessor(successor, [this](bool isNamed) {
+                if (isNamed && !m_isStopping) {
+                    m_handedOverAt = m_runtime.loop().now();
+                    becomeFollower();
+                    m_election.yield();
+                }
+                endHandOver();
+            });
+        });
+    }
+
+    void endHandOver()
+    {
+        m_isHandingOver = m_isStopping;
+        checkForSuccessorLater();
     }
 
-    /// Ends the leadership for good. If endpoints may need a warm-up, this process first keeps to its share of their requests for one
-    /// window, so that the successor may send the rest at once.
-    void handOver(const char *why, const std::function<void()> &onEnded)
+    /// Calls step when this process may end its leadership. If endpoints may need a warm-up, it first keeps to its share of their
+    /// requests for one window, so that the successor may send the rest at once.
+    void prepareHandOver(const char *why, std::function<void()> step)
     {
         const bool mustPrepare = m_isLeading && !m_isHandingOver && hasWarmupRates();
         m_isHandingOver = true;
         m_runtime.log().info("handing_over", {{"why", why}, {"prepares", mustPrepare}});
-        m_runtime.loop().runAfter(mustPrepare ? RequestLimiter::Window : Milliseconds(0), [this, onEnded] {
-            becomeFollower();
-            m_election.resign();
-            onEnded();
-        });
+        m_runtime.loop().runAfter(mustPrepare ? RequestLimiter::Window : Milliseconds(0), std::move(step));
     }
 
     bool hasWarmupRates() const
@@ -328,13 +393,17 @@
     UsageWindowReporter m_usageDuty;
     /// Null when no address is set; gateways then read results from the store.
     std::unique_ptr<WebServer> m_internalServer;
-    std::set<std::pair<std::string, std::uint64_t>> m_reportedHosts;
+    HostRetirement m_retirement;
+    /// Last time at which this process gave up the leadership for another one.
+    std::optional<Timestamp> m_handedOverAt;
     Timestamp m_startedAt;
     Timestamp m_electedAt;
     Timestamp m_predecessorEndedAt;
     RunnerCounts m_loggedCounts;
     WebClientCounts m_loggedCalls;
     bool m_isHandingOver = false;
+    bool m_isStopping = false;
+    bool m_isSuccessorCheckSet = false;
     bool m_isLeading = false;
     bool m_isViewStarted = false;
     bool m_isPolling = false;
--- a/src/election/leaderelection.cpp
+++ b/src/election/leaderelection.cpp
@@ -26,6 +26,7 @@
              m_settings.watchSpan,
              {[this](const std::vector<MetadataItem> &items) {
                   m_holder.reset();
+                  m_succession.clear();
                   for (const auto &item : items) {
                       applyItem(item);
                   }
@@ -91,6 +92,8 @@
     } else if (item.key == HolderKey) {
         m_holder = item.isRemoval ? std::nullopt : std::optional(item);
         rememberAddress(item);
+    } else {
+        m_succession.apply(item);
     }
 }
 
@@ -121,6 +124,10 @@
     if (!m_isStateKnown || m_hasResigned) {
         return;
     }
+    if (m_term != 0 && m_hooks.onOffersChanged) {
+        m_hooks.onOffersChanged();
+    }
+    answerRequest();
     if (m_holder && m_term == 0 && isFromEarlierIncarnation(*m_holder)) {
         // A host runs one such process, so the earlier leader has ended and its lease need not expire first.
         startCandidacy();
@@ -182,8 +189,17 @@
         m_loop.runAfter(Milliseconds(0), [this, generation] { createLease(generation); });
         return;
     }
-    const Milliseconds wait(m_random.below(static_cast<std::uint64_t>(m_settings.jitter.count()) + 1));
-    m_loop.runAfter(wait, [this, generation] { runAfterLeaderReturn([this, generation] { createLease(generation); }); });
+    m_loop.runAfter(candidacyDelay(), [this, generation] { runAfterLeaderReturn([this, generation] { createLease(generation); }); });
+}
+
+Milliseconds LeaderElection::candidacyDelay()
+{
+    const auto successor = m_succession.successorOf(m_recentLeadersRevision);
+    if (successor == m_settings.node) {
+        return Milliseconds(0);
+    }
+    const Milliseconds jitter(m_random.below(static_cast<std::uint64_t>(m_settings.jitter.count()) + 1));
+    return successor ? m_settings.successorTime + jitter : jitter;
 }
 
 void LeaderElection::runAfterLeaderReturn(std::function<void()> step)
@@ -277,6 +293,7 @@
     m_term = term;
     m_lastTerm = term;
     m_lease = lease;
+    m_successorRequestedAt.reset();
     m_leaseValidUntil = leaseSentAt + span - m_settings.leaseMargin;
     const bool continued = m_mayContinue;
     m_mayContinue = true;
@@ -321,13 +338,98 @@
     }
     m_hasResigned = true;
     m_feed.stop();
-    ++m_generation;
     if (m_term != 0) {
         m_log.info("leadership_resigned", {{"term", m_term}});
+    }
+    releaseLease();
+}
+
+void LeaderElection::releaseLease()
+{
+    if (m_term != 0) {
+        m_lastLedAt = m_loop.now();
         m_store.revokeLease(m_lease, [](const MetadataReply &) {});
     }
+    ++m_generation;
     m_term = 0;
     m_lease = 0;
 }
 
+void LeaderElection::requestSuccessor()
+{
+    const auto now = m_loop.now();
+    const bool isEarly = m_successorRequestedAt && now - *m_successorRequestedAt < m_settings.requestInterval;
+    if (!mayAct() || isEarly) {
+        return;
+    }
+    m_successorRequestedAt = now;
+    const MetadataChange change{{{HolderKey, m_term}}, {{Succession::requestKey(), Succession::encodeRequest(m_term), m_lease}}, {}};
+    m_store.commit(change, [this, term = m_term](const MetadataReply &reply) {
+        m_log.info("successor_requested", {{"term", term}, {"store", metadataStatusName(reply.status)}});
+    });
+}
+
+void LeaderElection::answerRequest()
+{
+    const auto &request = m_succession.request();
+    const bool isAsked = request && m_holder && m_term == 0 && request->term == m_holder->revision && request->revision != m_answeredRequest;
+    if (!isAsked || m_hasResigned) {
+        return;
+    }
+    m_answeredRequest = request->revision;
+    if (!m_settings.rule.isEligible(m_settings.node, m_recentLeaders, m_startedAt, m_lastLedAt, m_loop.now())) {
+        retryOffer();
+        return;
+    }
+    m_store.createLease(m_settings.offerSpan, [this, request = *request](const MetadataReply &reply) {
+        if (reply.status == MetadataStatus::Done) {
+            commitOffer(request, reply.lease);
+        } else {
+            retryOffer();
+        }
+    });
+}
+
+void LeaderElection::commitOffer(const SuccessorRequest &request, std::uint64_t lease)
+{
+    const MetadataChange change{
+        {{Succession::requestKey(), request.revision}}, {{Succession::offerKey(m_settings.node), Succession::encodeOffer(request.revision), lease}}, {}};
+    m_store.commit(change, [this, term = request.term](const MetadataReply &reply) {
+        m_log.info("succession_offered", {{"term", term}, {"store", metadataStatusName(reply.status)}});
+        // After a conflict there is a newer request, or none.
+        if (reply.status != MetadataStatus::Done && reply.status != MetadataStatus::Conflict) {
+            retryOffer();
+        }
+    });
+}
+
+void LeaderElection::retryOffer()
+{
+    m_loop.runAfter(RetryPause, [this] {
+        m_answeredRequest = 0;
+        answerRequest();
+    });
+}
+
+void LeaderElection::nameSuccessor(const std::string &node, std::function<void(bool)> callback)
+{
+    const MetadataChange change{{{HolderKey, m_term}}, {{Succession::successorKey(), Succession::encodeSuccessor(m_term, node), 0}}, {}};
+    m_store.commit(change, [this, node, term = m_term, callback = std::move(callback)](const MetadataReply &reply) {
+        m_log.info("successor_named", {{"term", term}, {"node", node}, {"store", metadataStatusName(reply.status)}});
+        callback(reply.status == MetadataStatus::Done && m_term == term);
+    });
+}
+
+void LeaderElection::yield()
+{
+    if (m_hasResigned || m_term == 0) {
+        return;
+    }
+    m_log.info("leadership_yielded", {{"term", m_term}});
+    // A later election starts anew: what this process ran has ended.
+    m_mayContinue = false;
+    m_isCandidate = false;
+    releaseLease();
+}
+
 }
--- a/src/election/leaderelection.h
+++ b/src/election/leaderelection.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "election/candidacyrule.h"
 #include "election/leaderrecord.h"
+#include "election/succession.h"
 #include "log/eventlog.h"
 #include "metadata/prefixfeed.h"
 
@@ -30,6 +31,12 @@
     /// How long other candidates wait for a leader whose lease has expired but whose process says that it goes on. It learns of the
     /// end of an outage of the store up to this much later than they do.
     Milliseconds leaderReturnTime{500};
+    /// How long candidates wait for the process that a leader has chosen to follow it. Longer than its lease and its commit take.
+    Milliseconds successorTime{1000};
+    /// Lease of an offer to follow the leader.
+    Milliseconds offerSpan{5000};
+    /// Shortest time between two requests for a successor, so that offers which the leader could not use are renewed.
+    Milliseconds requestInterval{3000};
     Milliseconds watchSpan{5000};
     CandidacyRule rule;
 };
@@ -43,6 +50,8 @@
     /// Asks the process at the address whether it led last and wants to go on, see LeaderElection::wantsToContinue(), and passes on
     /// the answer, or false if there is none soon. May be null.
     std::function<void(const std::string &address, std::function<void(bool)> callback)> askLeader = nullptr;
+    /// Called on the leader when the offers to follow it may have changed, see LeaderElection::requestSuccessor(). May be null.
+    std::function<void()> onOffersChanged = nullptr;
 };
 
 /// Elects one leader through a key under a lease in the metadata store. The revision of the key is the fencing token: it
@@ -59,6 +68,24 @@
     /// Ends the lease and the leadership; the process does not run again.
     void resign();
 
+    /// Asks the other processes for offers to follow this one; does nothing if this process may not act or has asked within the
+    /// request interval. The leadership goes on.
+    void requestSuccessor();
+
+    /// Names of the processes that have offered to follow and were able to write that to the metadata store.
+    std::vector<std::string> successorOffers() const
+    {
+        return m_succession.offers();
+    }
+
+    /// Records the process that should follow this one. The callback receives whether the record is stored; the leadership goes on
+    /// until yield() is called.
+    void nameSuccessor(const std::string &node, std::function<void(bool isNamed)> callback);
+
+    /// Ends the lease and the leadership in favour of the named successor. This process takes part in later elections, so it leads
+    /// again if nobody has followed within the successor time.
+    void yield();
+
     bool mayAct() const;
 
     /// Whether this process led last, as far as it knows, and would take the leadership again with its state intact.
@@ -103,7 +130,13 @@
     void noteSuccessor();
     void rememberAddress(const MetadataItem &item);
     void evaluate();
+    /// Offers this process as successor if the leader asks for one.
+    void answerRequest();
+    void commitOffer(const SuccessorRequest &request, std::uint64_t lease);
+    void retryOffer();
     void startCandidacy();
+    /// Delay before a candidacy of a process that has rivals.
+    Milliseconds candidacyDelay();
     /// Calls step when a leader that may still run has had its chance to take the leadership again.
     void runAfterLeaderReturn(std::function<void()> step);
     void createLease(std::uint64_t generation);
@@ -114,6 +147,8 @@
     void scheduleRenewal();
     void renew();
     void loseLease();
+    /// Ends the lease on purpose.
+    void releaseLease();
     void handleDeposition(const LeaderRecord &leader);
     /// Whether the record was written by an earlier process on this host, which has ended.
     bool isFromEarlierIncarnation(const MetadataItem &item) const;
@@ -133,6 +168,10 @@
     std::vector<std::string> m_recentLeaders;
     std::uint64_t m_recentLeadersRevision = 0;
     std::optional<MetadataItem> m_holder;
+    Succession m_succession;
+    /// Revision of the request that this process has answered last.
+    std::uint64_t m_answeredRequest = 0;
+    std::optional<Timestamp> m_successorRequestedAt;
     /// Address of the last known leader; empty if it is unknown or was this process.
     std::string m_lastLeaderAddress;
     bool m_isStateKnown = false;
--- a/tests/election/leaderelection.cpp
+++ b/tests/election/leaderelection.cpp
@@ -364,4 +364,99 @@
     BOOST_TEST((time.now() - killedAt).count() <= 1500 + 120 + 300);
 }
 
+// Guards against a hand-over that another process than the chosen one wins, which may itself be about to leave.
+BOOST_FIXTURE_TEST_CASE(the_process_that_a_leader_has_chosen_follows_it, ElectionFixture)
+{
+    for (const auto *node : {"a", "b", "c", "d"}) {
+        add(node);
+    }
+    run(5000);
+    for (int i = 0; i < 10; ++i) {
+        auto *first = leader();
+        BOOST_REQUIRE(first != nullptr);
+        first->election->requestSuccessor();
+        run(100);
+        const auto offers = first->election->successorOffers();
+        BOOST_REQUIRE(offers.size() == 3U);
+        const auto &chosen = offers[static_cast<std::size_t>(i) % offers.size()];
+        first->election->nameSuccessor(chosen, [first](bool isNamed) {
+            BOOST_TEST(isNamed);
+            first->election->yield();
+        });
+        run(100);
+        BOOST_REQUIRE(leader() != nullptr);
+        BOOST_TEST((leader()->address == "127.0.0.1:" + std::to_string(FirstPort + chosen.front())));
+        run(5000);
+        BOOST_TEST((leader()->address == "127.0.0.1:" + std::to_string(FirstPort + chosen.front())));
+    }
+}
+
+// Guards against open batches that nobody runs because the process that a leader has chosen ends before it follows.
+BOOST_FIXTURE_TEST_CASE(a_leader_that_yielded_in_vain_leads_again_soon, ElectionFixture)
+{
+    auto &first = add("a");
+    run(500);
+    auto &second = add("b");
+    run(4000);
+    first.election->requestSuccessor();
+    run(100);
+    BOOST_REQUIRE((first.election->successorOffers() == std::vector<std::string>{"b"}));
+    first.election->nameSuccessor("b", [this, &first, &second](bool) {
+        kill(&second);
+        first.election->yield();
+    });
+    run(1500);
+    BOOST_TEST((leader() == &first));
+    BOOST_TEST(!first.wasContinued);
+    BOOST_TEST(first.election->successorOffers().empty());
+    BOOST_TEST(first.deposed == 0);
+}
+
+// Guards against a hand-over to a process that could not take it: one that is suspended or cut off hears nothing of the store.
+BOOST_FIXTURE_TEST_CASE(a_process_that_cannot_lead_makes_no_offer, ElectionFixture)
+{
+    auto &first = add("a");
+    run(500);
+    HeldFeedStore held(store, "leader/");
+    Candidate other(time, held, "b", 9);
+    run(4000);
+    held.isHeld = true;
+    first.election->requestSuccessor();
+    run(2000);
+    BOOST_TEST(first.election->successorOffers().empty());
+    BOOST_TEST((leader() == &first));
+    held.release();
+    run(500);
+    BOOST_TEST((first.election->successorOffers() == std::vector<std::string>{"b"}));
+    // The offer ends with its lease, so the leader asks anew.
+    held.isHeld = true;
+    run(6000);
+    BOOST_TEST(first.election->successorOffers().empty());
+    first.election->requestSuccessor();
+    run(500);
+    BOOST_TEST(first.election->successorOffers().empty());
+}
+
+// Guards against a process that starts after the request and is never asked.
+BOOST_FIXTURE_TEST_CASE(a_process_that_starts_later_offers_itself, ElectionFixture)
+{
+    auto &first = add("a");
+    run(500);
+    first.election->requestSuccessor();
+    run(5000);
+    BOOST_TEST(first.election->successorOffers().empty());
+    add("b");
+    run(300);
+    BOOST_TEST((first.election->successorOffers() == std::vector<std::string>{"b"}));
+}
+
+// Guards against calls to the store by each process while no host is to be emptied.
+BOOST_FIXTURE_TEST_CASE(nothing_is_written_for_a_successor_without_a_request, ElectionFixture)
+{
+    add("a");
+    add("b");
+    run(20000);
+    BOOST_TEST((store.keysBelow("leader/") == std::vector<std::string>{"leader/holder", "leader/recent"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
