--- a/src/batches/batchrecords.cpp
+++ b/src/batches/batchrecords.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 
 namespace Basilbend::BatchRecords
 {
@@ -60,42 +61,51 @@
     return IndexPrefix + id;
 }
 
-std::string submissionPrefix(const std::string &id)
+std::string progressKey(const std::string &id)
 {
-    return SubmissionPrefix + id + "/";
+    return "batch/progress/" + id;
 }
 
-std::string submissionKey(const std::string &id, std::size_t part)
+NumberedRecords submissionParts(const std::string &id)
 {
-    return submissionPrefix(id) + paddedNumber(part);
+    return NumberedRecords(SubmissionPrefix + id + "/");
 }
 
-std::string progressKey(const std::string &id)
+NumberedRecords resultChunks(const std::string &id)
 {
-    return "batch/progress/" + id;
+    return NumberedRecords(ResultPrefix + id + "/");
 }
 
-std::string resultPrefix(const std::string &id)
+std::string submissionKey(const std::string &id, std::size_t part)
 {
-    return ResultPrefix + id + "/";
+    return submissionParts(id).keyAt(part);
 }
 
 std::string resultKey(const std::string &id, std::size_t position)
 {
-    return resultPrefix(id) + paddedNumber(position);
+    return resultChunks(id).keyAt(position);
+}
+
+NumberedRecords::NumberedRecords(std::string prefix)
+    : m_prefix(std::move(prefix))
+{
+}
+
+std::string NumberedRecords::keyAt(std::size_t number) const
+{
+    return m_prefix + paddedNumber(number);
 }
 
-std::optional<std::size_t> positionOfResultKey(std::string_view key)
+std::optional<std::size_t> NumberedRecords::numberOf(std::string_view key) const
 {
-    const auto slash = key.rfind('/');
-    if (slash == std::string_view::npos) {
+    if (key.substr(0, m_prefix.size()) != m_prefix) {
         return std::nullopt;
     }
-    const auto digits = key.substr(slash + 1);
-    std::size_t position = 0;
-    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), position);
+    const auto digits = key.substr(m_prefix.size());
+    std::size_t number = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
     const bool isNumber = !digits.empty() && ec == std::errc{} && end == digits.data() + digits.size();
-    return isNumber ? std::optional(position) : std::nullopt;
+    return isNumber && keyAt(number) == key ? std::optional(number) : std::nullopt;
 }
 
 std::string encodeIndex(const BatchIndex &index)
--- a/src/batches/batchrecords.h
+++ b/src/batches/batchrecords.h
@@ -17,19 +17,48 @@
 ///   batch/result/ID/POSITION    ResultChunk: consecutive results that start at the position; never changed
 ///   batch/progress/ID           text that long items have generated so far, for the next leader; may be outdated or missing
 /// A batch exists when its index exists. Parts and positions are padded with zeros, so that keys sort in numeric order.
+///
+/// Clients choose the ids. One may begin with another one, also followed by "/", so the index and the progress are read by their keys
+/// only, and a listing of numbered records is filtered by NumberedRecords.
 namespace BatchRecords
 {
 inline constexpr const char *IndexPrefix = "batch/index/";
 
+/// The keys of numbered records of one batch.
+class NumberedRecords
+{
+public:
+    /// prefix: what the keys begin with, up to the number.
+    explicit NumberedRecords(std::string prefix);
+
+    /// Prefix for listings and watches. These may report records of other batches, for which contains() returns false.
+    const std::string &prefix() const
+    {
+        return m_prefix;
+    }
+
+    std::string keyAt(std::size_t number) const;
+
+    /// Returns the number in the key of a record of the batch, or nothing when the key is another one.
+    std::optional<std::size_t> numberOf(std::string_view key) const;
+
+    bool contains(std::string_view key) const
+    {
+        return numberOf(key).has_value();
+    }
+
+private:
+    std::string m_prefix;
+};
+
 std::string indexKey(const std::string &id);
-std::string submissionKey(const std::string &id, std::size_t part);
-std::string submissionPrefix(const std::string &id);
 std::string progressKey(const std::string &id);
-std::string resultKey(const std::string &id, std::size_t position);
-std::string resultPrefix(const std::string &id);
+NumberedRecords submissionParts(const std::string &id);
+/// The chunks of results, numbered by the position of their first result.
+NumberedRecords resultChunks(const std::string &id);
 
-/// Returns the position in a result key, or nothing when the key does not end with a number.
-std::optional<std::size_t> positionOfResultKey(std::string_view key);
+std::string submissionKey(const std::string &id, std::size_t part);
+std::string resultKey(const std::string &id, std::size_t position);
 
 std::string encodeIndex(const BatchIndex &index);
 Result<BatchIndex> decodeIndex(std::string_view text);
--- a/src/gateway/batchapi.cpp
+++ b/src/gateway/batchapi.cpp
@@ -140,13 +140,16 @@
 
 void BatchApi::readSubmission(const BatchCall &call, const std::string &afterKey, std::shared_ptr<std::string> body)
 {
-    m_context.store.list(BatchRecords::submissionPrefix(call.request.batchId), afterKey, [this, call, body = std::move(body)](const MetadataReply &reply) {
+    const auto parts = BatchRecords::submissionParts(call.request.batchId);
+    m_context.store.list(parts.prefix(), afterKey, [this, call, parts, body = std::move(body)](const MetadataReply &reply) {
         if (reply.status != MetadataStatus::Done) {
             retry(call, reply.status, [this, call] { readSubmission(call, {}, std::make_shared<std::string>()); });
             return;
         }
         for (const auto &item : reply.items) {
-            body->append(item.value);
+            if (parts.contains(item.key)) {
+                body->append(item.value);
+            }
         }
         if (reply.hasMore && !reply.items.empty()) {
             readSubmission(call, reply.items.back().key, body);
--- a/src/gateway/resultcache.cpp
+++ b/src/gateway/resultcache.cpp
@@ -104,10 +104,10 @@
 void ResultCache::listResults(const EntryPtr &entry)
 {
     entry->hasPendingStoreCall = true;
-    const auto afterKey = entry->results.empty() ? std::string() : BatchRecords::resultKey(entry->batch, entry->results.size() - 1);
-    m_context.store.list(BatchRecords::resultPrefix(entry->batch), afterKey, [this, entry, sentAt = m_context.loop.now()](const MetadataReply &reply) {
-        handleList(entry, reply, sentAt);
-    });
+    const auto records = BatchRecords::resultChunks(entry->batch);
+    const auto afterKey = entry->results.empty() ? std::string() : records.keyAt(entry->results.size() - 1);
+    m_context.store.list(
+        records.prefix(), afterKey, [this, entry, sentAt = m_context.loop.now()](const MetadataReply &reply) { handleList(entry, reply, sentAt); });
 }
 
 void ResultCache::handleList(const EntryPtr &entry, const MetadataReply &reply, Timestamp sentAt)
@@ -137,7 +137,7 @@
     const auto span = std::min(MaxWatchTime, until - now);
     entry->hasPendingStoreCall = true;
     m_context.store.watch(
-        BatchRecords::resultPrefix(entry->batch), entry->revision, span, [this, entry](const MetadataReply &reply) { handleWatch(entry, reply); });
+        BatchRecords::resultChunks(entry->batch).prefix(), entry->revision, span, [this, entry](const MetadataReply &reply) { handleWatch(entry, reply); });
 }
 
 void ResultCache::handleWatch(const EntryPtr &entry, const MetadataReply &reply)
@@ -164,8 +164,9 @@
 bool ResultCache::append(Entry &entry, const std::vector<MetadataItem> &items)
 {
     bool contiguous = true;
+    const auto records = BatchRecords::resultChunks(entry.batch);
     for (const auto &item : items) {
-        const auto position = BatchRecords::positionOfResultKey(item.key);
+        const auto position = records.numberOf(item.key);
         if (item.isRemoval || !position || *position < entry.results.size()) {
             continue;
         }
--- a/src/scheduling/batchcleaner.cpp
+++ b/src/scheduling/batchcleaner.cpp
@@ -1,6 +1,5 @@
 #include "scheduling/batchcleaner.h"
 
-#include "batches/batchrecords.h"
 #include "election/leaderelection.h"
 
 #include <algorithm>
@@ -55,30 +54,46 @@
     }
     m_isRemoving = true;
     const auto &id = it->first;
-    collect(id, {BatchRecords::submissionPrefix(id), BatchRecords::resultPrefix(id), BatchRecords::progressKey(id)}, {});
+    collect(id, {BatchRecords::submissionParts(id), BatchRecords::resultChunks(id)}, {}, {});
 }
 
-void BatchCleaner::collect(const std::string &id, std::vector<std::string> prefixes, std::vector<std::string> keys)
+void BatchCleaner::collect(const std::string &id, std::vector<BatchRecords::NumberedRecords> ranges, const std::string &afterKey, std::vector<std::string> keys)
 {
-    if (prefixes.empty()) {
-        // The index is removed last, so that an interrupted removal is repeated.
-        keys.push_back(BatchRecords::indexKey(id));
-        remove(id, std::move(keys));
+    if (ranges.empty()) {
+        collectSingleRecords(id, std::move(keys));
         return;
     }
-    const auto afterKey = !keys.empty() && keys.back().compare(0, prefixes.back().size(), prefixes.back()) == 0 ? keys.back() : std::string();
-    m_store.list(prefixes.back(), afterKey, [this, id, prefixes, keys](const MetadataReply &reply) mutable {
+    m_store.list(ranges.back().prefix(), afterKey, [this, id, ranges, keys](const MetadataReply &reply) mutable {
         if (reply.status != MetadataStatus::Done) {
             finish(id, false);
             return;
         }
         for (const auto &item : reply.items) {
-            keys.push_back(item.key);
+            if (ranges.back().contains(item.key)) {
+                keys.push_back(item.key);
+            }
         }
-        if (!reply.hasMore || reply.items.empty()) {
-            prefixes.pop_back();
+        const bool hasMore = reply.hasMore && !reply.items.empty();
+        if (!hasMore) {
+            ranges.pop_back();
         }
-        collect(id, std::move(prefixes), std::move(keys));
+        collect(id, std::move(ranges), hasMore ? reply.items.back().key : std::string(), std::move(keys));
+    });
+}
+
+void BatchCleaner::collectSingleRecords(const std::string &id, std::vector<std::string> keys)
+{
+    m_store.get(BatchRecords::progressKey(id), [this, id, keys = std::move(keys)](const MetadataReply &reply) mutable {
+        if (reply.status != MetadataStatus::Done && reply.status != MetadataStatus::NotFound) {
+            finish(id, false);
+            return;
+        }
+        if (reply.status == MetadataStatus::Done) {
+            keys.push_back(BatchRecords::progressKey(id));
+        }
+        // The index is removed last, so that an interrupted removal is repeated.
+        keys.push_back(BatchRecords::indexKey(id));
+        remove(id, std::move(keys));
     });
 }
 
--- a/src/scheduling/batchcleaner.h
+++ b/src/scheduling/batchcleaner.h
@@ -2,6 +2,7 @@
 
 #include "base/eventloop.h"
 #include "batches/batch.h"
+#include "batches/batchrecords.h"
 #include "log/eventlog.h"
 #include "metadata/metadatastore.h"
 
@@ -40,7 +41,10 @@
     };
 
     bool isDue(const TrackedBatch &batch) const;
-    void collect(const std::string &id, std::vector<std::string> prefixes, std::vector<std::string> keys);
+    /// Lists the keys of the ranges, after afterKey in the last one, and removes them with those given.
+    void collect(const std::string &id, std::vector<BatchRecords::NumberedRecords> ranges, const std::string &afterKey, std::vector<std::string> keys);
+    /// Adds the keys of the progress and of the index, and removes all.
+    void collectSingleRecords(const std::string &id, std::vector<std::string> keys);
     void remove(const std::string &id, std::vector<std::string> keys);
     void finish(const std::string &id, bool removed);
 
--- a/src/scheduling/batchloader.h
+++ b/src/scheduling/batchloader.h
@@ -36,13 +36,17 @@
     void cancel();
 
 private:
-    void readPage(const std::string &prefix, const std::string &afterKey, std::vector<MetadataItem> &items, std::function<void()> then);
-    void acceptProgress();
+    void readPage(const BatchRecords::NumberedRecords &records, const std::string &afterKey, std::vector<MetadataItem> &items, std::function<void()> then);
+    void readProgress();
+    void acceptProgress(const std::string &text);
     /// Called when the submission or the results have been read.
     void finishRead();
     void readResults();
+    void retryLater(std::function<void()> step);
     void finish();
-    Result<LoadedBatch> decode();
+    /// Whether the results that the progress record names are those of the submission, and the results read follow them.
+    bool isProgressConsistent(const BatchSubmission &submission) const;
+    Result<LoadedBatch> decode(BatchSubmission submission);
 
     MetadataStore &m_store;
     EventLoop m_loop;
@@ -51,7 +55,6 @@
     Callback m_callback;
     std::vector<MetadataItem> m_parts;
     std::vector<MetadataItem> m_chunks;
-    std::vector<MetadataItem> m_progressItems;
     ProgressRecord m_progress;
     int m_failures = 0;
     /// Outstanding reads of the submission and of the results.
--- a/tests/gateway/batchcalls.cpp
+++ b/tests/gateway/batchcalls.cpp
@@ -257,4 +257,28 @@
     BOOST_TEST(waiting->json().at("results").size() == 1U);
 }
 
+// Guards against results and bodies of a batch whose id begins with that of the batch that is read.
+BOOST_FIXTURE_TEST_CASE(reads_of_a_batch_leave_out_the_records_of_batches_whose_ids_begin_with_its_own, BatchFixture)
+{
+    submit(0);
+    run(50);
+    const auto foreign = BatchRecords::encodeChunk({"v", 9, {{"x", ItemOutcome::Completed, "foreign", {1}, {}}}});
+    store.put(BatchRecords::resultKey("b1/0", 0), foreign);
+    store.put(BatchRecords::resultKey("b1/00000000", 0), foreign);
+    store.put(BatchRecords::submissionKey("b1/0", 0), "foreign");
+    const auto waiting = read(1, 0, "500");
+    run(100);
+    BOOST_TEST(!waiting->ended);
+    store.put(BatchRecords::resultKey("b1/0", 1), foreign);
+    list(0, "i2");
+    run(600);
+    BOOST_TEST(waiting->json().at("total") == 2);
+    BOOST_TEST(waiting->json().at("next") == 1);
+    BOOST_TEST(waiting->json().at("results").at(0).at("id") == "i2");
+    const auto body = send(1, {"GET", "/-/items/b1?id=i1", {}, {}});
+    run(100);
+    BOOST_TEST(body->status == 200);
+    BOOST_TEST(body->body == "\xab\xcd\xef");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/batchstorage.cpp
+++ b/tests/scheduling/batchstorage.cpp
@@ -8,6 +8,7 @@
 #include "election/leaderelection.h"
 #include "metadata/fakemetadatastore.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace Basilbend;
@@ -256,4 +257,65 @@
     BOOST_TEST(rule.mayStart(watch.lastConfirmedAt(), time.now()));
 }
 
+// Guards against results that are listed twice: a new leader took the progress of a batch whose id begins with this one.
+BOOST_FIXTURE_TEST_CASE(a_batch_is_loaded_without_the_records_of_batches_whose_ids_begin_with_its_own, StoredBatchFixture)
+{
+    time.advance(Milliseconds(2000));
+    const auto chunk = BatchRecords::encodeChunk({"w", 3, {{"i2", ItemOutcome::Completed, "t", {5}, {}}}});
+    for (const auto *id : {"b0", "b/0", "b/00000001"}) {
+        store.put(BatchRecords::progressKey(id), encodeProgress({{"i1", "i3"}, {}}));
+        store.put(BatchRecords::submissionKey(id, 0), "another submission");
+        store.put(BatchRecords::resultKey(id, 0), chunk);
+    }
+    store.pageItems = 1;
+    const auto loaded = load();
+    BOOST_REQUIRE(loaded.has_value());
+    BOOST_TEST(loaded->batch->submission().items.size() == 3U);
+    BOOST_TEST(loaded->batch->listedCount() == 0U);
+}
+
+// Guards against the removal of the progress of a running batch, whose items a new leader would then run again from the start.
+BOOST_FIXTURE_TEST_CASE(the_removal_of_a_batch_leaves_those_whose_ids_begin_with_its_own, StoredBatchFixture)
+{
+    std::vector<std::string> kept;
+    for (const auto *id : {"b0", "b/0", "b/00000001"}) {
+        for (const auto &key : {BatchRecords::progressKey(id), BatchRecords::submissionKey(id, 0), BatchRecords::resultKey(id, 0)}) {
+            store.put(key, "of another batch");
+            kept.push_back(key);
+        }
+    }
+    std::sort(kept.begin(), kept.end());
+    store.put(BatchRecords::progressKey("b"), "progress");
+    store.put(BatchRecords::resultKey("b", 0), "chunk");
+    store.pageItems = 1;
+    index.ended = true;
+    BatchCleaner cleaner(store, virtualLoop(time), log, [this] { return term; });
+    cleaner.track(index);
+    time.advance(BatchCleaner::EndedRetention + Milliseconds(1000));
+    cleaner.poll();
+    time.advance(Milliseconds(1000));
+    BOOST_TEST((store.keysBelow("batch/") == kept));
+}
+
+// Guards against positions that are listed twice after an earlier release has stored the progress of another batch for this one.
+BOOST_FIXTURE_TEST_CASE(a_progress_record_with_results_of_another_batch_is_replaced_by_the_results_themselves, StoredBatchFixture)
+{
+    time.advance(Milliseconds(2000));
+    store.put(BatchRecords::resultKey("b", 0), BatchRecords::encodeChunk({"w", 3, {{"i2", ItemOutcome::Completed, "t", {5}, {}}}}));
+    for (const auto &listed : std::vector<std::vector<std::string>>{{"x1", "x2"}, {"i2", "i2"}, {"i1", "i2", "i3", "x1"}}) {
+        store.put(BatchRecords::progressKey("b"), encodeProgress({listed, {}}));
+        const auto loaded = load();
+        BOOST_REQUIRE(loaded.has_value());
+        BOOST_TEST((loaded->batch->listed() == std::vector<std::string>{"i2"}));
+    }
+    // The results continue at another position than the record says.
+    store.put(BatchRecords::resultKey("b", 0),
+              BatchRecords::encodeChunk({"w", 3, {{"i2", ItemOutcome::Completed, "t", {5}, {}}, {"i3", ItemOutcome::Completed, "t", {5}, {}}}}));
+    store.put(BatchRecords::resultKey("b", 2), BatchRecords::encodeChunk({"w", 3, {{"i1", ItemOutcome::Completed, "t", {5}, {}}}}));
+    store.put(BatchRecords::progressKey("b"), encodeProgress({{"i1"}, {}}));
+    const auto loaded = load();
+    BOOST_REQUIRE(loaded.has_value());
+    BOOST_TEST((loaded->batch->listed() == std::vector<std::string>{"i2", "i3", "i1"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduling/openbatch.cpp
+++ b/tests/scheduling/openbatch.cpp
@@ -194,9 +194,9 @@
     BOOST_TEST(chunk.value().workspace == "w");
     BOOST_TEST(chunk.value().itemCount == 40U);
     BOOST_TEST(BatchRecords::decodeChunk("[1]").has_error());
-    BOOST_TEST(*BatchRecords::positionOfResultKey(BatchRecords::resultKey("b1", 120)) == 120U);
+    BOOST_TEST(*BatchRecords::resultChunks("b1").numberOf(BatchRecords::resultKey("b1", 120)) == 120U);
     BOOST_TEST(BatchRecords::resultKey("b1", 9) < BatchRecords::resultKey("b1", 10));
-    BOOST_TEST(!BatchRecords::positionOfResultKey("batch/result/b1/x").has_value());
+    BOOST_TEST(!BatchRecords::resultChunks("b1").numberOf("batch/result/b1/x").has_value());
     const auto parts = BatchRecords::splitSubmission("abcdefg", 3);
     BOOST_TEST((parts == std::vector<std::string>{"abc", "def", "g"}));
     BOOST_TEST(BatchRecords::splitSubmission("", 3).size() == 1U);
--- a/tests/scheduling/resultwriter.cpp
+++ b/tests/scheduling/resultwriter.cpp
@@ -57,7 +57,7 @@
     std::vector<std::string> listed() const
     {
         std::vector<std::string> ids;
-        for (const auto &key : store.keysBelow(BatchRecords::resultPrefix("b"))) {
+        for (const auto &key : store.keysBelow(BatchRecords::resultChunks("b").prefix())) {
             const auto chunk = BatchRecords::decodeChunk(store.peek(key)->value);
             for (const auto &result : chunk.value().results) {
                 ids.push_back(result.id);
@@ -79,7 +79,7 @@
     complete(0);
     run(600);
     BOOST_TEST((listed() == std::vector<std::string>{"i3", "i1", "i0"}));
-    BOOST_TEST(store.keysBelow(BatchRecords::resultPrefix("b")).size() == 2U);
+    BOOST_TEST(store.keysBelow(BatchRecords::resultChunks("b").prefix()).size() == 2U);
 }
 
 // Guards against a result at two positions when the store executed a write and its response was lost.
