--- a/src/forwarding/streamorigin.cpp
+++ b/src/forwarding/streamorigin.cpp
@@ -2,45 +2,98 @@
 
 #include <algorithm>
 #include <iterator>
+#include <nlohmann/json.hpp>
 
 namespace Basilbend
 {
 
-void ServiceVersions::setRegistered(std::set<std::string> versions, Timestamp now)
+namespace
 {
-    if (versions == m_registered) {
-        return;
+
+using nlohmann::json;
+
+constexpr const char *ClosedField = "closed";
+
+}
+
+std::string encodeStreamBase(const StreamBase &base)
+{
+    return base.isClosed ? json{{ClosedField, base.version}}.dump(-1, ' ', false, json::error_handler_t::replace) : base.version;
+}
+
+StreamBase decodeStreamBase(const std::string &text)
+{
+    const auto object = json::parse(text, nullptr, false);
+    const auto it = object.is_object() ? object.find(ClosedField) : object.end();
+    const bool isClosed = object.is_object() && it != object.end() && it->is_string();
+    return isClosed ? StreamBase{it->get<std::string>(), true} : StreamBase{text, false};
+}
+
+void ServiceVersions::setVersions(SoftwareVersions versions, Timestamp now)
+{
+    if (versions.registered != m_versions.registered) {
+        m_registeredSince = now;
+        // Versions that leave change nothing: nobody may have opened the base for another one while they were registered here.
+        const auto &known = m_versions.registered;
+        m_isBaseCurrent = m_isBaseCurrent && std::includes(known.begin(), known.end(), versions.registered.begin(), versions.registered.end());
+    }
+    if (versions.serving != m_versions.serving) {
+        m_servingSince = now;
     }
-    m_registered = std::move(versions);
-    m_registeredSince = now;
-    m_isBaseCurrent = false;
+    m_versions = std::move(versions);
 }
 
-void ServiceVersions::setBase(std::optional<std::string> base)
+void ServiceVersions::setBase(std::optional<StreamBase> base)
 {
     m_base = std::move(base);
     m_isBaseCurrent = true;
 }
 
-bool ServiceVersions::mustRecord(const std::string &version) const
+bool ServiceVersions::mustRecord(const std::string &version, bool isListRecent) const
 {
-    return !m_isBaseCurrent || m_base != version;
+    return !m_isBaseCurrent || !isListRecent || !isOpenBase(version);
+}
+
+bool ServiceVersions::mayBeginUnrecorded(const std::string &version, bool isListRecent) const
+{
+    if (!m_base || !isListRecent) {
+        return false;
+    }
+    return m_base->isClosed ? m_isBaseCurrent : servingBase(isListRecent) == version;
+}
+
+bool ServiceVersions::needsLateRecord(const std::string &version) const
+{
+    return m_isBaseCurrent && !isOpenBase(version);
+}
+
+bool ServiceVersions::mustCloseBase(Timestamp now) const
+{
+    const auto &serving = m_versions.serving;
+    const bool hasLeft = m_base && !serving.empty() && serving.count(m_base->version) == 0;
+    return m_isBaseCurrent && hasLeft && !m_base->isClosed && now - m_servingSince >= CloseDelay;
 }
 
 std::optional<std::string> ServiceVersions::nextBase(Timestamp now) const
 {
-    if (!m_isBaseCurrent || m_registered.size() != 1 || m_base == *m_registered.begin()) {
+    if (!m_isBaseCurrent || m_versions.registered.size() != 1 || isOpenBase(*m_versions.registered.begin())) {
         return std::nullopt;
     }
-    // Without a base every stream is recorded, so the first one can be set at any time.
-    const bool isSettled = !m_base || now - m_registeredSince >= MaxStreamAge;
-    return isSettled ? std::optional(*m_registered.begin()) : std::nullopt;
+    // Without a base no stream begins without a record, so the first one can be set at any time.
+    const bool isSettled = !m_base || now - m_registeredSince >= SettleTime;
+    return isSettled ? std::optional(*m_versions.registered.begin()) : std::nullopt;
 }
 
 std::optional<std::string> ServiceVersions::soleVersion(Timestamp now) const
 {
-    const bool isSole = m_registered.size() == 1 && now - m_registeredSince >= MaxStreamAge;
-    return isSole ? std::optional(*m_registered.begin()) : std::nullopt;
+    const bool isSole = m_versions.registered.size() == 1 && now - m_registeredSince >= SettleTime;
+    return isSole ? std::optional(*m_versions.registered.begin()) : std::nullopt;
+}
+
+std::optional<std::string> ServiceVersions::servingBase(bool isListRecent) const
+{
+    const bool isServing = isListRecent && m_base && isOpenBase(m_base->version) && m_versions.serving.count(m_base->version) > 0;
+    return isServing ? std::optional(m_base->version) : std::nullopt;
 }
 
 std::vector<const EndpointRecord *> endpointsOfVersion(const std::vector<const EndpointRecord *> &endpoints, const std::string &version)
--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -294,8 +294,12 @@
         rejectUnresumable("the metadata store did not confirm the software version of the stream");
         return;
     }
-    if (recording == OriginRecording::NotRecorded && m_streamVersion.restrictToBase()) {
-        startAttempt();
+    if (recording == OriginRecording::NotRecorded && !m_streamVersion.mayBeginUnrecorded(endpoint)) {
+        if (m_streamVersion.restrictToRecorded()) {
+            startAttempt();
+        } else {
+            rejectUnresumable("the metadata store refused the record of the stream's software version");
+        }
         return;
     }
     const auto *current = m_context.view.endpoints().find(endpoint.id);
@@ -700,6 +704,7 @@
     }
     m_isFinished = true;
     m_crashGuard.endTrial();
+    m_streamVersion.end();
     const auto took = m_context.loop.now() - m_arrivedAt;
     for (const auto &attempt : m_attempts) {
         if (!attempt->ended) {
--- a/src/gateway/streamorigins.cpp
+++ b/src/gateway/streamorigins.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace Basilbend
 {
@@ -28,6 +29,11 @@
     return object.is_object() && it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
 }
 
+std::string encodeRecord(const StreamStart &stream)
+{
+    return json{{"service", stream.service}, {"workspace", stream.workspace}, {"version", stream.version}}.dump();
+}
+
 OriginRecording recordingOf(MetadataStatus status)
 {
     switch (status) {
@@ -55,32 +61,50 @@
     if (m_view.routes() == nullptr) {
         return;
     }
-    std::map<std::string, std::set<std::string>> registered;
+    std::map<std::string, SoftwareVersions> services;
     for (const auto &route : m_view.routes()->configuration().routes) {
         for (const auto &share : route.shares) {
             if (route.kind == RouteKind::Streaming && route.canResume) {
-                registered[share.service];
+                services[share.service];
             }
         }
     }
-    if (registered.empty()) {
+    for (auto &[name, service] : m_services) {
+        if (services.count(name) == 0) {
+            // Without a route nothing is followed; what is known now may be wrong when there is one again.
+            service.versions = ServiceVersions();
+        }
+    }
+    if (services.empty()) {
         return;
     }
     for (const auto *endpoint : m_view.endpoints().all()) {
-        const auto it = registered.find(endpoint->service);
-        if (it != registered.end()) {
-            it->second.insert(endpoint->softwareVersion);
+        const auto it = services.find(endpoint->service);
+        if (it == services.end()) {
+            continue;
         }
-    }
-    for (auto &[name, versions] : registered) {
-        auto &service = m_services[name];
-        service.versions.setRegistered(std::move(versions), m_loop.now());
-        if (service.versions.mustReadBase()) {
-            readBase(name);
-        } else if (const auto next = service.versions.nextBase(settledAt())) {
-            writeBase(name, *next);
+        it->second.registered.insert(endpoint->softwareVersion);
+        if (m_view.endpoints().mayReceiveRequests(*endpoint)) {
+            it->second.serving.insert(endpoint->softwareVersion);
         }
     }
+    for (auto &[name, versions] : services) {
+        m_services[name].versions.setVersions(std::move(versions), m_loop.now());
+        updateBase(name);
+    }
+    recordLate();
+}
+
+void StreamOrigins::updateBase(const std::string &service)
+{
+    const auto &versions = m_services[service].versions;
+    if (versions.mustReadBase()) {
+        readBase(service);
+    } else if (const auto next = versions.nextBase(settledAt())) {
+        writeBase(service, {*next, false});
+    } else if (versions.mustCloseBase(settledAt())) {
+        writeBase(service, {versions.base()->version, true});
+    }
 }
 
 void StreamOrigins::readBase(const std::string &service)
@@ -89,11 +113,11 @@
     if (std::exchange(state.isReading, true)) {
         return;
     }
-    m_store.get(baseKey(service), [this, service, registered = state.versions.registered()](const MetadataReply &reply) {
+    m_store.get(baseKey(service), [this, service, registered = state.versions.versions().registered](const MetadataReply &reply) {
         auto &current = m_services[service];
         current.isReading = false;
         // An answer to a question that is older than the newest change of the versions proves nothing.
-        if (registered != current.versions.registered()) {
+        if (registered != current.versions.versions().registered) {
             update();
             return;
         }
@@ -103,21 +127,22 @@
         }
         const bool hasBase = reply.status == MetadataStatus::Done && !reply.items.empty();
         current.baseRevision = hasBase ? reply.items.front().revision : 0;
-        current.versions.setBase(hasBase ? std::optional(reply.items.front().value) : std::nullopt);
+        current.versions.setBase(hasBase ? std::optional(decodeStreamBase(reply.items.front().value)) : std::nullopt);
         update();
     });
 }
 
-void StreamOrigins::writeBase(const std::string &service, const std::string &version)
+void StreamOrigins::writeBase(const std::string &service, const StreamBase &base)
 {
     auto &state = m_services[service];
     if (std::exchange(state.isWriting, true)) {
         return;
     }
-    const MetadataChange change{{{baseKey(service), state.baseRevision}}, {{baseKey(service), version, 0}}, {}};
-    m_store.commit(change, [this, service, version](const MetadataReply &reply) {
+    const MetadataChange change{{{baseKey(service), state.baseRevision}}, {{baseKey(service), encodeStreamBase(base), 0}}, {}};
+    m_store.commit(change, [this, service, base](const MetadataReply &reply) {
         m_services[service].isWriting = false;
-        m_log.info("stream_base_version", {{"service", service}, {"version", version}, {"store", metadataStatusName(reply.status)}});
+        m_log.info("stream_base_version",
+                   {{"service", service}, {"version", base.version}, {"closed", base.isClosed}, {"store", metadataStatusName(reply.status)}});
         readBase(service);
     });
 }
@@ -125,27 +150,72 @@
 std::optional<std::string> StreamOrigins::servingBase(const std::string &service) const
 {
     const auto it = m_services.find(service);
-    if (it == m_services.end() || !it->second.versions.base()) {
-        return std::nullopt;
+    return it == m_services.end() ? std::nullopt : it->second.versions.servingBase(isListRecent());
+}
+
+bool StreamOrigins::mayBeginUnrecorded(const std::string &service, const std::string &version) const
+{
+    const auto it = m_services.find(service);
+    return it != m_services.end() && it->second.versions.mayBeginUnrecorded(version, isListRecent());
+}
+
+void StreamOrigins::keepUnrecorded(const StreamStart &stream)
+{
+    m_unrecorded[stream.attempt] = stream;
+}
+
+void StreamOrigins::forgetUnrecorded(const std::string &attempt)
+{
+    m_unrecorded.erase(attempt);
+}
+
+void StreamOrigins::recordLate()
+{
+    std::vector<StreamStart> due;
+    for (const auto &[attempt, stream] : m_unrecorded) {
+        if (due.size() < MaxRecordsPerCommit && m_services[stream.service].versions.needsLateRecord(stream.version)) {
+            due.push_back(stream);
+        }
+    }
+    if (due.empty() || std::exchange(m_isRecordingLate, true)) {
+        return;
     }
-    const auto &versions = it->second.versions;
-    return versions.registered().count(*versions.base()) > 0 ? versions.base() : std::nullopt;
+    withLease([this, due = std::move(due)](std::uint64_t lease) {
+        if (lease == 0) {
+            m_isRecordingLate = false;
+            return;
+        }
+        MetadataChange change;
+        for (const auto &stream : due) {
+            change.writes.push_back({recordKey(stream.attempt), encodeRecord(stream), lease});
+        }
+        commitRecords(change, [this, due](OriginRecording recording) {
+            m_isRecordingLate = false;
+            m_log.info("streams_recorded_late", {{"streams", due.size()}, {"stored", recording == OriginRecording::Recorded}});
+            if (recording != OriginRecording::Recorded) {
+                return;
+            }
+            for (const auto &stream : due) {
+                m_unrecorded.erase(stream.attempt);
+            }
+            recordLate();
+        });
+    });
 }
 
 void StreamOrigins::record(const StreamStart &stream, bool isForced, std::function<void(OriginRecording)> callback)
 {
     const auto it = m_services.find(stream.service);
-    const bool isNeeded = isForced || it == m_services.end() || it->second.versions.mustRecord(stream.version);
+    const bool isNeeded = isForced || it == m_services.end() || it->second.versions.mustRecord(stream.version, isListRecent());
     if (!isNeeded) {
-        callback(OriginRecording::Recorded);
+        callback(OriginRecording::NotNeeded);
         return;
     }
-    const auto value = json{{"service", stream.service}, {"workspace", stream.workspace}, {"version", stream.version}}.dump();
-    withLease([this, key = recordKey(stream.attempt), value, callback = std::move(callback)](std::uint64_t lease) {
+    withLease([this, key = recordKey(stream.attempt), value = encodeRecord(stream), callback = std::move(callback)](std::uint64_t lease) {
         if (lease == 0) {
             callback(OriginRecording::NotRecorded);
         } else {
-            commitRecord(key, value, lease, callback);
+            commitRecords({{}, {{key, value, lease}}, {}}, callback);
         }
     });
 }
@@ -163,9 +233,9 @@
     });
 }
 
-void StreamOrigins::commitRecord(const std::string &key, const std::string &value, std::uint64_t lease, std::function<void(OriginRecording)> callback)
+void StreamOrigins::commitRecords(const MetadataChange &change, std::function<void(OriginRecording)> callback)
 {
-    m_store.commit({{}, {{key, value, lease}}, {}}, [this, callback = std::move(callback)](const MetadataReply &reply) {
+    m_store.commit(change, [this, callback = std::move(callback)](const MetadataReply &reply) {
         if (reply.status == MetadataStatus::NotFound) {
             m_lease = 0;
         }
@@ -192,6 +262,12 @@
     return isCurrent ? now : Timestamp();
 }
 
+bool StreamOrigins::isListRecent() const
+{
+    const auto verifiedAt = m_view.endpointsVerifiedAt();
+    return verifiedAt && m_loop.now() - *verifiedAt <= ServiceVersions::MaxUnverifiedTime;
+}
+
 void StreamOrigins::findRecord(const std::string &service, const std::string &attempt, const std::string &workspace, std::function<void(StreamOrigin)> callback)
 {
     m_store.get(recordKey(attempt), [this, service, workspace, callback = std::move(callback)](const MetadataReply &reply) {
@@ -213,7 +289,8 @@
 {
     m_store.get(baseKey(service), [callback = std::move(callback)](const MetadataReply &reply) {
         const bool hasBase = reply.status == MetadataStatus::Done && !reply.items.empty();
-        callback({hasBase ? std::optional(reply.items.front().value) : std::nullopt});
+        const auto base = hasBase ? std::optional(decodeStreamBase(reply.items.front().value)) : std::nullopt;
+        callback({base && !base->isClosed ? std::optional(base->version) : std::nullopt});
     });
 }
 
--- a/src/gateway/streamversion.cpp
+++ b/src/gateway/streamversion.cpp
@@ -39,23 +39,46 @@
     const auto version = endpoint.softwareVersion;
     m_context.origins.record({m_service, m_attemptId, m_workspace, version}, isForced, [this, version, callback](OriginRecording recording) {
         if (recording == OriginRecording::Recorded) {
+            m_recorded = version;
+        }
+        if (recording == OriginRecording::Recorded || recording == OriginRecording::NotNeeded) {
             m_prepared = version;
         }
         callback(recording);
     });
 }
 
-bool StreamVersion::restrictToBase()
+bool StreamVersion::mayBeginUnrecorded(const EndpointRecord &endpoint) const
 {
-    const auto base = m_version ? std::nullopt : m_context.origins.servingBase(m_service);
-    m_version = base ? base : m_version;
-    return base.has_value();
+    // A record of another version would be found.
+    return !m_recorded && m_context.origins.mayBeginUnrecorded(m_service, endpoint.softwareVersion);
+}
+
+bool StreamVersion::restrictToRecorded()
+{
+    if (m_version) {
+        return false;
+    }
+    m_version = m_recorded ? m_recorded : m_context.origins.servingBase(m_service);
+    return m_version.has_value();
 }
 
 void StreamVersion::fix(const EndpointRecord &endpoint)
 {
-    if (m_isResumable) {
-        m_version = endpoint.softwareVersion;
+    if (!m_isResumable) {
+        return;
+    }
+    m_version = endpoint.softwareVersion;
+    if (!m_recorded && !m_isKeptUnrecorded) {
+        m_isKeptUnrecorded = true;
+        m_context.origins.keepUnrecorded({m_service, m_attemptId, m_workspace, endpoint.softwareVersion});
+    }
+}
+
+void StreamVersion::end()
+{
+    if (m_isKeptUnrecorded) {
+        m_context.origins.forgetUnrecorded(m_attemptId);
     }
 }
 
--- a/src/gateway/streamversion.h
+++ b/src/gateway/streamversion.h
@@ -37,12 +37,19 @@
     /// Records the version of the endpoint as that of the stream, if that is needed. See StreamOrigins::record().
     void prepare(const EndpointRecord &endpoint, const std::function<void(OriginRecording)> &callback);
 
-    /// Restricts the stream to the base version because others can't be recorded now. Returns whether endpoints of it are registered.
-    bool restrictToBase();
+    /// Whether the stream may begin at the endpoint although the metadata store has refused its record.
+    bool mayBeginUnrecorded(const EndpointRecord &endpoint) const;
+
+    /// Restricts the stream to the version at which it is found again without another record: that of an earlier record of this
+    /// attempt, or the base version. Returns false if there is none.
+    bool restrictToRecorded();
 
     /// Records that an event of the endpoint is part of the stream.
     void fix(const EndpointRecord &endpoint);
 
+    /// Records that the stream has ended.
+    void end();
+
     /// Whether the stream may run at one version only.
     bool isFixed() const
     {
@@ -63,6 +70,9 @@
     std::optional<std::string> m_version;
     /// Version that was prepared last.
     std::optional<std::string> m_prepared;
+    /// Version that the record of this attempt names, if one is stored.
+    std::optional<std::string> m_recorded;
+    bool m_isKeptUnrecorded = false;
 };
 
 }
--- a/tests/gateway/streamversions.cpp
+++ b/tests/gateway/streamversions.cpp
@@ -164,7 +164,7 @@
         ended.push_back(std::move(gateways[1]));
         gateways[1] = std::make_unique<GatewayProcess>(io, time, heldStore);
         run(200);
-        time.advance(ServiceVersions::MaxStreamAge + Milliseconds(1000));
+        time.advance(ServiceVersions::SettleTime + Milliseconds(1000));
         run(200);
     }
 
@@ -325,7 +325,7 @@
     release();
     removeAll(oldOnes);
     BOOST_TEST(store.peek("stream/base/s")->value == "old");
-    time.advance(ServiceVersions::MaxStreamAge);
+    time.advance(ServiceVersions::SettleTime);
     gateways[0]->context.origins.update();
     run(100);
     BOOST_TEST(store.peek("stream/base/s")->value == "new");
@@ -406,7 +406,7 @@
     // The new version becomes the base; then the release is taken back, and the second gateway sees no more than that.
     add(newOnes, "new");
     removeAll(oldOnes);
-    time.advance(ServiceVersions::MaxStreamAge);
+    time.advance(ServiceVersions::SettleTime);
     gateways[0]->context.origins.update();
     run(100);
     BOOST_TEST(store.peek("stream/base/s")->value == "new");
@@ -422,10 +422,137 @@
     }
     run(200);
     removeAll(oldOnes);
-    time.advance(ServiceVersions::MaxStreamAge + Milliseconds(1000));
+    time.advance(ServiceVersions::SettleTime + Milliseconds(1000));
     gateways[1]->context.origins.update();
     run(100);
     BOOST_TEST(store.peek("stream/base/s")->value == "new");
 }
 
+namespace
+{
+
+/// The store goes away after a release, so streams of the new version begin without a record.
+struct OutageAfterReleaseFixture : VersionFixture {
+    /// Lets the gateways see that the base version has been gone for the time.
+    void finishRelease(Milliseconds goneFor)
+    {
+        release();
+        removeAll(oldOnes);
+        time.advance(goneFor);
+        updateOrigins();
+    }
+
+    void updateOrigins()
+    {
+        for (const auto &gateway : gateways) {
+            gateway->context.origins.update();
+        }
+        run(100);
+    }
+
+    /// The old version serves again.
+    void rollBack()
+    {
+        for (const auto &endpoint : oldOnes) {
+            endpoint->enter();
+        }
+        run(200);
+    }
+};
+
+}
+
+// Guards against a stream of the new version that began during an outage of the store and is taken up at the old version, which has
+// joined again: a missing record was taken for the base version.
+BOOST_FIXTURE_TEST_CASE(a_stream_that_began_without_a_record_is_not_taken_for_one_of_the_base_version, OutageAfterReleaseFixture)
+{
+    finishRelease(ServiceVersions::CloseDelay);
+    store.faults.refuses = true;
+    send(0);
+    run(200);
+    BOOST_REQUIRE((stream.versions() == std::set<std::string>{"new"}));
+    startGateways();
+    store.faults.refuses = false;
+    run(1000);
+    rollBack();
+    send(1, attemptId(1));
+    run(1500);
+    BOOST_TEST(stream.status == 503);
+    BOOST_TEST((stream.versions() == std::set<std::string>{"new"}));
+}
+
+// Guards against the loss of streams that began during an outage of the store, long after the store is back.
+BOOST_FIXTURE_TEST_CASE(a_stream_that_began_without_a_record_is_recorded_when_the_store_is_back, OutageAfterReleaseFixture)
+{
+    finishRelease(ServiceVersions::CloseDelay);
+    store.faults.refuses = true;
+    send(0);
+    run(150);
+    BOOST_REQUIRE((stream.versions() == std::set<std::string>{"new"}));
+    updateOrigins();
+    BOOST_TEST(store.keysBelow("stream/origin/").empty());
+    store.faults.refuses = false;
+    updateOrigins();
+    BOOST_TEST(store.keysBelow("stream/origin/").size() == 1);
+    startGateways();
+    rollBack();
+    send(1, attemptId(1));
+    run(1500);
+    BOOST_TEST((stream.versions() == std::set<std::string>{"new"}));
+    BOOST_TEST(isComplete());
+}
+
+// Guards against streams without a record while the store still says that such streams are of the base version, which has just left.
+BOOST_FIXTURE_TEST_CASE(no_stream_begins_without_a_record_before_the_base_version_is_closed, OutageAfterReleaseFixture)
+{
+    finishRelease(Milliseconds(0));
+    store.faults.refuses = true;
+    send(0);
+    run(500);
+    BOOST_TEST(stream.status == 503);
+    BOOST_TEST(newOnes[0]->runs + newOnes[1]->runs == 0);
+    store.faults.refuses = false;
+    stream = {};
+    send(0);
+    run(1500);
+    BOOST_TEST(isComplete());
+}
+
+// Guards against running streams of the base version that are lost when it is closed.
+BOOST_FIXTURE_TEST_CASE(streams_of_the_base_version_are_recorded_when_it_is_closed, OutageAfterReleaseFixture)
+{
+    for (const auto &endpoint : oldOnes) {
+        endpoint->eventInterval = Milliseconds(500);
+    }
+    send(0);
+    run(100);
+    BOOST_REQUIRE((stream.versions() == std::set<std::string>{"old"}));
+    BOOST_TEST(store.keysBelow("stream/origin/").empty());
+    release();
+    for (const auto &endpoint : oldOnes) {
+        endpoint->leave();
+    }
+    run(static_cast<int>(ServiceVersions::CloseDelay.count()) + 100);
+    updateOrigins();
+    updateOrigins();
+    BOOST_TEST((decodeStreamBase(store.peek("stream/base/s")->value) == StreamBase{"old", true}));
+    BOOST_TEST(store.keysBelow("stream/origin/").size() == 1);
+}
+
+// Guards against a base version that is closed because its entries lapsed during an outage of the store.
+BOOST_FIXTURE_TEST_CASE(a_base_version_that_is_back_in_time_stays_open, OutageAfterReleaseFixture)
+{
+    release();
+    removeAll(oldOnes);
+    time.advance(Milliseconds(2000));
+    updateOrigins();
+    for (const auto &endpoint : oldOnes) {
+        endpoint->enter();
+    }
+    run(200);
+    time.advance(ServiceVersions::CloseDelay * 2);
+    updateOrigins();
+    BOOST_TEST((decodeStreamBase(store.peek("stream/base/s")->value) == StreamBase{"old", false}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/http/versionedendpoint.h
+++ b/tests/http/versionedendpoint.h
@@ -30,6 +30,7 @@
     static constexpr std::uint64_t EventCount = 10;
 
     int runs = 0;
+    Milliseconds eventInterval{50};
 
     void enter()
     {
@@ -80,7 +81,7 @@
             return;
         }
         exchange->sendChunk("id: " + std::to_string(id) + "\ndata: " + m_version + "\n\n");
-        m_time.schedule(Milliseconds(50), [this, exchange, id] { sendEvent(exchange, id + 1); });
+        m_time.schedule(eventInterval, [this, exchange, id] { sendEvent(exchange, id + 1); });
     }
 
     VirtualTime &m_time;
