--- a/src/daemon/hostretirement.cpp
+++ b/src/daemon/hostretirement.cpp
@@ -18,7 +18,7 @@
             plan.ownHost = host;
             plan.mustReportRunning = m_reportedRunning.count(host) == 0;
         } else if (m_reported.count(host) == 0) {
-            plan.emptyHosts.push_back(host);
+            plan.emptyHosts.emplace_back(host);
         }
     }
     const auto it = std::find_if(offers.begin(), offers.end(), [this, &hosts](const auto &node) { return node != m_ownHost && hosts.count(node) == 0; });
--- a/tests/forwarding/streamorigin.cpp
+++ b/tests/forwarding/streamorigin.cpp
@@ -11,7 +11,7 @@
 /// Longer than any delay of the rules.
 constexpr Milliseconds LongTime{600000};
 
-ServiceVersions versionsOf(std::set<std::string> registered, std::optional<StreamBase> base)
+ServiceVersions versionsOf(const std::set<std::string> &registered, std::optional<StreamBase> base)
 {
     ServiceVersions versions;
     versions.setVersions({registered, registered}, Start);
