--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,4 +1,5 @@
 #include "http/asioeventloop.h"
+#include "platform/wirenames.h"
 #include "soak/faultplan.h"
 #include "soak/soakclients.h"
 
@@ -41,10 +42,12 @@
         , m_load(load)
         , m_models(settings.models)
         , m_releaseInterval(settings.releaseInterval)
+        , m_emptyHostsInterval(settings.emptyHostsInterval)
         , m_loop(asioEventLoop(m_io))
         , m_faultRandom(seed)
         , m_loadRandom(seed + 1)
         , m_limitRandom(seed + 2)
+        , m_hostRandom(seed + 3)
         , m_checker(m_loop.now)
         , m_system(m_io, m_loop, m_loadRandom, m_checker, settings)
         , m_clients(m_io, m_loop, m_loadRandom, m_checker, m_system)
@@ -64,6 +67,9 @@
             if (m_releaseInterval.count() > 0) {
                 releaseLater();
             }
+            if (m_emptyHostsInterval.count() > 0) {
+                emptyHostsLater();
+            }
             m_loop.runAfter(m_faultTime, [this] { stopFaults(); });
         });
         m_io.run();
@@ -111,7 +117,7 @@
     void releaseLater()
     {
         m_loop.runAfter(m_releaseInterval, [this] {
-            if (!m_isReleasing) {
+            if (!m_injectsChanges) {
                 return;
             }
             std::vector<SoakEndpoint *> engines;
@@ -127,10 +133,44 @@
         });
     }
 
+    /// Asks for a random choice of the schedulers' hosts to be emptied, from none to all of them, and withdraws other requests. The hosts
+    /// stay.
+    void emptyHostsLater()
+    {
+        m_loop.runAfter(m_emptyHostsInterval, [this] {
+            if (!m_injectsChanges) {
+                return;
+            }
+            for (const auto &host : schedulerHosts()) {
+                const auto key = Wire::RetirePrefix + host;
+                if (m_hostRandom.below(2) == 0) {
+                    m_system.store().put(key, R"({"duration_s":8})");
+                } else {
+                    m_system.store().erase(key);
+                }
+            }
+            emptyHostsLater();
+        });
+    }
+
+    std::vector<std::string> schedulerHosts() const
+    {
+        std::vector<std::string> hosts;
+        for (const auto &node : m_system.nodes()) {
+            if (node.clientProxy == nullptr) {
+                hosts.push_back(node.name);
+            }
+        }
+        return hosts;
+    }
+
     void stopFaults()
     {
         m_faults.stop();
-        m_isReleasing = false;
+        m_injectsChanges = false;
+        for (const auto &host : schedulerHosts()) {
+            m_system.store().erase(Wire::RetirePrefix + host);
+        }
         for (const auto &endpoint : m_system.endlessEndpoints()) {
             endpoint->stop();
         }
@@ -193,12 +233,14 @@
     SoakLoad m_load;
     std::vector<std::string> m_models;
     Milliseconds m_releaseInterval;
+    Milliseconds m_emptyHostsInterval;
     std::size_t m_releaseCount = 0;
-    bool m_isReleasing = true;
+    bool m_injectsChanges = true;
     EventLoop m_loop;
     Random m_faultRandom;
     Random m_loadRandom;
     Random m_limitRandom;
+    Random m_hostRandom;
     InvariantChecker m_checker;
     SoakSystem m_system;
     SoakClients m_clients;
@@ -220,6 +262,7 @@
     int modelCount = 2;
     int deadlyIntervalMs = 0;
     int releaseIntervalMs = 0;
+    int emptyHostsIntervalMs = 0;
     bool hasNoFaults = false;
     app.add_option("--program", settings.program, "the basilbend program")->required()->check(CLI::ExistingFile);
     app.add_option("--seed", seed, "seed of the faults and of the load");
@@ -233,6 +276,8 @@
     app.add_option("--deadly-interval", deadlyIntervalMs, "milliseconds between two requests that crash their endpoints; 0: none")->check(CLI::Range(0, 60000));
     app.add_option("--release-interval", releaseIntervalMs, "milliseconds between two replacements of an engine by one of another software version")
         ->check(CLI::Range(0, 60000));
+    app.add_option("--empty-hosts-interval", emptyHostsIntervalMs, "milliseconds between two changes of the schedulers' hosts that are to be emptied")
+        ->check(CLI::Range(0, 60000));
     app.add_option("--endless-endpoints", settings.endlessEndpoints, "number of faulty endpoints whose responses never end")->check(CLI::Range(0, 100));
     app.add_option("--engines", settings.engines, "number of model engines")->check(CLI::Range(1, 1000));
     app.add_option("--engine-slots", settings.engineSlots, "runs at once of an engine")->check(CLI::Range(1, 256));
@@ -244,6 +289,7 @@
     CLI11_PARSE(app, argc, argv);
     load.liveInterval = Milliseconds(liveIntervalMs);
     settings.releaseInterval = Milliseconds(releaseIntervalMs);
+    settings.emptyHostsInterval = Milliseconds(emptyHostsIntervalMs);
     load.deadlyInterval = Milliseconds(deadlyIntervalMs);
     settings.eventInterval = Milliseconds(eventIntervalMs);
     for (int i = static_cast<int>(settings.models.size()); i < modelCount; ++i) {
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -34,6 +34,8 @@
     int endlessEndpoints = 0;
     /// Time between two replacements of an engine by one of another software version; zero: there are none.
     Milliseconds releaseInterval{0};
+    /// Time between two changes of the schedulers' hosts that are to be emptied; zero: there are none.
+    Milliseconds emptyHostsInterval{0};
     std::vector<std::string> models = {"alpha", "beta"};
     /// The output of the first gateway is never read; the gateway has to serve requests nevertheless.
     bool leavesOutputUnread = false;
