Take in the hosts to be emptied of a listing at once

Cause: since a listing cleared the hosts and added them again one by one, with a notification each. A leader whose own host came first could choose a process as successor whose host came later in the same listing, and hand the leadership to a host that is to be emptied. Found by reading the change again.

Change: SystemView replaces the hosts as it replaces evacuated zones: at once, with one notification, and none if nothing has changed.

Ruled out: a check of the offer at the moment of the hand-over, which would see the same partial set.

--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -55,8 +55,7 @@
     return {[this](const std::vector<MetadataItem> &items) {
                 // Evacuations first: the first configuration allows requests to be sent.
                 replaceEvacuations(items);
-                // A request that was withdrawn while the history was lost is not among the items.
-                m_hostsToEmpty.clear();
+                replaceHostsToEmpty(items);
                 for (const auto &item : items) {
                     applyOperatorItem(item);
                 }
@@ -161,13 +160,39 @@
 
 void SystemView::applyHostToEmpty(const MetadataItem &item)
 {
+    auto hosts = m_hostsToEmpty;
     const auto host = hostOfRetireKey(item.key);
     if (item.isRemoval) {
-        m_hostsToEmpty.erase(host);
+        hosts.erase(host);
     } else {
-        m_hostsToEmpty[host] = item.revision;
-        m_log.info("host_to_empty", {{"host", host}, {"revision", item.revision}});
+        hosts[host] = item.revision;
     }
+    setHostsToEmpty(std::move(hosts));
+}
+
+void SystemView::replaceHostsToEmpty(const std::vector<MetadataItem> &items)
+{
+    std::map<std::string, std::uint64_t> hosts;
+    for (const auto &item : items) {
+        if (operatorKeyKind(item.key) == OperatorKeyKind::RetiringHost && m_scope == ViewScope::Control) {
+            hosts[hostOfRetireKey(item.key)] = item.revision;
+        }
+    }
+    setHostsToEmpty(std::move(hosts));
+}
+
+void SystemView::setHostsToEmpty(std::map<std::string, std::uint64_t> hosts)
+{
+    if (hosts == m_hostsToEmpty) {
+        return;
+    }
+    for (const auto &[host, revision] : hosts) {
+        const auto it = m_hostsToEmpty.find(host);
+        if (it == m_hostsToEmpty.end() || it->second != revision) {
+            m_log.info("host_to_empty", {{"host", host}, {"revision", revision}});
+        }
+    }
+    m_hostsToEmpty = std::move(hosts);
     if (onHostsToEmptyChanged) {
         onHostsToEmptyChanged();
     }
--- a/src/catalog/systemview.h
+++ b/src/catalog/systemview.h
@@ -119,6 +119,9 @@
     void applyConfiguration(const MetadataItem &item);
     void applyPublishedVersion(const MetadataItem &item);
     void applyHostToEmpty(const MetadataItem &item);
+    /// Replaces the hosts to be emptied by those of a full listing, at once: a choice between hosts must not see a part of them.
+    void replaceHostsToEmpty(const std::vector<MetadataItem> &items);
+    void setHostsToEmpty(std::map<std::string, std::uint64_t> hosts);
     void applyEvacuation(const MetadataItem &item);
     /// Replaces the evacuated zones by those of a full listing.
     void replaceEvacuations(const std::vector<MetadataItem> &items);
