Read the base version again when a version begins to serve again

Cause: since the base was read again only when a version registered. A version that drained and came back, or whose zone was evacuated and came back, stayed registered; another gateway may have closed the base meanwhile, and this one went on beginning streams there without a record. Their take-ups were refused unless they were recorded late; they were not joined.

Change: a version that begins to serve again makes the base unknown, like one that registers. Until it is read, streams are recorded.

Ruled out: reading it again whenever a version leaves; in an outage that would refuse streams that may begin.

Evidence: the_base_is_read_again_when_a_version_begins_to_serve_again asks for the read that the code before does not ask for (read in the code, not run); gateway, forwarding and catalog pass.

--- a/src/forwarding/streamorigin.cpp
+++ b/src/forwarding/streamorigin.cpp
@@ -14,6 +14,11 @@
 
 constexpr const char *ClosedField = "closed";
 
+bool includes(const std::set<std::string> &all, const std::set<std::string> &some)
+{
+    return std::includes(all.begin(), all.end(), some.begin(), some.end());
+}
+
 }
 
 std::string encodeStreamBase(const StreamBase &base)
@@ -33,13 +38,14 @@
 {
     if (versions.registered != m_versions.registered) {
         m_registeredSince = now;
-        // Versions that leave change nothing: nobody may have opened the base for another one while they were registered here.
-        const auto &known = m_versions.registered;
-        m_isBaseCurrent = m_isBaseCurrent && std::includes(known.begin(), known.end(), versions.registered.begin(), versions.registered.end());
     }
     if (versions.serving != m_versions.serving) {
         m_servingSince = now;
     }
+    // Versions that leave change nothing: nobody may have opened the base for another one while they were registered here. For one that
+    // serves again another process may have closed the base.
+    const bool isKnown = includes(m_versions.registered, versions.registered) && includes(m_versions.serving, versions.serving);
+    m_isBaseCurrent = m_isBaseCurrent && isKnown;
     m_versions = std::move(versions);
 }
 
--- a/src/forwarding/streamorigin.h
+++ b/src/forwarding/streamorigin.h
@@ -47,9 +47,9 @@
 /// serves, and nothing is written: a stream without a record was begun by the base version. A stream that another version begins is
 /// recorded before its first event can reach the client.
 ///
-/// Once no endpoint of the base version serves, it is closed in the metadata store. From then on a stream may also begin while the store refuses its
-/// record; a stream without a record is of an unknown version and is not taken up. When the longest streams that began before are over,
-/// the version that serves alone becomes the new base.
+/// Once no endpoint of the base version serves, it is closed in the metadata store. From then on a stream may also begin while the store
+/// refuses its record; a stream without a record is of an unknown version and is not taken up. When the longest streams that began
+/// before are over, the version that serves alone becomes the new base.
 class ServiceVersions
 {
 public:
@@ -59,7 +59,8 @@
     /// Sets the base version that was read from the metadata store, if there is one.
     void setBase(std::optional<StreamBase> base);
 
-    /// Whether the base version must be read from the metadata store: it is not known yet, or a version was added.
+    /// Whether the base version must be read from the metadata store: it is not known yet, or a version has registered or
+    /// begun to serve since then.
     bool mustReadBase() const
     {
         return !m_isBaseCurrent;
--- a/tests/forwarding/streamorigin.cpp
+++ b/tests/forwarding/streamorigin.cpp
@@ -57,6 +57,20 @@
     BOOST_TEST(!versions.mayBeginUnrecorded("3", true));
 }
 
+// Guards against streams without a record that a process begins at the base version, which has stopped and begun to serve again, after
+// another process has closed it: their take-ups are refused.
+BOOST_AUTO_TEST_CASE(the_base_is_read_again_when_a_version_begins_to_serve_again)
+{
+    ServiceVersions versions;
+    versions.setVersions({{"1", "2"}, {"1", "2"}}, Start);
+    versions.setBase(StreamBase{"1", false});
+    versions.setVersions({{"1", "2"}, {"2"}}, Start);
+    BOOST_TEST(!versions.mustReadBase());
+    versions.setVersions({{"1", "2"}, {"1", "2"}}, Start);
+    BOOST_TEST(versions.mustReadBase());
+    BOOST_TEST(versions.mustRecord("1", true));
+}
+
 BOOST_AUTO_TEST_CASE(a_closed_base_gives_way_to_the_only_version_when_no_earlier_stream_can_last)
 {
     const auto versions = versionsOf({"1"}, StreamBase{"1", true});
