Log how and how late a configuration was learned

An operator could see that a gateway answered by an older version, but not why: no line said which way its calls went, how long they waited there, or how old the view was when it advanced.

configuration_in_force names the source (listing, watch, peer) and the upper limit of the delay, watch_lost the watches that got no answer, relay_unanswered the calls that a peer left unanswered and whether the direct way was open by then. The age and version of the configuration are gauges.

--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -63,7 +63,9 @@
             [this](const MetadataItem &item) { applyOperatorItem(item); },
             [this](bool reachable) {
                 m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "operator"}, {"version", m_routes ? m_routes->version() : 0}});
-            }};
+            },
+            nullptr,
+            [this](Milliseconds waited) { m_log.warning("watch_lost", {{"feed", "operator"}, {"waited_ms", waited}}); }};
 }
 
 PrefixFeedHooks SystemView::endpointHooks()
@@ -88,7 +90,9 @@
             [this](bool reachable) {
                 m_endpoints.setStoreReachable(reachable, m_loop.now());
                 m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "endpoints"}, {"endpoints", m_endpoints.size()}});
-            }};
+            },
+            nullptr,
+            [this](Milliseconds waited) { m_log.warning("watch_lost", {{"feed", "endpoints"}, {"waited_ms", waited}}); }};
 }
 
 void SystemView::applyOperatorItem(const MetadataItem &item)
@@ -131,7 +135,13 @@
         return;
     }
     m_routes = std::make_unique<RouteTable>(std::move(configuration.value()));
-    m_log.info("configuration_in_force", {{"version", version}, {"revision", item.revision}, {"routes", m_routes->configuration().routes.size()}});
+    const auto &advance = m_operatorFeed.feed().lastAdvance();
+    m_log.info("configuration_in_force",
+               {{"version", version},
+                {"revision", item.revision},
+                {"routes", m_routes->configuration().routes.size()},
+                {"source", feedSourceName(advance.source)},
+                {"max_delay_ms", advance.maxDelay.value_or(Milliseconds(-1))}});
     if (onConfigurationChanged) {
         onConfigurationChanged();
     }
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -160,6 +160,10 @@
         metrics.setGauge("basilbend_ready", m_service.isReady() ? 1 : 0);
         metrics.setGauge("basilbend_client_connections", static_cast<double>(m_clientServer.sessionCount()));
         metrics.setGauge("basilbend_feed_followers", static_cast<double>(m_feedHub.followerCount()));
+        metrics.setGauge("basilbend_configuration_version", static_cast<double>(m_view.routes() == nullptr ? 0 : m_view.routes()->version()));
+        if (const auto verifiedAt = m_view.configurationVerifiedAt()) {
+            metrics.setGauge("basilbend_configuration_age_seconds", static_cast<double>((m_runtime.loop().now() - *verifiedAt).count()) / 1000);
+        }
         metrics.setGauge("basilbend_endpoints", static_cast<double>(m_view.endpoints().size()));
     }
 
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -28,6 +28,19 @@
 
 }
 
+const char *feedSourceName(FeedSource source)
+{
+    switch (source) {
+    case FeedSource::Listing:
+        return "listing";
+    case FeedSource::Watch:
+        return "watch";
+    case FeedSource::Peer:
+        return "peer";
+    }
+    return "unknown";
+}
+
 PrefixFeed::PrefixFeed(MetadataStore &store, EventLoop loop, std::string prefix, Milliseconds span, PrefixFeedHooks hooks)
     : m_store(store)
     , m_loop(std::move(loop))
@@ -107,6 +120,7 @@
     for (const auto &item : m_listedItems) {
         m_reportedRevisions[item.key] = item.revision;
     }
+    recordSource(FeedSource::Listing);
     m_verifiedAt = m_listStartedAt;
     const auto items = std::move(m_listedItems);
     m_listedItems.clear();
@@ -137,6 +151,9 @@
         return;
     }
     if (reply.status != MetadataStatus::Done) {
+        if (reply.status == MetadataStatus::Unknown && m_hooks.onWatchLost) {
+            m_hooks.onWatchLost(m_loop.now() - sentAt);
+        }
         retryAfterFailure([this] { watch(); });
         return;
     }
@@ -150,6 +167,7 @@
         followOrWatch();
         return;
     }
+    recordSource(FeedSource::Watch);
     m_verifiedAt = std::max(*m_verifiedAt, sentAt);
     m_unconfirmedRevision.reset();
     m_revision = std::max(m_revision, reply.revision);
@@ -183,6 +201,12 @@
     }
 }
 
+void PrefixFeed::recordSource(FeedSource source)
+{
+    m_lastAdvance.source = source;
+    m_lastAdvance.maxDelay = m_verifiedAt ? std::make_optional(m_loop.now() - *m_verifiedAt) : std::nullopt;
+}
+
 void PrefixFeed::notifyAdvanced()
 {
     if (m_hooks.onAdvanced) {
@@ -230,6 +254,7 @@
         scheduleStopFollowing(!update.isStoreReachable);
         return;
     }
+    recordSource(FeedSource::Peer);
     reportChanges(update.items);
     m_unconfirmedRevision.reset();
     m_revision = std::max(m_revision, update.revision);
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -13,6 +13,25 @@
 namespace Basilbend
 {
 
+/// The way by which a feed learned of changes.
+enum class FeedSource {
+    Listing,
+    Watch,
+    /// The feed of another process.
+    Peer,
+};
+
+/// Returns the name of the source for logs.
+const char *feedSourceName(FeedSource source);
+
+/// How a feed learned of the changes that it reports, for logs.
+struct FeedAdvance {
+    FeedSource source = FeedSource::Listing;
+    /// Upper limit of the time for which the oldest of these changes was in the store before it was reported: the age of the copy
+    /// until then. Nothing for the first listing.
+    std::optional<Milliseconds> maxDelay;
+};
+
 struct PrefixFeedHooks {
     /// Receives all items below the prefix, after start() and whenever the history was lost.
     std::function<void(const std::vector<MetadataItem> &)> onSnapshot;
@@ -22,6 +41,8 @@
     std::function<void(bool)> onReachabilityChanged;
     /// Called after the copy was verified, after changes were reported, and when the store was lost. May be null.
     std::function<void()> onAdvanced = nullptr;
+    /// Called when a watch ended without an answer, with the time since it was sent. May be null.
+    std::function<void(Milliseconds)> onWatchLost = nullptr;
 };
 
 /// Keeps a copy of a key prefix up to date by a listing and subsequent watches, or by following the feed of another process.
@@ -70,6 +91,12 @@
     /// than the revision at which its watch starts.
     std::uint64_t newestReportedRevision() const;
 
+    /// How the changes were learned that are being reported, or were reported last.
+    const FeedAdvance &lastAdvance() const
+    {
+        return m_lastAdvance;
+    }
+
     /// Whether the feed watches the store itself rather than following a peer.
     bool isWatchingStore() const
     {
@@ -100,6 +127,8 @@
     void acceptEmptyWatch(std::uint64_t revision, Timestamp sentAt);
     void reportChanges(const std::vector<MetadataItem> &items);
     void notifyAdvanced();
+    /// Must be called before the verification time is moved on.
+    void recordSource(FeedSource source);
     /// Follows a peer if one can be asked, otherwise watches the store.
     void followOrWatch();
     void follow();
@@ -126,6 +155,7 @@
     std::optional<UnconfirmedRevision> m_unconfirmedRevision;
     std::map<std::string, std::uint64_t> m_reportedRevisions;
     std::optional<Timestamp> m_verifiedAt;
+    FeedAdvance m_lastAdvance;
     int m_failures = 0;
     bool m_isReachable = true;
     std::uint64_t m_generation = 0;
--- a/src/metadata/publishedfeed.cpp
+++ b/src/metadata/publishedfeed.cpp
@@ -34,6 +34,7 @@
         }
     };
     wrapped.onReachabilityChanged = std::move(hooks.onReachabilityChanged);
+    wrapped.onWatchLost = std::move(hooks.onWatchLost);
     wrapped.onAdvanced = [this] {
         if (m_hub != nullptr) {
             m_hub->publishUpdates(m_prefix);
--- a/src/metadata/relayedtransport.cpp
+++ b/src/metadata/relayedtransport.cpp
@@ -109,10 +109,17 @@
                         {"Content-Type", "application/json"}},
                        call.message.body};
     relayed.timeout = call.timeout;
-    m_peers[peerIndex]->send(relayed, [this, open, peerIndex](StoreResponse response) {
+    m_peers[peerIndex]->send(relayed, [this, open, peerIndex, sentAt = m_loop.now()](StoreResponse response) {
         if (response.outcome == CallOutcome::Complete && response.status == 200) {
             m_lastPeerIndex = peerIndex;
         }
+        if (response.outcome == CallOutcome::ClosedUnanswered) {
+            m_log.warning("relay_unanswered",
+                          {{"peer", m_peers[peerIndex]->address()},
+                           {"target", open->request.message.target},
+                           {"waited_ms", m_loop.now() - sentAt},
+                           {"direct", m_rule.isDirectAvailable()}});
+        }
         handlePeerResponse(open, std::move(response));
     });
 }
--- a/src/metadata/storetransport.h
+++ b/src/metadata/storetransport.h
@@ -71,6 +71,12 @@
     void send(const StoreRequest &request, Callback callback) override;
     void abortCalls() override;
 
+    /// The address of the server as "IP:PORT".
+    const std::string &address() const
+    {
+        return m_hostHeader;
+    }
+
 private:
     struct OpenCall;
 
