Take waiting calls back from peers when the store answers again (CONFIG)

Callers got 404 for a route that had been in force elsewhere for four seconds, from a gateway whose store calls were answered all the while.

Cause: while the store turned the gateway away, its watch of the operator's keys went to a peer. The peer was suspended. Only the time limit of the call (3.4 s, and as much again at the next peer) or the peer's return ended the wait; that the direct way worked again did not.

Calls that may be sent again leave their peer when the store answers this process, and a call that fails at a peer goes directly if the last direct call was answered. Writes stay where they are: the peer may have executed them. The class is a wait whose end depends on a process that may be suspended.

--- a/src/metadata/relayedtransport.cpp
+++ b/src/metadata/relayedtransport.cpp
@@ -82,7 +82,7 @@
 {
     m_direct.send(open->request, [this, open](StoreResponse response) {
         recordDirectResult(response);
-        const bool canRelay = !response.isAnswer() && !m_peers.empty() && RelayRule::mayRetry(response.isRefusal(), open->request.isIdempotent);
+        const bool canRelay = !response.isAnswer() && hasUntriedPeer(*open) && RelayRule::mayRetry(response.isRefusal(), open->request.isIdempotent);
         if (canRelay) {
             open->response = std::move(response);
             sendToPeer(open);
@@ -109,6 +109,7 @@
                         {"Content-Type", "application/json"}},
                        call.message.body};
     relayed.timeout = call.timeout;
+    relayed.isIdempotent = call.isIdempotent;
     m_peers[peerIndex]->send(relayed, [this, open, peerIndex, sentAt = m_loop.now()](StoreResponse response) {
         if (response.outcome == CallOutcome::Complete && response.status == 200) {
             m_lastPeerIndex = peerIndex;
@@ -132,14 +133,29 @@
         return;
     }
     open->response = std::move(response);
-    const bool mayRetry = RelayRule::mayRetry(open->response.isRefusal(), open->request.isIdempotent);
-    if (mayRetry && open->triedPeerCount < m_peers.size()) {
+    if (RelayRule::mayRetry(open->response.isRefusal(), open->request.isIdempotent)) {
+        retry(open);
+    } else {
+        fail(open);
+    }
+}
+
+void RelayedTransport::retry(const std::shared_ptr<OpenCall> &open)
+{
+    if (m_rule.isHealthy()) {
+        sendDirect(open);
+    } else if (hasUntriedPeer(*open)) {
         sendToPeer(open);
     } else {
         fail(open);
     }
 }
 
+bool RelayedTransport::hasUntriedPeer(const OpenCall &open) const
+{
+    return open.triedPeerCount < m_peers.size();
+}
+
 void RelayedTransport::fail(const std::shared_ptr<OpenCall> &open)
 {
     // The callback runs from the event loop, so that a caller that retries at once does not recurse.
@@ -158,10 +174,20 @@
         });
     } else if (m_isDirectConnectionDown && m_rule.isDirectAvailable()) {
         m_isDirectConnectionDown = false;
-        m_log.warning("store_direct_again", {});
+        // From the event loop: the ends of these calls are reported to callbacks, which may send others.
+        m_loop.runAfter(Milliseconds(0), [this] { m_log.warning("store_direct_again", {{"recalled", recallFromPeers()}}); });
     }
 }
 
+std::size_t RelayedTransport::recallFromPeers()
+{
+    std::size_t n = 0;
+    for (const auto &peer : m_peers) {
+        n += peer->abortIdempotentCalls();
+    }
+    return n;
+}
+
 void RelayedTransport::abortCalls()
 {
     m_direct.abortCalls();
--- a/src/metadata/relayedtransport.h
+++ b/src/metadata/relayedtransport.h
@@ -14,7 +14,8 @@
 
 /// Transport that sends calls through a peer while the metadata store refuses this process or does not answer it, and that
 /// relays calls for peers. Calls and answers are passed on unchanged, so a relayed call is as linearizable as a direct one.
-/// A peer that does not reach the store either answers so at once.
+/// A peer that does not reach the store either answers so at once. A peer that is suspended answers nothing, so calls that wait
+/// at peers are sent directly as soon as the store answers this process again.
 class RelayedTransport : public StoreTransport
 {
 public:
@@ -49,9 +50,14 @@
 
     void sendDirect(const std::shared_ptr<OpenCall> &open);
     void sendToPeer(const std::shared_ptr<OpenCall> &open);
+    /// Sends a call again that failed at a peer: directly if the store answers this process again, otherwise through the next peer.
+    void retry(const std::shared_ptr<OpenCall> &open);
+    bool hasUntriedPeer(const OpenCall &open) const;
     void handlePeerResponse(const std::shared_ptr<OpenCall> &open, StoreResponse response);
     void fail(const std::shared_ptr<OpenCall> &open);
     void recordDirectResult(const StoreResponse &response);
+    /// Takes the calls that may be sent again back from the peers. Returns their number.
+    std::size_t recallFromPeers();
     void probe();
 
     StoreTransport &m_direct;
--- a/src/metadata/storetransport.cpp
+++ b/src/metadata/storetransport.cpp
@@ -19,6 +19,7 @@
     ClientCall call;
     Callback callback;
     StoreResponse response;
+    bool isIdempotent = true;
     bool isFinished = false;
 };
 
@@ -40,6 +41,7 @@
     message.fields.set("Host", m_hostHeader);
     auto open = std::make_shared<OpenCall>();
     open->callback = std::move(callback);
+    open->isIdempotent = request.isIdempotent;
     m_openCalls.insert(open);
     CallHooks hooks;
     hooks.onHead = [open](const ResponseHead &head) {
@@ -62,6 +64,19 @@
     }
 }
 
+std::size_t DirectTransport::abortIdempotentCalls()
+{
+    const auto calls = m_openCalls;
+    std::size_t n = 0;
+    for (const auto &open : calls) {
+        if (open->isIdempotent) {
+            ++n;
+            finish(open, CallOutcome::ClosedUnanswered);
+        }
+    }
+    return n;
+}
+
 void DirectTransport::finish(const std::shared_ptr<OpenCall> &open, CallOutcome outcome)
 {
     if (open->isFinished) {
--- a/src/metadata/storetransport.h
+++ b/src/metadata/storetransport.h
@@ -71,6 +71,9 @@
     void send(const StoreRequest &request, Callback callback) override;
     void abortCalls() override;
 
+    /// Ends the open calls that may be sent again, as unanswered. Returns their number.
+    std::size_t abortIdempotentCalls();
+
     /// The address of the server as "IP:PORT".
     const std::string &address() const
     {
--- a/tests/metadata/relayedtransport.cpp
+++ b/tests/metadata/relayedtransport.cpp
@@ -225,6 +225,51 @@
     BOOST_TEST(callsOfSecond["/-/slow"] == 1);
 }
 
+// Two peers of which the first holds each call without an answer, as a suspended process does, and a store that has just turned
+// this process away.
+struct SuspendedPeerFixture : PeerFixture {
+    std::vector<std::shared_ptr<ServerExchange>> held;
+    std::optional<StoreResponse> response;
+
+    SuspendedPeerFixture()
+    {
+        direct.response = {CallOutcome::Complete, 503, {}, 0};
+        PeerFixture::send(true);
+        PeerFixture::send(true);
+        onFirst = [this](const std::shared_ptr<ServerExchange> &exchange, const std::string &) { held.push_back(exchange); };
+        onSecond = onFirst;
+    }
+    void sendHeld(bool isIdempotent)
+    {
+        transport.send({{"GET", "/-/held", {}, {}}, Milliseconds(3400), isIdempotent}, [this](StoreResponse result) { response = std::move(result); });
+        run();
+        BOOST_REQUIRE(held.size() == 1U);
+    }
+};
+
+// Guards against a watch that stays at a suspended peer although the store serves this process again: its configuration was
+// behind for three seconds.
+BOOST_FIXTURE_TEST_CASE(a_call_that_waits_at_a_suspended_peer_goes_directly_when_the_store_is_back, SuspendedPeerFixture)
+{
+    sendHeld(true);
+    BOOST_TEST(!response.has_value());
+    direct.response = {CallOutcome::Complete, 200, "{}", 0};
+    run();
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->isAnswer());
+    BOOST_TEST(direct.targets.back() == "/-/held");
+}
+
+// Guards against a write that is executed twice: one that waits at a peer may have been executed there.
+BOOST_FIXTURE_TEST_CASE(a_write_that_waits_at_a_suspended_peer_is_left_there, SuspendedPeerFixture)
+{
+    sendHeld(false);
+    direct.response = {CallOutcome::Complete, 200, "{}", 0};
+    run();
+    BOOST_TEST(!response.has_value());
+    BOOST_TEST(direct.targets.back() != "/-/held");
+}
+
 // Guards against a write that is executed twice: a peer that got no answer does not know whether the call was executed.
 BOOST_FIXTURE_TEST_CASE(a_write_that_a_peer_may_have_executed_is_not_retried, PeerFixture)
 {
