Derive the wait of watches from the bound that they must keep (CONFIG)

A gateway or scheduler could handle requests by an older configuration for 3.4 s although its bound is 2 s: a watch whose answer is lost in silence was sent again only after its wait of 2,500 ms and a margin of 900 ms. The wait followed from the bound for withdrawn keys; the bound of a configuration was not known to the code. The same held for leaving endpoints (5,900 ms, bound 2,000 ms and more) and for the ledger of crashes (5,900 ms, bound 3,000 ms).

WatchTiming derives the wait from the bound, less what a lost answer and its replacement take: 1,000 ms for 2 s. The setting configuration_seconds names the bound. A watch after a failed one does not wait, so it is not lost with the waiting watches of a store that drops them.

--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -8,12 +8,12 @@
 namespace Basilbend
 {
 
-SystemView::SystemView(MetadataStore &store, EventLoop loop, EventLog &log, ViewScope scope, Milliseconds operatorSpan, Milliseconds endpointSpan)
+SystemView::SystemView(MetadataStore &store, EventLoop loop, EventLog &log, ViewScope scope, ViewWatchSpans spans)
     : m_loop(std::move(loop))
     , m_log(log)
     , m_scope(scope)
-    , m_operatorFeed(store, m_loop, operatorPrefix(), operatorSpan, operatorHooks())
-    , m_endpointFeed(store, m_loop, endpointPrefix(), endpointSpan, endpointHooks())
+    , m_operatorFeed(store, m_loop, operatorPrefix(), spans.operatorKeys, operatorHooks())
+    , m_endpointFeed(store, m_loop, endpointPrefix(), spans.endpoints, endpointHooks())
 {
 }
 
--- a/src/catalog/systemview.h
+++ b/src/catalog/systemview.h
@@ -25,13 +25,18 @@
     Control,
 };
 
+/// Maximum wait of one watch of each prefix.
+struct ViewWatchSpans {
+    Milliseconds operatorKeys;
+    Milliseconds endpoints;
+};
+
 /// Local view of the operators' configuration, the evacuated zones, the published weight versions, the hosts to be emptied
 /// and the endpoints, each kept up to date from the metadata store.
 class SystemView
 {
 public:
-    /// operatorSpan and endpointSpan are the maximum wait of one watch of the respective prefix.
-    SystemView(MetadataStore &store, EventLoop loop, EventLog &log, ViewScope scope, Milliseconds operatorSpan, Milliseconds endpointSpan);
+    SystemView(MetadataStore &store, EventLoop loop, EventLog &log, ViewScope scope, ViewWatchSpans spans);
 
     void start();
     void stop();
--- a/src/daemon/daemonsettings.cpp
+++ b/src/daemon/daemonsettings.cpp
@@ -58,6 +58,7 @@
                         s.metricsListenAddress,
                         s.storeAddress,
                         s.reportsAddress,
+                        s.configurationBound,
                         s.withdrawalBound,
                         s.endpointLeaveBound,
                         s.evacuationBound,
@@ -104,6 +105,7 @@
     if (settings.role == "scheduler" && reader.has("processes")) {
         settings.internalAddress = addressText(reader, "processes");
     }
+    settings.configurationBound = secondsOr(reader, "configuration_seconds", settings.configurationBound);
     settings.withdrawalBound = secondsOr(reader, "withdrawal_seconds", settings.withdrawalBound);
     settings.endpointLeaveBound = secondsOr(reader, "endpoint_leave_seconds", settings.endpointLeaveBound);
     settings.evacuationBound = secondsOr(reader, "evacuation_seconds", settings.evacuationBound);
--- a/src/daemon/daemonsettings.h
+++ b/src/daemon/daemonsettings.h
@@ -32,6 +32,8 @@
     std::string storeAddress;
     /// Address of the platform's API for usage reports.
     std::string reportsAddress;
+    /// Longest time from the acknowledgement of a configuration to the first request that must be handled by it.
+    Milliseconds configurationBound{2000};
     /// Longest time for which a withdrawn key may still be accepted.
     Milliseconds withdrawalBound{5000};
     /// Longest time for which a leaving endpoint may still get requests after its registry entry says so.
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -6,6 +6,7 @@
 #include "gateway/rejection.h"
 #include "http/socketoptions.h"
 #include "http/webserver.h"
+#include "metadata/watchtiming.h"
 #include "platform/clientrequest.h"
 
 #include <algorithm>
@@ -17,9 +18,8 @@
 namespace
 {
 
-/// The watch time is half of the bound for withdrawn keys, so that one lost watch does not make the configuration too old.
+/// Part of the bound for withdrawn keys that a watch waits at most, so that one lost watch does not make the configuration too old.
 constexpr int OperatorWatchDivisor = 2;
-constexpr Milliseconds EndpointWatchSpan{5000};
 /// Endpoint changes are coalesced for half of the time after which a leaving endpoint must not get requests.
 constexpr int EndpointCoalescingDivisor = 2;
 constexpr Milliseconds HousekeepingInterval{500};
@@ -65,7 +65,7 @@
     explicit Gateway(DaemonRuntime &runtime)
         : m_runtime(runtime)
         , m_view(
-              runtime.store(), runtime.loop(), runtime.log(), ViewScope::Serving, runtime.settings().withdrawalBound / OperatorWatchDivisor, EndpointWatchSpan)
+              runtime.store(), runtime.loop(), runtime.log(), ViewScope::Serving, watchSpans(runtime.settings()))
         , m_picker(runtime.settings().zone)
         , m_usageCounter(runtime.settings().usageWindow)
         , m_usagePublisher(runtime.store(), runtime.loop(), runtime.log(), runtime.settings().node + "-" + runtime.incarnation())
@@ -122,6 +122,12 @@
         return std::make_unique<FeedFollower>(m_runtime.client(), m_runtime.loop(), m_runtime.log(), otherPeers(settings), settings.node);
     }
 
+    static ViewWatchSpans watchSpans(const DaemonSettings &settings)
+    {
+        return {std::min(WatchTiming::spanFor(settings.configurationBound), settings.withdrawalBound / OperatorWatchDivisor),
+                WatchTiming::spanFor(settings.endpointLeaveBound)};
+    }
+
     static FreshnessRule freshnessRuleFor(const DaemonSettings &settings)
     {
         FreshnessRule rule;
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -7,6 +7,7 @@
 #include "election/leaderprobe.h"
 #include "http/socketoptions.h"
 #include "http/webserver.h"
+#include "metadata/watchtiming.h"
 #include "platform/configurationcodec.h"
 #include "platform/operatorkeys.h"
 #include "scheduling/batchrunner.h"
@@ -25,9 +26,8 @@
 namespace
 {
 
-/// The watch time is half of the bound for evacuations, so that one lost watch does not make the known ones too old.
+/// Part of the bound for evacuations that a watch waits at most, so that one lost watch does not make the known ones too old.
 constexpr int OperatorWatchDivisor = 2;
-constexpr Milliseconds EndpointWatchSpan{5000};
 constexpr Milliseconds EndpointCoalescingDelay{200};
 constexpr Milliseconds PollInterval{250};
 /// While it is uncertain whether the lease still holds, new items are started for at most this long, because another process may
@@ -50,7 +50,7 @@
     explicit Scheduler(DaemonRuntime &runtime)
         : m_runtime(runtime)
         , m_view(
-              runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, runtime.settings().evacuationBound / OperatorWatchDivisor, EndpointWatchSpan)
+              runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, watchSpans(runtime.settings()))
         , m_leaderProbe(runtime.client(), runtime.loop())
         , m_election(runtime.store(),
                      runtime.loop(),
@@ -117,6 +117,12 @@
         return settings;
     }
 
+    static ViewWatchSpans watchSpans(const DaemonSettings &settings)
+    {
+        return {std::min(WatchTiming::spanFor(settings.configurationBound), settings.evacuationBound / OperatorWatchDivisor),
+                WatchTiming::spanFor(settings.endpointLeaveBound)};
+    }
+
     BatchRunnerHooks batchRunnerHooks()
     {
         BatchRunnerHooks hooks;
--- a/src/gateway/crashledger.cpp
+++ b/src/gateway/crashledger.cpp
@@ -1,6 +1,7 @@
 #include "gateway/crashledger.h"
 
 #include "gateway/crashrecord.h"
+#include "metadata/watchtiming.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,7 +12,8 @@
 namespace
 {
 
-constexpr Milliseconds WatchSpan{5000};
+/// Time within which a process must know that a request has crashed endpoints.
+constexpr Milliseconds CrashKnownBound{3000};
 constexpr Milliseconds RetryPause{250};
 
 }
@@ -21,7 +23,7 @@
     , m_loop(std::move(loop))
     , m_log(log)
     , m_hooks(std::move(hooks))
-    , m_feed(store, m_loop, CrashPrefix, WatchSpan, feedHooks())
+    , m_feed(store, m_loop, CrashPrefix, WatchTiming::spanFor(CrashKnownBound), feedHooks())
 {
 }
 
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -1,5 +1,7 @@
 #include "metadata/prefixfeed.h"
 
+#include "metadata/watchtiming.h"
+
 #include <algorithm>
 
 namespace Basilbend
@@ -11,9 +13,6 @@
 constexpr Milliseconds InitialRetryPause{40};
 constexpr Milliseconds MaxRetryPause{250};
 
-/// Minimum wait of one watch.
-constexpr Milliseconds MinWatchSpan{300};
-
 /// Longest time during which watches of the store may miss changes: up to one second, plus a margin.
 constexpr Milliseconds MaxWatchGap{1500};
 
@@ -135,7 +134,8 @@
     // An answer with a change verifies the state only for the time at which the watch was sent, so the next watch ends early
     // enough to verify it again within one span.
     const auto maxSpan = m_isServing ? std::min(m_watchSpan, ServingWatchSpan) : m_watchSpan;
-    const auto span = std::clamp(maxSpan - (sentAt - *m_verifiedAt), std::min(MinWatchSpan, maxSpan), maxSpan);
+    const auto usualSpan = std::clamp(maxSpan - (sentAt - *m_verifiedAt), std::min(WatchTiming::MinSpan, maxSpan), maxSpan);
+    const auto span = m_failures > 0 ? std::min(WatchTiming::RetrySpan, usualSpan) : usualSpan;
     m_store.watch(m_prefix, m_revision, span, [this, generation = m_generation, sentAt, span](const MetadataReply &reply) {
         if (generation == m_generation) {
             acceptWatch(reply, sentAt, span);
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -1,5 +1,6 @@
 #include "platform/platformstore.h"
 
+#include "metadata/watchtiming.h"
 #include "net/base64.h"
 #include "platform/jsonfields.h"
 
@@ -13,8 +14,6 @@
 
 /// The store responds within milliseconds normally and within a few hundred milliseconds when it is slow.
 constexpr Milliseconds CallTimeout{1200};
-/// Time that a watch may take beyond its span.
-constexpr Milliseconds WatchTimeoutMargin{900};
 /// Short enough that a leader can renew its lease again after a renewal without response.
 constexpr Milliseconds LeaseCallTimeout{700};
 
@@ -140,7 +139,7 @@
     ++m_counts.watches;
     const auto target =
         "/-/kv-watch?path_prefix=" + percentEncoded(prefix) + "&after=" + std::to_string(afterRevision) + "&wait_ms=" + std::to_string(span.count());
-    send({"GET", target, {}, {}}, span + WatchTimeoutMargin, true, std::move(callback));
+    send({"GET", target, {}, {}}, WatchTiming::timeoutFor(span), true, std::move(callback));
 }
 
 void PlatformStore::commit(const MetadataChange &change, Callback callback)
--- a/tests/catalog/systemview.cpp
+++ b/tests/catalog/systemview.cpp
@@ -19,7 +19,7 @@
     VirtualTime time{Timestamp(1'000'000)};
     FakeMetadataStore store{time};
     EventLog log{EventLogSettings(), [this] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); }};
-    SystemView view{store, virtualLoop(time), log, ViewScope::Control, Milliseconds(2500), Milliseconds(5000)};
+    SystemView view{store, virtualLoop(time), log, ViewScope::Control, ViewWatchSpans{Milliseconds(2500), Milliseconds(5000)}};
     std::vector<HostNames> notified;
 
     HostsToEmptyFixture()
--- a/tests/daemon/daemonsettings.cpp
+++ b/tests/daemon/daemonsettings.cpp
@@ -43,6 +43,7 @@
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(settings.value().node == "g-1");
     BOOST_TEST(settings.value().withdrawalBound.count() == 4500);
+    BOOST_TEST(settings.value().configurationBound.count() == 2000);
     BOOST_TEST(settings.value().gracePeriod.count() == 8500);
     BOOST_TEST(settings.value().peers.size() == 2U);
     BOOST_TEST(settings.value().usageReportDeadline.count() == 10000);
@@ -53,10 +54,11 @@
 BOOST_AUTO_TEST_CASE(bounds_of_warm_up_and_evacuation_and_the_regions_are_read)
 {
     const auto settings = read(std::string(Gateway)
-                                   + "evacuation_seconds: 4000e-3\nwarmup_rate_factor: 1.5\nwarmup_extra_requests: 5\ngateways: 25\n"
+                                   + "configuration_seconds: 1500e-3\nevacuation_seconds: 4000e-3\nwarmup_rate_factor: 1.5\nwarmup_extra_requests: 5\ngateways: 25\n"
                                      "regions:\n  \"z\": \"north\"\n  \"y\": \"south\"\n",
                                "gateway");
     BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings.value().configurationBound.count() == 1500);
     BOOST_TEST(settings.value().evacuationBound.count() == 4000);
     BOOST_TEST((settings.value().warmupTolerance == WarmupTolerance{1.5, 5}));
     BOOST_TEST(settings.value().gatewayCount == 25);
--- a/tests/gateway/gatewayprocess.h
+++ b/tests/gateway/gatewayprocess.h
@@ -16,7 +16,7 @@
         : log(
             EventLogSettings(), [&time] { return time.now(); }, [](std::string_view bytes) { return bytes.size(); })
         , client(io, systemNow)
-        , view(store, virtualLoop(time), log, ViewScope::Serving, Milliseconds(2500), Milliseconds(5000))
+        , view(store, virtualLoop(time), log, ViewScope::Serving, ViewWatchSpans{Milliseconds(2500), Milliseconds(5000)})
         , context{virtualLoop(time), log, metrics, client, store, view, picker, usage, random}
         , service(context, FreshnessRule())
         , server(io, "127.0.0.1:0", defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) { service.handle(exchange); }))
--- a/tests/metadata/fakemetadatastore.cpp
+++ b/tests/metadata/fakemetadatastore.cpp
@@ -1,5 +1,7 @@
 #include "metadata/fakemetadatastore.h"
 
+#include "metadata/watchtiming.h"
+
 #include <algorithm>
 #include <memory>
 
@@ -211,6 +213,11 @@
         answer(std::move(callback), std::move(reply));
         return;
     }
+    if (faults.waitingWatchesAreLost || faults.lostWaitingWatches > 0) {
+        faults.lostWaitingWatches = std::max(0, faults.lostWaitingWatches - 1);
+        m_time.schedule(WatchTiming::timeoutFor(span), [callback = std::move(callback)] { callback({}); });
+        return;
+    }
     auto watcher = std::make_shared<Watcher>(Watcher{prefix, afterRevision, std::move(callback), true, false});
     m_watchers.push_back(watcher);
     m_time.schedule(span, [this, watcher] { endWatch(watcher); });
--- a/tests/metadata/fakemetadatastore.h
+++ b/tests/metadata/fakemetadatastore.h
@@ -30,6 +30,10 @@
         bool doesNotAnswer = false;
         /// Watches report no changes.
         bool watchesMissChanges = false;
+        /// A watch that has nothing to report at once gets no answer at all; its caller gets Unknown after the time limit of the watch.
+        bool waitingWatchesAreLost = false;
+        /// Number of next waiting watches that are lost in this way.
+        int lostWaitingWatches = 0;
         /// Number of next commits that are executed but whose answers are lost.
         int lostCommits = 0;
         /// A watch after an older revision is answered with HistoryGone.
--- a/tests/platform/oddentries.cpp
+++ b/tests/platform/oddentries.cpp
@@ -82,7 +82,7 @@
         store.put("servers/odd-" + std::to_string(++n), entry);
     }
     store.put("servers/sound-1", soundEntry().dump());
-    SystemView view(store, virtualLoop(time), log, ViewScope::Serving, Milliseconds(2500), Milliseconds(5000));
+    SystemView view(store, virtualLoop(time), log, ViewScope::Serving, ViewWatchSpans{Milliseconds(2500), Milliseconds(5000)});
     view.start();
     time.advance(Milliseconds(100));
     BOOST_TEST(view.endpoints().size() == 1);
--- a/tests/scheduling/rewardcalls.cpp
+++ b/tests/scheduling/rewardcalls.cpp
@@ -29,7 +29,7 @@
     ScriptedEndpoint first{io, store, "i-1", 6};
     ScriptedEndpoint second{io, store, "i-2", 6};
     WebClient client{io, [this] { return time.now(); }};
-    SystemView view{store, virtualLoop(time), log, ViewScope::Serving, Milliseconds(2500), Milliseconds(5000)};
+    SystemView view{store, virtualLoop(time), log, ViewScope::Serving, ViewWatchSpans{Milliseconds(2500), Milliseconds(5000)}};
     std::shared_ptr<OpenBatch> batch;
     RequestLimiter requestLimiter;
     std::optional<RewardCalls> calls;
--- a/tests/weights/loads.cpp
+++ b/tests/weights/loads.cpp
@@ -24,7 +24,7 @@
     Metrics metrics;
     ScriptedEndpoint engine{io, store, Endpoint};
     WebClient client{io, [this] { return time.now(); }};
-    SystemView view{store, virtualLoop(time), log, ViewScope::Control, Milliseconds(2500), Milliseconds(5000)};
+    SystemView view{store, virtualLoop(time), log, ViewScope::Control, ViewWatchSpans{Milliseconds(2500), Milliseconds(5000)}};
     std::optional<WeightUpdater> updater;
     bool answersOrders = true;
     int orderStatus = 202;
