Read changes again that a waiting watch may have missed (CONFIG)

A configuration could stay unknown until the next one: watches of the store may miss changes for a moment, and a watch that waited through it and then reported a later change of another key moved the feed behind both. The same held for leaving endpoints and for new batches, and a process that others follow passed the gap on.

WatchPosition tells what was heard from what is confirmed. 1.5 s after a waiting watch reported changes, those since the confirmed revision are read again by a watch that does not wait; it is repeated until it reports them. A hub that closes a gap disconnects its followers, and a follower that leaves its peer reads the store from what the peer had confirmed. The field confirmed of an update is optional: processes of earlier builds neither send nor need it.

Price: one call for each burst of changes by each process that watches the store itself.

--- a/src/metadata/feedhub.cpp
+++ b/src/metadata/feedhub.cpp
@@ -140,6 +140,7 @@
     FeedUpdate update;
     update.baseRevision = follower.sentRevision;
     update.revision = feed.source->revision();
+    update.confirmedRevision = feed.source->confirmedRevision();
     update.verifiedOffset = *feed.source->verifiedAt() - follower.requestedAt;
     update.isStoreReachable = feed.source->isReachable();
     for (auto it = feed.recentChanges.rbegin(); it != feed.recentChanges.rend() && it->item.revision > follower.sentRevision; ++it) {
--- a/src/metadata/feedupdate.cpp
+++ b/src/metadata/feedupdate.cpp
@@ -43,6 +43,7 @@
     }
     return json{{"after", update.baseRevision},
                 {"revision", update.revision},
+                {"confirmed", update.confirmedRevision},
                 {"proven_at_ms", update.verifiedOffset.count()},
                 {"incomplete", update.isIncomplete},
                 {"reachable", update.isStoreReachable},
@@ -57,6 +58,8 @@
         FeedUpdate update;
         update.baseRevision = object.at("after").get<std::uint64_t>();
         update.revision = object.at("revision").get<std::uint64_t>();
+        // Processes of earlier builds do not name it.
+        update.confirmedRevision = object.value("confirmed", update.revision);
         update.verifiedOffset = Milliseconds(object.at("proven_at_ms").get<std::int64_t>());
         update.isIncomplete = object.at("incomplete").get<bool>();
         update.isStoreReachable = object.at("reachable").get<bool>();
--- a/src/metadata/feedupdate.h
+++ b/src/metadata/feedupdate.h
@@ -17,8 +17,10 @@
     std::uint64_t baseRevision = 0;
     /// Changes since baseRevision, in order of revision.
     std::vector<MetadataItem> items;
-    /// Revision up to which all changes have been sent.
+    /// Revision up to which all changes that the sender has heard of have been sent.
     std::uint64_t revision = 0;
+    /// Revision up to which the sender has missed no change. A receiver that leaves the sender reads the store from there.
+    std::uint64_t confirmedRevision = 0;
     /// Time at which the copy was verified against the store, relative to the arrival of the follower's request at the
     /// sender. Both ends measure from the same request on their own steady clocks, so an update that is delivered late does
     /// not seem newer than it is.
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -13,9 +13,6 @@
 constexpr Milliseconds InitialRetryPause{40};
 constexpr Milliseconds MaxRetryPause{250};
 
-/// Longest time during which watches of the store may miss changes: up to one second, plus a margin.
-constexpr Milliseconds MaxWatchGap{1500};
-
 /// Limits for a feed that other processes follow.
 constexpr Milliseconds ServingWatchSpan{500};
 constexpr Milliseconds ServingCoalescingDelay{300};
@@ -58,6 +55,8 @@
 void PrefixFeed::stop()
 {
     ++m_generation;
+    ++m_gapCheck;
+    m_isGapCheckScheduled = false;
     if (m_isFollowing) {
         m_isFollowing = false;
         m_follower->stop(false);
@@ -113,8 +112,9 @@
     }
     // The pages are not a consistent snapshot: the watch starts at the revision of the first page, and changes that a later
     // page already contained are recognized by their revision.
-    m_revision = m_listRevision;
-    m_unconfirmedRevision.reset();
+    m_position.reset(m_listRevision);
+    ++m_gapCheck;
+    m_isGapCheckScheduled = false;
     m_reportedRevisions.clear();
     for (const auto &item : m_listedItems) {
         m_reportedRevisions[item.key] = item.revision;
@@ -135,8 +135,9 @@
     // enough to verify it again within one span.
     const auto maxSpan = m_isServing ? std::min(m_watchSpan, ServingWatchSpan) : m_watchSpan;
     const auto usualSpan = std::clamp(maxSpan - (sentAt - *m_verifiedAt), std::min(WatchTiming::MinSpan, maxSpan), maxSpan);
-    const auto span = m_failures > 0 ? std::min(WatchTiming::RetrySpan, usualSpan) : usualSpan;
-    m_store.watch(m_prefix, m_revision, span, [this, generation = m_generation, sentAt, span](const MetadataReply &reply) {
+    const auto span = m_failures > 0 || m_hasLeftPeer ? std::min(WatchTiming::RetrySpan, usualSpan) : usualSpan;
+    m_hasLeftPeer = false;
+    m_store.watch(m_prefix, m_position.heard(), span, [this, generation = m_generation, sentAt, span](const MetadataReply &reply) {
         if (generation == m_generation) {
             acceptWatch(reply, sentAt, span);
         }
@@ -162,16 +163,16 @@
         // The store answers a watch without changes when its span is over, so the state is verified for that moment.
         const bool hasSpanElapsed = m_loop.now() - sentAt >= span;
         m_verifiedAt = std::max(*m_verifiedAt, hasSpanElapsed ? sentAt + span : sentAt);
-        acceptEmptyWatch(reply.revision, sentAt);
+        m_position.acceptEmpty(reply.revision, sentAt, m_loop.now());
         notifyAdvanced();
         followOrWatch();
         return;
     }
     recordSource(FeedSource::Watch);
     m_verifiedAt = std::max(*m_verifiedAt, sentAt);
-    m_unconfirmedRevision.reset();
-    m_revision = std::max(m_revision, reply.revision);
+    m_position.acceptChanges(reply.revision, span > WatchTiming::RetrySpan);
     reportChanges(reply.items);
+    scheduleGapCheck();
     notifyAdvanced();
     const auto pause = m_isServing ? std::min(m_coalescingDelay, ServingCoalescingDelay) : m_coalescingDelay;
     if (pause.count() > 0) {
@@ -183,7 +184,7 @@
 
 std::uint64_t PrefixFeed::newestReportedRevision() const
 {
-    auto newest = m_revision;
+    auto newest = m_position.heard();
     for (const auto &[key, revision] : m_reportedRevisions) {
         newest = std::max(newest, revision);
     }
@@ -228,7 +229,7 @@
     m_isFollowing = true;
     const auto followAttempt = ++m_followAttempt;
     m_follower->start(m_prefix,
-                      m_revision,
+                      m_position.heard(),
                       {[this](const FeedUpdate &update, Timestamp updateVerifiedAt) { acceptUpdate(update, updateVerifiedAt); },
                        [this, followAttempt] {
                            if (m_isFollowing && followAttempt == m_followAttempt) {
@@ -243,7 +244,7 @@
     if (!m_isFollowing) {
         return;
     }
-    if (update.baseRevision > m_revision) {
+    if (update.baseRevision > m_position.heard()) {
         // An earlier update was missed or could not be decoded. Its changes must be read from the store.
         scheduleStopFollowing(false);
         return;
@@ -256,8 +257,7 @@
     }
     recordSource(FeedSource::Peer);
     reportChanges(update.items);
-    m_unconfirmedRevision.reset();
-    m_revision = std::max(m_revision, update.revision);
+    m_position.acceptPeer(update.revision, update.confirmedRevision);
     m_verifiedAt = std::max(*m_verifiedAt, updateVerifiedAt);
 }
 
@@ -288,20 +288,66 @@
 {
     m_isFollowing = false;
     m_follower->stop(failed);
+    m_position.returnToConfirmed();
+    m_hasLeftPeer = true;
     watch();
 }
 
-void PrefixFeed::acceptEmptyWatch(std::uint64_t revision, Timestamp sentAt)
+void PrefixFeed::scheduleGapCheck()
+{
+    if (m_isGapCheckScheduled || !m_position.mayHaveGap()) {
+        return;
+    }
+    m_isGapCheckScheduled = true;
+    m_loop.runAfter(WatchPosition::MaxWatchGap, [this, gapCheck = ++m_gapCheck] {
+        if (gapCheck == m_gapCheck) {
+            checkGap();
+        }
+    });
+}
+
+void PrefixFeed::checkGap()
+{
+    m_store.watch(m_prefix, m_position.confirmed(), WatchTiming::RetrySpan, [this, gapCheck = m_gapCheck](const MetadataReply &reply) {
+        if (gapCheck == m_gapCheck) {
+            m_isGapCheckScheduled = false;
+            acceptGapCheck(reply);
+        }
+    });
+}
+
+void PrefixFeed::acceptGapCheck(const MetadataReply &reply)
 {
-    // A watch that starts after the store's watches work again reports at once what earlier ones missed. Only such a watch,
-    // when it finds no change, confirms the revision of an earlier empty answer.
-    if (m_unconfirmedRevision && sentAt - m_unconfirmedRevision->reportedAt < MaxWatchGap) {
+    if (reply.status == MetadataStatus::HistoryGone) {
+        restartFromConfirmed();
         return;
     }
-    if (m_unconfirmedRevision) {
-        m_revision = std::max(m_revision, m_unconfirmedRevision->revision);
+    // At least the changes that were heard must come again; if nothing does, the store's watches miss changes now.
+    if (reply.status == MetadataStatus::Done && !reply.items.empty()) {
+        const auto missed = std::count_if(reply.items.begin(), reply.items.end(), [this](const MetadataItem &item) {
+            const auto it = m_reportedRevisions.find(item.key);
+            return item.revision <= m_position.heard() && (it == m_reportedRevisions.end() || it->second < item.revision);
+        });
+        recordSource(FeedSource::Watch);
+        reportChanges(reply.items);
+        m_position.acceptCheck(reply.revision);
+        if (missed > 0 && m_hooks.onGapClosed) {
+            m_hooks.onGapClosed(static_cast<std::size_t>(missed));
+        }
+        notifyAdvanced();
+    }
+    scheduleGapCheck();
+}
+
+void PrefixFeed::restartFromConfirmed()
+{
+    if (m_isFollowing) {
+        stopFollowing(false);
+        return;
     }
-    m_unconfirmedRevision = UnconfirmedRevision{revision, m_loop.now()};
+    ++m_generation;
+    m_position.returnToConfirmed();
+    watch();
 }
 
 void PrefixFeed::retryAfterFailure(std::function<void()> step)
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -3,6 +3,7 @@
 #include "base/eventloop.h"
 #include "metadata/feedfollower.h"
 #include "metadata/metadatastore.h"
+#include "metadata/watchposition.h"
 
 #include <functional>
 #include <map>
@@ -35,7 +36,7 @@
 struct PrefixFeedHooks {
     /// Receives all items below the prefix, after start() and whenever the history was lost.
     std::function<void(const std::vector<MetadataItem> &)> onSnapshot;
-    /// Receives one change. Each revision of a key is reported once, in order.
+    /// Receives one change. Each revision of a key is reported once; those of one key come in order.
     std::function<void(const MetadataItem &)> onChange;
     /// Called with false when the store stops answering, and with true when it answers again.
     std::function<void(bool)> onReachabilityChanged;
@@ -43,6 +44,8 @@
     std::function<void()> onAdvanced = nullptr;
     /// Called when a watch ended without an answer, with the time since it was sent. May be null.
     std::function<void(Milliseconds)> onWatchLost = nullptr;
+    /// Called with the number of changes that a watch had missed, after they were reported. May be null.
+    std::function<void(std::size_t)> onGapClosed = nullptr;
 };
 
 /// Keeps a copy of a key prefix up to date by a listing and subsequent watches, or by following the feed of another process.
@@ -81,10 +84,17 @@
         return m_verifiedAt;
     }
 
-    /// Revision up to which all changes have been reported.
+    /// Revision up to which changes have been reported. A change before it may have been missed unless it is at most
+    /// confirmedRevision().
     std::uint64_t revision() const
     {
-        return m_revision;
+        return m_position.heard();
+    }
+
+    /// Revision up to which all changes have been reported.
+    std::uint64_t confirmedRevision() const
+    {
+        return m_position.confirmed();
     }
 
     /// Revision of the newest reported change. It may exceed revision(), since a listing may contain changes that are newer
@@ -114,17 +124,16 @@
     static constexpr Milliseconds MaxFollowedAge{1000};
 
 private:
-    /// A revision up to which a watch reported no change, and the time of its answer.
-    struct UnconfirmedRevision {
-        std::uint64_t revision;
-        Timestamp reportedAt;
-    };
-
     void listPage(const std::string &afterKey);
     void acceptPage(MetadataReply reply);
     void watch();
     void acceptWatch(const MetadataReply &reply, Timestamp sentAt, Milliseconds span);
-    void acceptEmptyWatch(std::uint64_t revision, Timestamp sentAt);
+    void scheduleGapCheck();
+    /// Reads the changes since the confirmed revision again.
+    void checkGap();
+    void acceptGapCheck(const MetadataReply &reply);
+    /// Watches again from the confirmed revision.
+    void restartFromConfirmed();
     void reportChanges(const std::vector<MetadataItem> &items);
     void notifyAdvanced();
     /// Must be called before the verification time is moved on.
@@ -150,9 +159,10 @@
     std::vector<MetadataItem> m_listedItems;
     Timestamp m_listStartedAt;
     std::uint64_t m_listRevision = 0;
-    std::uint64_t m_revision = 0;
-    /// The revision to adopt once a later watch confirms that no change before it was missed.
-    std::optional<UnconfirmedRevision> m_unconfirmedRevision;
+    WatchPosition m_position;
+    bool m_isGapCheckScheduled = false;
+    /// Number of the current gap check; callbacks of earlier ones are ignored.
+    std::uint64_t m_gapCheck = 0;
     std::map<std::string, std::uint64_t> m_reportedRevisions;
     std::optional<Timestamp> m_verifiedAt;
     FeedAdvance m_lastAdvance;
@@ -162,6 +172,8 @@
     std::unique_ptr<FeedFollower> m_follower;
     bool m_isServing = false;
     bool m_isFollowing = false;
+    /// The next watch must not wait: the peer may have known changes that this feed lacks.
+    bool m_hasLeftPeer = false;
     /// Number of the current attempt to follow; callbacks of earlier attempts are ignored.
     std::uint64_t m_followAttempt = 0;
 };
--- a/src/metadata/publishedfeed.cpp
+++ b/src/metadata/publishedfeed.cpp
@@ -35,6 +35,15 @@
     };
     wrapped.onReachabilityChanged = std::move(hooks.onReachabilityChanged);
     wrapped.onWatchLost = std::move(hooks.onWatchLost);
+    wrapped.onGapClosed = [this, onGapClosed = std::move(hooks.onGapClosed)](std::size_t missed) {
+        if (onGapClosed) {
+            onGapClosed(missed);
+        }
+        // Followers were told newer changes already. They are disconnected, and read from the store what they miss.
+        if (m_hub != nullptr) {
+            m_hub->recordSnapshot(m_prefix);
+        }
+    };
     wrapped.onAdvanced = [this] {
         if (m_hub != nullptr) {
             m_hub->publishUpdates(m_prefix);
--- a/tests/metadata/fakemetadatastore.cpp
+++ b/tests/metadata/fakemetadatastore.cpp
@@ -83,6 +83,9 @@
         return;
     }
     if (faults.watchesMissChanges) {
+        for (const auto &watcher : m_watchers) {
+            watcher->after = m_revision;
+        }
         return;
     }
     m_watchers.erase(std::remove_if(m_watchers.begin(), m_watchers.end(), [](const auto &watcher) { return !watcher->isOpen; }), m_watchers.end());
--- a/tests/metadata/fakemetadatastore.h
+++ b/tests/metadata/fakemetadatastore.h
@@ -28,7 +28,7 @@
         bool refuses = false;
         /// No call is answered; the caller gets Unknown after SilenceTime.
         bool doesNotAnswer = false;
-        /// Watches report no changes.
+        /// Watches report no changes; those that wait hear only of later ones afterwards.
         bool watchesMissChanges = false;
         /// A watch that has nothing to report at once gets no answer at all; its caller gets Unknown after the time limit of the watch.
         bool waitingWatchesAreLost = false;
--- a/tests/metadata/feedhub.cpp
+++ b/tests/metadata/feedhub.cpp
@@ -96,6 +96,55 @@
     }
 }
 
+// The hub's waiting watch has missed a change and heard the next one, which the followers know, too.
+struct MissedChangeFixture : FleetFixture {
+    MissedChangeFixture()
+    {
+        addFollowers(6);
+        run(15000);
+        BOOST_REQUIRE(followingCount() == 6U);
+        // The hub's watch must be waiting when the change is made.
+        const auto calls = store.calls;
+        while (store.calls == calls) {
+            run(10);
+        }
+        run(100);
+        store.faults.watchesMissChanges = true;
+        store.put("op/config", "new");
+        store.faults.watchesMissChanges = false;
+        store.put("op/version/m", "2");
+        run(100);
+        for (const auto &process : followers) {
+            BOOST_REQUIRE(process->copy.count("op/version/m") == 1U);
+            BOOST_REQUIRE(process->copy.count("op/config") == 0U);
+        }
+    }
+    bool doAllKnowTheConfiguration() const
+    {
+        return std::all_of(followers.begin(), followers.end(), [](const auto &process) { return process->copy.count("op/config") == 1U; });
+    }
+};
+
+// Guards against a fleet that stays behind because the one process that it follows has missed a change.
+BOOST_FIXTURE_TEST_CASE(followers_learn_what_the_process_that_they_follow_had_missed, MissedChangeFixture)
+{
+    run(1900);
+    BOOST_TEST(hub->copy.count("op/config") == 1U);
+    BOOST_TEST(doAllKnowTheConfiguration());
+    run(15000);
+    BOOST_TEST(followingCount() == 6U);
+}
+
+// Guards against a change that is lost with the process that had missed it: nobody else would look for it.
+BOOST_FIXTURE_TEST_CASE(followers_of_a_killed_process_read_again_what_it_had_not_confirmed, MissedChangeFixture)
+{
+    hub->feed.stop();
+    hub->server.stopAccepting();
+    hub->hub.recordSnapshot(FollowedPrefix);
+    run(300);
+    BOOST_TEST(doAllKnowTheConfiguration());
+}
+
 // Guards against one process with limited bandwidth that has to send a large configuration to the whole fleet.
 BOOST_FIXTURE_TEST_CASE(a_large_value_is_read_from_the_store, FleetFixture)
 {
--- a/tests/metadata/feedprocess.h
+++ b/tests/metadata/feedprocess.h
@@ -55,6 +55,7 @@
             hub.recordChange(FollowedPrefix, item);
         };
         result.onReachabilityChanged = [](bool) {};
+        result.onGapClosed = [this](std::size_t) { hub.recordSnapshot(FollowedPrefix); };
         result.onAdvanced = [this] {
             if (!isPaused) {
                 hub.publishUpdates(FollowedPrefix);
