Deny nothing for good by a configuration older than its bound (CONFIG)

A gateway that was behind answered 404 and 401 to requests that the newest configuration allows. Clients do not come back after these. It knew that its copy was up to 4.85 s old, which is the limit for withdrawn keys; an unknown route or key may have been added 2 s after the copy was last verified.

FreshnessRule::trustIn() tells what a copy of some age may decide: an unknown route or key is refused with 404 or 401 only within configuration_seconds, then with 503 "not run", with which a client comes back at another gateway. Known keys are accepted as long as before.

--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -131,6 +131,7 @@
     static FreshnessRule freshnessRuleFor(const DaemonSettings &settings)
     {
         FreshnessRule rule;
+        rule.configurationBound = settings.configurationBound;
         rule.withdrawalBound = settings.withdrawalBound;
         return rule;
     }
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -44,6 +44,11 @@
     return m_freshness.isFresh(m_context.view.configurationVerifiedAt(), m_context.loop.now());
 }
 
+ConfigurationTrust GatewayService::configurationTrust() const
+{
+    return m_freshness.trustIn(m_context.view.configurationVerifiedAt(), m_context.loop.now());
+}
+
 void GatewayService::setFreshness(FreshnessRule freshness)
 {
     m_freshness = freshness;
@@ -112,13 +117,12 @@
         // A stale configuration may lack a new route.
         reject(*exchange,
                request,
-               isFresh() ? Error{ResultCode::UnknownPath, "no route for this host and path"}
-                         : Error{ResultCode::ConfigurationNotFresh, "the configuration may be out of date", Execution::NotRun, NotConfiguredRetryAfter});
+               configurationTrust() == ConfigurationTrust::Current ? Error{ResultCode::UnknownPath, "no route for this host and path"} : configurationNotFresh());
         return;
     }
     std::string workspace;
     if (!route->isPublic) {
-        auto keyWorkspace = authenticateRequest(routes, request.apiKey, isFresh());
+        auto keyWorkspace = authenticateRequest(routes, request.apiKey, configurationTrust());
         if (!keyWorkspace) {
             reject(*exchange, request, keyWorkspace.error());
             return;
@@ -153,7 +157,7 @@
 
 void GatewayService::handleBatchCall(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request)
 {
-    auto workspace = authenticateRequest(*m_context.view.routes(), request.apiKey, isFresh());
+    auto workspace = authenticateRequest(*m_context.view.routes(), request.apiKey, configurationTrust());
     if (!workspace) {
         reject(*exchange, request, workspace.error());
         return;
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -45,6 +45,7 @@
 
 private:
     bool isFresh() const;
+    ConfigurationTrust configurationTrust() const;
     void submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, Timestamp waitDeadline);
     void startLiveCall(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const RouteRule &route, const std::string &workspace);
     void handleBatchCall(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request);
--- a/tests/forwarding/decisions.cpp
+++ b/tests/forwarding/decisions.cpp
@@ -182,12 +182,29 @@
     BOOST_TEST(rule.isFresh(Timestamp(1000), Timestamp(5800)));
     BOOST_TEST(!rule.isFresh(Timestamp(1000), Timestamp(6000)));
     BOOST_TEST(!rule.isFresh(std::nullopt, Timestamp(6000)));
-    BOOST_TEST(authenticateRequest(routes, "k", true).value() == "w");
-    BOOST_TEST((authenticateRequest(routes, "k", false).error().code == ResultCode::ConfigurationNotFresh));
-    BOOST_TEST((authenticateRequest(routes, "x", false).error().code == ResultCode::ConfigurationNotFresh));
-    BOOST_TEST((authenticateRequest(routes, "x", true).error().code == ResultCode::KeyUnknown));
-    BOOST_TEST((authenticateRequest(routes, "", true).error().code == ResultCode::KeyMissing));
-    BOOST_TEST(authenticateRequest(RouteTable(), "", false).value().empty());
+    BOOST_TEST(authenticateRequest(routes, "k", ConfigurationTrust::Current).value() == "w");
+    BOOST_TEST((authenticateRequest(routes, "k", ConfigurationTrust::Stale).error().code == ResultCode::ConfigurationNotFresh));
+    BOOST_TEST((authenticateRequest(routes, "x", ConfigurationTrust::Stale).error().code == ResultCode::ConfigurationNotFresh));
+    BOOST_TEST((authenticateRequest(routes, "x", ConfigurationTrust::Current).error().code == ResultCode::KeyUnknown));
+    BOOST_TEST((authenticateRequest(routes, "", ConfigurationTrust::Current).error().code == ResultCode::KeyMissing));
+    BOOST_TEST(authenticateRequest(RouteTable(), "", ConfigurationTrust::Stale).value().empty());
+}
+
+// Guards against a final refusal by a process that is behind: a route or key that was added stays unknown there, and clients do not
+// come back after 401 and 404.
+BOOST_AUTO_TEST_CASE(a_configuration_older_than_its_bound_denies_nothing_for_good)
+{
+    ServiceConfiguration configuration;
+    configuration.workspaces = {{"w", {"k"}}};
+    const RouteTable routes(std::move(configuration));
+    const FreshnessRule rule;
+    BOOST_TEST((rule.trustIn(Timestamp(1000), Timestamp(3000)) == ConfigurationTrust::Current));
+    BOOST_TEST((rule.trustIn(Timestamp(1000), Timestamp(3001)) == ConfigurationTrust::MayLackAdditions));
+    BOOST_TEST((rule.trustIn(Timestamp(1000), Timestamp(5851)) == ConfigurationTrust::Stale));
+    BOOST_TEST((rule.trustIn(std::nullopt, Timestamp(3000)) == ConfigurationTrust::Stale));
+    BOOST_TEST(authenticateRequest(routes, "k", ConfigurationTrust::MayLackAdditions).value() == "w");
+    BOOST_TEST((authenticateRequest(routes, "x", ConfigurationTrust::MayLackAdditions).error().code == ResultCode::ConfigurationNotFresh));
+    BOOST_TEST((authenticateRequest(routes, "", ConfigurationTrust::MayLackAdditions).error().code == ResultCode::ConfigurationNotFresh));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
