--- a/tests/soak/faultplan.cpp
+++ b/tests/soak/faultplan.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr Milliseconds RestartCheckInterval{100};
+constexpr Milliseconds MissedChangesTime{900};
 /// Limits of endpoints are drawn in steps of half a request per second.
 constexpr std::uint64_t MaxHalfLimit = 12;
 
@@ -105,6 +106,7 @@
 {
     if (!node.process->isRunning()) {
         node.process->start();
+        m_system.recordDisturbance(node.name, m_loop.now());
     }
 }
 
@@ -123,6 +125,7 @@
     logFault("kill " + node.name + " for " + std::to_string(downTime.count()));
     node.process->kill();
     m_system.recordProcessFault(node);
+    m_system.recordDisturbance(node.name, m_loop.now() + downTime);
     m_loop.runAfter(downTime, [this, &node] { restart(node); });
 }
 
@@ -133,9 +136,11 @@
     logFault("pause " + node.name + " for " + std::to_string(pause.count()));
     node.process->signal(SIGSTOP);
     m_system.recordProcessFault(node);
+    m_system.recordDisturbance(node.name, m_loop.now() + pause);
     m_loop.runAfter(pause, [this, &node] {
         node.process->signal(SIGCONT);
         m_system.recordProcessFault(node);
+        m_system.recordDisturbance(node.name, m_loop.now());
     });
 }
 
@@ -154,12 +159,12 @@
     });
 }
 
-void FaultPlan::setLinkFault(FaultProxy &proxy, const std::string &name)
+Milliseconds FaultPlan::setLinkFault(FaultProxy &proxy, const std::string &name)
 {
     if (m_random.below(4) == 0) {
         logFault("reset " + name);
         proxy.resetAll();
-        return;
+        return Milliseconds(0);
     }
     const LinkFault faults[] = {LinkFault::Refuse, LinkFault::Silent, LinkFault::SilentAnswers, LinkFault::Slow};
     const auto fault = faults[m_random.below(4)];
@@ -170,19 +175,22 @@
         proxy.resetAll();
     }
     m_loop.runAfter(length, [&proxy] { proxy.setFault(LinkFault::None); });
+    return length;
 }
 
 void FaultPlan::cutStoreLink()
 {
     auto &node = randomNode();
-    setLinkFault(*node.storeProxy, "store link of " + node.name);
+    const auto length = setLinkFault(*node.storeProxy, "store link of " + node.name);
+    m_system.recordDisturbance(node.name, m_loop.now() + length);
 }
 
 void FaultPlan::cutClientLink()
 {
     auto &node = randomNode();
     if (node.clientProxy) {
-        setLinkFault(*node.clientProxy, "client link of " + node.name);
+        const auto length = setLinkFault(*node.clientProxy, "client link of " + node.name);
+        m_system.recordDisturbance(node.name, m_loop.now() + length);
     }
 }
 
@@ -191,6 +199,7 @@
     const auto length = randomDuration(200, 3500);
     logFault("store refuses for " + std::to_string(length.count()));
     m_system.store().faults.refuses = true;
+    m_system.recordDisturbance({}, m_loop.now() + length);
     m_loop.runAfter(length, [this] { m_system.store().faults.refuses = false; });
 }
 
@@ -205,7 +214,8 @@
 {
     logFault("watches miss changes");
     m_system.store().faults.watchesMissChanges = true;
-    m_loop.runAfter(Milliseconds(900), [this] { m_system.store().faults.watchesMissChanges = false; });
+    m_system.recordDisturbance({}, m_loop.now() + MissedChangesTime);
+    m_loop.runAfter(MissedChangesTime, [this] { m_system.store().faults.watchesMissChanges = false; });
 }
 
 void FaultPlan::crashEndpoint()
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -59,7 +59,8 @@
     void limitEndpoints();
     void changeConfiguration();
     void changeSettings();
-    void setLinkFault(FaultProxy &proxy, const std::string &name);
+    /// Returns how long the fault lasts.
+    Milliseconds setLinkFault(FaultProxy &proxy, const std::string &name);
 
     EventLoop m_loop;
     Random &m_random;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,6 @@
 #include "http/asioeventloop.h"
 #include "platform/wirenames.h"
+#include "soak/configurationjudge.h"
 #include "soak/faultplan.h"
 #include "soak/soakclients.h"
 
@@ -43,6 +44,7 @@
         , m_models(settings.models)
         , m_releaseInterval(settings.releaseInterval)
         , m_emptyHostsInterval(settings.emptyHostsInterval)
+        , m_configurationInterval(settings.configurationInterval)
         , m_loop(asioEventLoop(m_io))
         , m_faultRandom(seed)
         , m_loadRandom(seed + 1)
@@ -52,6 +54,7 @@
         , m_system(m_io, m_loop, m_loadRandom, m_checker, settings)
         , m_clients(m_io, m_loop, m_loadRandom, m_checker, m_system)
         , m_faults(m_loop, m_faultRandom, m_limitRandom, m_system)
+        , m_configurationJudge(m_io, m_loop, m_checker, m_system)
     {
     }
 
@@ -70,6 +73,9 @@
             if (m_emptyHostsInterval.count() > 0) {
                 emptyHostsLater();
             }
+            if (m_configurationInterval.count() > 0) {
+                m_configurationJudge.start(m_configurationInterval);
+            }
             m_loop.runAfter(m_faultTime, [this] { stopFaults(); });
         });
         m_io.run();
@@ -81,7 +87,8 @@
         out << "seed " << seed << ": " << m_checker.violations().size() << " violations, " << m_faults.faultLog().size() << " faults, " << m_checker.served()
             << " of " << m_checker.answered() << " requests served, " << m_clients.doneStepCount() << " steps done, " << m_checker.resultCount() << " results, "
             << m_checker.streamCount() << " whole streams, " << m_checker.limits().checkedCount() << " requests to limited endpoints, "
-            << m_checker.deadlyRequests().crashCount() << " crashes by deadly requests, " << m_checker.takenUpStreams() << " streams taken up\n";
+            << m_checker.deadlyRequests().crashCount() << " crashes by deadly requests, " << m_checker.takenUpStreams() << " streams taken up, "
+            << m_configurationJudge.judgedCount() << " answers judged by their configuration\n";
         reportCosts(out);
         if (m_checker.violations().empty()) {
             return;
@@ -188,6 +195,7 @@
             m_checker.expect(newServed >= MinServedShare * newAnswered,
                              "only " + std::to_string(newServed) + " of " + std::to_string(newAnswered) + " requests were served after the recovery");
             m_clients.stop();
+            m_configurationJudge.stop();
             waitForSteps(RecoveryTime - SettleTime - VerifyTime);
         });
     }
@@ -234,6 +242,7 @@
     std::vector<std::string> m_models;
     Milliseconds m_releaseInterval;
     Milliseconds m_emptyHostsInterval;
+    Milliseconds m_configurationInterval;
     std::size_t m_releaseCount = 0;
     bool m_injectsChanges = true;
     EventLoop m_loop;
@@ -245,6 +254,7 @@
     SoakSystem m_system;
     SoakClients m_clients;
     FaultPlan m_faults;
+    ConfigurationJudge m_configurationJudge;
 };
 
 }
@@ -263,6 +273,7 @@
     int deadlyIntervalMs = 0;
     int releaseIntervalMs = 0;
     int emptyHostsIntervalMs = 0;
+    int configurationIntervalMs = 0;
     bool hasNoFaults = false;
     app.add_option("--program", settings.program, "the basilbend program")->required()->check(CLI::ExistingFile);
     app.add_option("--seed", seed, "seed of the faults and of the load");
@@ -278,6 +289,10 @@
         ->check(CLI::Range(0, 60000));
     app.add_option("--empty-hosts-interval", emptyHostsIntervalMs, "milliseconds between two changes of the schedulers' hosts that are to be emptied")
         ->check(CLI::Range(0, 60000));
+    app.add_option("--configuration-interval",
+                   configurationIntervalMs,
+                   "milliseconds between two configurations; each gateway is asked which one it has in force; 0: neither")
+        ->check(CLI::Range(0, 60000));
     app.add_option("--endless-endpoints", settings.endlessEndpoints, "number of faulty endpoints whose responses never end")->check(CLI::Range(0, 100));
     app.add_option("--engines", settings.engines, "number of model engines")->check(CLI::Range(1, 1000));
     app.add_option("--engine-slots", settings.engineSlots, "runs at once of an engine")->check(CLI::Range(1, 256));
@@ -290,6 +305,7 @@
     load.liveInterval = Milliseconds(liveIntervalMs);
     settings.releaseInterval = Milliseconds(releaseIntervalMs);
     settings.emptyHostsInterval = Milliseconds(emptyHostsIntervalMs);
+    settings.configurationInterval = Milliseconds(configurationIntervalMs);
     load.deadlyInterval = Milliseconds(deadlyIntervalMs);
     settings.eventInterval = Milliseconds(eventIntervalMs);
     for (int i = static_cast<int>(settings.models.size()); i < modelCount; ++i) {
--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/wirenames.h"
 
+#include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -52,6 +53,17 @@
             {"result_deadline_ms", 8000}};
 }
 
+constexpr const char *MarkerService = "marker";
+/// Number of configurations whose marker routes are kept.
+constexpr std::uint64_t MarkerRoutes = 20;
+
+json markerRoute(const std::string &name, const std::string &prefix)
+{
+    auto marker = route(name.c_str(), prefix.c_str(), "idempotent", MarkerService, Milliseconds(1000));
+    marker["public"] = true;
+    return marker;
+}
+
 ServerHooks reportHooks(InvariantChecker &checker)
 {
     return defaultServerHooks([&checker](const std::shared_ptr<ServerExchange> &exchange) {
@@ -208,15 +220,53 @@
                       {"cold_start_s", 2},
                       {"cold_per_s", InvariantChecker::WarmupRate},
                       {"engine", {{"slots", m_settings.engineSlots}, {"kv_cache_tokens", 60000}, {"models", models}}}};
-    const json configuration{{"version", ++m_configuration},
-                             {"routes",
-                              {route("status", "/status/", "idempotent", "desk", m_routeTimeout),
-                               route("order", "/order/", "non_idempotent", "desk", m_routeTimeout),
-                               route("chat", "/chat/", "streaming", "engine", Milliseconds(9000)),
-                               route("steps", "/steps/", "rollout", "engine", Milliseconds(10000))}},
-                             {"services", {engine, {{"name", "desk"}}}},
+    json routes = {route("status", "/status/", "idempotent", "desk", m_routeTimeout),
+                   route("order", "/order/", "non_idempotent", "desk", m_routeTimeout),
+                   route("chat", "/chat/", "streaming", "engine", Milliseconds(9000)),
+                   route("steps", "/steps/", "rollout", "engine", Milliseconds(10000))};
+    ++m_configuration;
+    // Routes that show which configuration is in force; no endpoint serves them.
+    for (std::uint64_t n = m_configuration; n > 0 && n + MarkerRoutes > m_configuration; --n) {
+        routes.push_back(markerRoute("added" + std::to_string(n), addedPath(n)));
+    }
+    routes.push_back(markerRoute("passing", passingPath(m_configuration)));
+    const json configuration{{"version", m_configuration},
+                             {"routes", routes},
+                             {"services", {engine, {{"name", "desk"}}, {{"name", MarkerService}}}},
                              {"tenants", {{{"name", "w1"}, {"api_keys", m_apiKeys}}}}};
     store().put(Wire::ConfigurationKey, configuration.dump());
+    m_configurations.push_back({m_configuration, m_loop.now()});
+}
+
+const SoakSystem::PublishedConfiguration *SoakSystem::configurationPublishedBefore(Timestamp time) const
+{
+    const auto it = std::find_if(m_configurations.rbegin(), m_configurations.rend(), [time](const auto &published) { return published.at < time; });
+    return it == m_configurations.rend() ? nullptr : &*it;
+}
+
+std::string SoakSystem::addedPath(std::uint64_t configuration)
+{
+    return "/added/" + std::to_string(configuration) + "/";
+}
+
+std::string SoakSystem::passingPath(std::uint64_t configuration)
+{
+    return "/passing/" + std::to_string(configuration) + "/";
+}
+
+void SoakSystem::recordDisturbance(const std::string &node, Timestamp until)
+{
+    auto &recorded = m_disturbedUntil[node];
+    recorded = std::max(recorded, until);
+}
+
+bool SoakSystem::isCalm(const SoakNode &node, Milliseconds span) const
+{
+    const auto isDisturbed = [&](const std::string &name) {
+        const auto it = m_disturbedUntil.find(name);
+        return it != m_disturbedUntil.end() && m_loop.now() - it->second < span;
+    };
+    return node.process->isRunning() && !node.process->isStopRequested() && !isDisturbed(node.name) && !isDisturbed({});
 }
 
 void SoakSystem::withdrawKey()
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -36,6 +36,8 @@
     Milliseconds releaseInterval{0};
     /// Time between two changes of the schedulers' hosts that are to be emptied; zero: there are none.
     Milliseconds emptyHostsInterval{0};
+    /// Time between two configurations beside those of the fault plan, each of which is judged at the gateways; zero: there are none.
+    Milliseconds configurationInterval{0};
     std::vector<std::string> models = {"alpha", "beta"};
     /// The output of the first gateway is never read; the gateway has to serve requests nevertheless.
     bool leavesOutputUnread = false;
@@ -102,6 +104,24 @@
     {
         m_routeTimeout = timeout;
     }
+    /// A configuration and the time of its acknowledgement.
+    struct PublishedConfiguration {
+        std::uint64_t number;
+        Timestamp at;
+    };
+    /// Returns the newest configuration that was acknowledged before the given time, or null. The pointer holds until the next call of a
+    /// function that publishes.
+    const PublishedConfiguration *configurationPublishedBefore(Timestamp time) const;
+    /// Path of a route that exists from the given configuration on.
+    static std::string addedPath(std::uint64_t configuration);
+    /// Path of a route that exists in the given configuration alone.
+    static std::string passingPath(std::uint64_t configuration);
+
+    /// Records that a process, one of its links, or with an empty name the store has a fault until the given time.
+    void recordDisturbance(const std::string &node, Timestamp until);
+    /// Whether the process runs, is not stopping, and has had no fault for the span before now; nor has the store.
+    bool isCalm(const SoakNode &node, Milliseconds span) const;
+
     /// Withdraws the oldest key, unless only one is left.
     void withdrawKey();
     /// Keys of the current configuration.
@@ -133,6 +153,8 @@
     std::map<std::string, std::uint64_t> m_versions;
     std::vector<std::string> m_apiKeys = {"w1-a", "w1-b", "w1-c", "w1-d"};
     std::uint64_t m_configuration = 0;
+    std::vector<PublishedConfiguration> m_configurations;
+    std::map<std::string, Timestamp> m_disturbedUntil;
     /// Holds the first port of the range of this run.
     asio::ip::tcp::acceptor m_portRange;
     std::uint16_t m_lastPort;
