Select the endpoints of a live call in a class of its own

Which endpoint the next attempt goes to (crashes under the request, limits, grants, free capacity) and when there is none is now EndpointSelector's; LiveCall sends attempts and answers the client. CallRejection replaces four loose arguments.

--- a/src/gateway/livecall.cpp
+++ b/src/gateway/livecall.cpp
@@ -2,7 +2,6 @@
 
 #include "forwarding/answerend.h"
 #include "forwarding/servicechoice.h"
-#include "forwarding/warmupchoice.h"
 #include "gateway/rejection.h"
 #include "http/socketoptions.h"
 
@@ -17,18 +16,10 @@
 constexpr Milliseconds ConnectTimeout{250};
 /// Time limit of requests whose client sets none, if the route's limit is longer.
 constexpr Milliseconds DefaultDeadline{10000};
-/// Delay before endpoints that reported being full are tried again.
-constexpr Milliseconds CapacityRetryDelay{20};
 /// Time without a new event after which a resumable stream is resumed at another endpoint; bytes that complete no event don't count
 /// as progress. Clients abandon a stream after a gap of two seconds.
 constexpr Milliseconds StreamStallTimeout{1000};
 constexpr Milliseconds StallCheckInterval{100};
-/// Retry-After of a rejection when the leader that grants requests to limited endpoints does not respond.
-constexpr Milliseconds NoGrantRetryAfter{500};
-/// Retry-After of a stream that can't be taken up now: an endpoint of its software version may register again.
-constexpr Milliseconds UnresumableRetryAfter{500};
-/// Age at which limits are forgotten while no leader grants requests: without a request nothing shows that a limit is over.
-constexpr Milliseconds MaxUngrantedLimitAge{10000};
 
 }
 
@@ -40,6 +31,7 @@
     , m_workspace(std::move(workspace))
     , m_crashGuard(context, m_exchange->request(), m_workspace, m_route.latencyTarget)
     , m_streamVersion(context, m_route, m_request, m_workspace)
+    , m_selector(context, m_route, m_workspace, m_crashGuard, m_streamVersion, selectorHooks())
     , m_recorder(context, m_request.attemptId)
     , m_arrivedAt(context.loop.now())
     , m_stream(*m_exchange, context.answerBudget, streamHooks())
@@ -73,6 +65,11 @@
         std::count_if(m_attempts.begin(), m_attempts.end(), [](const auto &attempt) { return !attempt->ended || attempt->isBeingChecked; }));
 }
 
+AttemptCounts LiveCall::counts() const
+{
+    return {m_executedAttempts, attemptsInProgress()};
+}
+
 void LiveCall::start()
 {
     m_service = chooseService(m_route, m_context.random);
@@ -87,194 +84,21 @@
             self->onTimeout();
         }
     });
+    m_selector.setService(m_service);
     m_streamVersion.setService(m_service);
     if (!m_streamVersion.mustFind()) {
-        startAttempt();
+        m_selector.select();
         return;
     }
     m_streamVersion.find([self = shared_from_this()](bool isFound) {
         if (isFound) {
-            self->startAttempt();
+            self->m_selector.select();
         } else {
-            self->rejectUnresumable("the software version that began the stream is unknown");
+            self->reject(rejectUnresumable(self->counts(), "the software version that began the stream is unknown"));
         }
     });
 }
 
-void LiveCall::startAttempt()
-{
-    if (m_isFinished || m_isWaitingForGrant || m_isPreparingStream) {
-        return;
-    }
-    const auto standing = m_crashGuard.standing();
-    if (standing.kind == RequestStanding::Kind::Quarantined) {
-        rejectSuspect(standing.quarantinedFor);
-        return;
-    }
-    if (standing.kind == RequestStanding::Kind::Suspected) {
-        // Limited endpoints are used like by other requests: their grant names one endpoint, so the run can't be isolated.
-        const auto unlimited = candidates().unlimited;
-        if (!unlimited.empty()) {
-            startTrial(unlimited);
-            return;
-        }
-    }
-    startRegularAttempt();
-}
-
-void LiveCall::startRegularAttempt()
-{
-    const auto now = m_context.loop.now();
-    const auto all = candidates();
-    auto unreserved = all;
-    unreserved.unlimited = m_context.crashes.trials().avoidReserved(all.unlimited, now);
-    const AttemptState state{m_excludedEndpoints, m_grantDenial.has_value()};
-    auto &limits = m_context.requestLimiter.announcedLimits();
-    auto choice = chooseAttempt(unreserved, state, m_context.picker, limits, now);
-    if (choice.step == AttemptChoice::Step::WaitForCapacity) {
-        choice = chooseAttempt(all, state, m_context.picker, limits, now);
-    }
-    switch (choice.step) {
-    case AttemptChoice::Step::NoEndpoint:
-        rejectWithoutEndpoint();
-        break;
-    case AttemptChoice::Step::Send:
-        send(*choice.endpoint);
-        break;
-    case AttemptChoice::Step::AskForGrant:
-        askForGrant(choice.grantCandidates);
-        break;
-    case AttemptChoice::Step::RejectLimited:
-        rejectLimited(*m_grantDenial);
-        break;
-    case AttemptChoice::Step::WaitForCapacity:
-        // Endpoints that rejected the request may have free capacity after a delay.
-        waitForCapacity();
-        break;
-    }
-}
-
-void LiveCall::startTrial(const std::vector<const EndpointRecord *> &endpoints)
-{
-    const auto choice = m_crashGuard.chooseTrial(endpoints, m_excludedEndpoints);
-    switch (choice.step) {
-    case TrialChoice::Step::Send:
-        send(*choice.endpoint, choice.isIsolated);
-        break;
-    case TrialChoice::Step::Wait:
-        waitForTrial();
-        break;
-    case TrialChoice::Step::Reject:
-        rejectSuspect(choice.retryAfter);
-        break;
-    }
-}
-
-void LiveCall::waitForTrial()
-{
-    if (m_isWaitingForCapacity) {
-        return;
-    }
-    m_isWaitingForCapacity = true;
-    m_context.loop.runAfter(CapacityRetryDelay, [self = shared_from_this()] {
-        self->m_isWaitingForCapacity = false;
-        self->startAttempt();
-    });
-}
-
-void LiveCall::rejectSuspect(Milliseconds retryAfter)
-{
-    if (attemptsInProgress() > 0) {
-        return;
-    }
-    m_context.metrics.count("basilbend_suspects_rejected_total");
-    if (m_executedAttempts == 0) {
-        reject(503, ResultCode::Quarantined, "endpoints crashed while they ran this request", retryAfter);
-    } else {
-        reject(502, ResultCode::EndpointFailed, "the endpoint crashed while it ran the request", Milliseconds(0));
-    }
-}
-
-AttemptCandidates LiveCall::candidates() const
-{
-    const auto ready = m_streamVersion.allowed(m_context.view.usableEndpoints(m_service, m_route, m_workspace));
-    const auto *service = m_context.view.routes()->serviceNamed(m_service);
-    const auto usable = service == nullptr ? ready : avoidWarmingEndpoints(ready, *service, m_context.requestLimiter, m_context.loop.now());
-    return splitByLimit(usable, m_context.requestLimiter.announcedLimits());
-}
-
-void LiveCall::askForGrant(const std::vector<const EndpointRecord *> &endpoints)
-{
-    m_isWaitingForGrant = true;
-    m_context.grants.ask(endpoints, m_context.requestLimiter.announcedLimits(), [self = shared_from_this()](const std::optional<GrantReply> &reply) {
-        self->m_isWaitingForGrant = false;
-        self->acceptGrantReply(reply);
-    });
-}
-
-void LiveCall::acceptGrantReply(const std::optional<GrantReply> &reply)
-{
-    if (m_isFinished) {
-        return;
-    }
-    if (reply && !reply->granted.empty()) {
-        const auto *endpoint = m_context.view.endpoints().find(reply->granted);
-        if (endpoint != nullptr && m_context.view.endpoints().mayReceiveRequests(*endpoint)) {
-            send(*endpoint);
-            return;
-        }
-    }
-    if (!reply) {
-        m_context.requestLimiter.announcedLimits().removeOlderThan(MaxUngrantedLimitAge, m_context.loop.now());
-    }
-    const bool isDenied = !reply || reply->unlimited.empty();
-    if (isDenied) {
-        m_grantDenial = reply && reply->retryAfter.count() > 0 ? reply->retryAfter : NoGrantRetryAfter;
-    }
-    startAttempt();
-}
-
-void LiveCall::rejectWithoutEndpoint()
-{
-    if (m_executedAttempts == 0 && m_streamVersion.isFixed()) {
-        rejectUnresumable("no endpoint of the software version that began the stream is ready");
-    } else if (m_executedAttempts == 0) {
-        reject(503, ResultCode::NoEndpoint, "no endpoint of the service is ready", Milliseconds(300));
-    } else if (attemptsInProgress() == 0) {
-        reject(502, ResultCode::EndpointFailed, "the endpoint failed and no other is ready", Milliseconds(0));
-    }
-}
-
-void LiveCall::rejectLimited(Milliseconds retryAfter)
-{
-    if (attemptsInProgress() > 0) {
-        return;
-    }
-    if (m_executedAttempts == 0) {
-        reject(503, ResultCode::RateLimited, "the endpoints of the service take no more requests now", retryAfter);
-    } else {
-        reject(502, ResultCode::EndpointFailed, "the endpoint failed and the others take no more requests now", Milliseconds(0));
-    }
-}
-
-void LiveCall::waitForCapacity()
-{
-    if (attemptsInProgress() > 0 || m_isWaitingForCapacity) {
-        return;
-    }
-    const auto waited = m_context.loop.now() - m_arrivedAt;
-    if (m_executedAttempts == 0 && waited >= m_route.latencyTarget / 5) {
-        reject(503, ResultCode::Overloaded, "all endpoints of the service are full", m_route.latencyTarget / 2);
-        return;
-    }
-    m_isWaitingForCapacity = true;
-    m_context.loop.runAfter(CapacityRetryDelay, [self = shared_from_this()] {
-        self->m_isWaitingForCapacity = false;
-        self->m_excludedEndpoints.clear();
-        self->startAttempt();
-    });
-}
-
 void LiveCall::prepareStream(const EndpointRecord &endpoint, bool isIsolated)
 {
     m_isPreparingStream = true;
@@ -291,14 +115,14 @@
     }
     if (recording == OriginRecording::Unknown) {
         // A record that is stored late would name this version for a stream of another one.
-        rejectUnresumable("the metadata store did not confirm the software version of the stream");
+        reject(rejectUnresumable(counts(), "the metadata store did not confirm the software version of the stream"));
         return;
     }
     if (recording == OriginRecording::NotRecorded && !m_streamVersion.mayBeginUnrecorded(endpoint)) {
         if (m_streamVersion.restrictToRecorded()) {
-            startAttempt();
+            m_selector.select();
         } else {
-            rejectUnresumable("the metadata store refused the record of the stream's software version");
+            reject(rejectUnresumable(counts(), "the metadata store refused the record of the stream's software version"));
         }
         return;
     }
@@ -307,16 +131,7 @@
     if (isUnchanged && m_context.view.endpoints().mayReceiveRequests(*current)) {
         dispatch(*current, isIsolated);
     } else {
-        startAttempt();
-    }
-}
-
-void LiveCall::rejectUnresumable(const char *message)
-{
-    if (m_executedAttempts == 0) {
-        reject(503, ResultCode::StreamNotResumable, message, UnresumableRetryAfter);
-    } else {
-        reject(502, ResultCode::EndpointFailed, message, Milliseconds(0));
+        m_selector.select();
     }
 }
 
@@ -343,8 +158,7 @@
     if (m_crashGuard.standing().kind != RequestStanding::Kind::Unsuspected) {
         attempt.run = isIsolated ? CrashedRun::IsolatedTrial : CrashedRun::SharedTrial;
     }
-    m_excludedEndpoints.insert(endpoint.id);
-    m_grantDenial.reset();
+    m_selector.recordSent(endpoint.id);
     m_context.picker.recordSent(endpoint.id);
     m_context.requestLimiter.recordRequest(endpoint, attempt.sentAt);
     m_context.log.info("request_sent",
@@ -389,9 +203,7 @@
     if (!isWaiting || isSuspect || m_executedAttempts + attemptsInProgress() >= m_route.attempts) {
         return;
     }
-    const auto now = m_context.loop.now();
-    const auto endpoints = m_context.crashes.trials().avoidReserved(candidates().unlimited, now);
-    if (const auto *other = m_context.picker.pick(endpoints, m_excludedEndpoints, now)) {
+    if (const auto *other = m_selector.selectForHedge()) {
         m_context.log.info("request_hedged", {{"request", m_request.attemptId}, {"slow_endpoint", m_attempts.back()->endpoint.id}});
         send(*other);
     }
@@ -418,6 +230,17 @@
     }
 }
 
+EndpointSelectorHooks LiveCall::selectorHooks()
+{
+    EndpointSelectorHooks hooks;
+    hooks.keepAlive = [this] { return shared_from_this(); };
+    hooks.isSettled = [this] { return m_isFinished || m_isPreparingStream; };
+    hooks.attempts = [this] { return counts(); };
+    hooks.onSelected = [this](const EndpointRecord &endpoint, bool isIsolated) { send(endpoint, isIsolated); };
+    hooks.onRejected = [this](const CallRejection &rejection) { reject(rejection); };
+    return hooks;
+}
+
 LiveStreamHooks LiveCall::streamHooks()
 {
     return {m_context.loop.now,
@@ -564,15 +387,15 @@
         forwardResponse(*m_attempts[index]);
         break;
     case RetryDecision::Retry:
-        startAttempt();
+        m_selector.select();
         break;
     case RetryDecision::AwaitOtherAttempt:
         break;
     case RetryDecision::RejectNotRun:
-        reject(503, ResultCode::NotRun, "no endpoint ran the request", m_route.latencyTarget / 2);
+        reject({503, ResultCode::NotRun, "no endpoint ran the request", m_route.latencyTarget / 2});
         break;
     case RetryDecision::FailExecutionUnknown:
-        reject(502, ResultCode::ExecutionUnknown, "the endpoint's answer is missing or incomplete", Milliseconds(0));
+        reject({502, ResultCode::ExecutionUnknown, "the endpoint's answer is missing or incomplete", Milliseconds(0)});
         break;
     }
 }
@@ -596,7 +419,7 @@
     m_stream.detach();
     if (m_route.canResume && m_executedAttempts < m_route.attempts && timeLeft().count() > 0) {
         m_context.log.info("stream_resumed", {{"request", m_request.attemptId}, {"after_event", m_stream.lastEventId()}});
-        startAttempt();
+        m_selector.select();
         return;
     }
     m_exchange->abort();
@@ -633,9 +456,9 @@
             }
         }
         countOpenAttempts();
-        reject(504, ResultCode::DeadlineExceeded, "no answer within the time limit", Milliseconds(0));
+        reject({504, ResultCode::DeadlineExceeded, "no answer within the time limit", Milliseconds(0)});
     } else {
-        reject(503, ResultCode::NotRun, "no endpoint had room within the time limit", m_route.latencyTarget);
+        reject({503, ResultCode::NotRun, "no endpoint had room within the time limit", m_route.latencyTarget});
     }
 }
 
@@ -663,9 +486,9 @@
         finish("stream_cut_by_shutdown", 0);
     } else if (mayHaveRun()) {
         countOpenAttempts();
-        reject(502, ResultCode::ExecutionUnknown, "the gateway stops before the endpoint's answer", Milliseconds(0));
+        reject({502, ResultCode::ExecutionUnknown, "the gateway stops before the endpoint's answer", Milliseconds(0)});
     } else {
-        reject(503, ResultCode::Draining, "the gateway stops", Milliseconds(0));
+        reject({503, ResultCode::Draining, "the gateway stops", Milliseconds(0)});
     }
 }
 
@@ -677,24 +500,24 @@
     finish("answered", attempt.head.status);
 }
 
-void LiveCall::reject(int status, ResultCode code, const std::string &message, Milliseconds retryAfter)
+void LiveCall::reject(const CallRejection &rejection)
 {
-    const auto execution = status == 503 ? Execution::NotRun : Execution::Unknown;
+    const auto execution = rejection.status == 503 ? Execution::NotRun : Execution::Unknown;
     if (m_stream.hasBegun()) {
         m_exchange->abort();
     } else {
-        m_exchange->respond(makeRejection(status, Error{code, message, execution, retryAfter}, m_request.attemptId));
+        m_exchange->respond(makeRejection(rejection.status, Error{rejection.code, rejection.message, execution, rejection.retryAfter}, m_request.attemptId));
     }
     m_context.log.warning("request_failed",
                           {{"request", m_request.attemptId},
                            {"route", m_route.name},
                            {"service", m_service},
-                           {"status", status},
-                           {"code", static_cast<int>(code)},
+                           {"status", rejection.status},
+                           {"code", static_cast<int>(rejection.code)},
                            {"tries", m_attempts.size()},
                            {"ran", m_executedAttempts},
                            {"after_ms", m_context.loop.now() - m_arrivedAt}});
-    finish("rejected", status);
+    finish("rejected", rejection.status);
 }
 
 void LiveCall::finish(const char *outcome, int status)
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "forwarding/attemptchoice.h"
 #include "forwarding/attemptrule.h"
 #include "gateway/attemptrecorder.h"
+#include "gateway/callrejection.h"
 #include "gateway/crashguard.h"
+#include "gateway/endpointselector.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/liveattempt.h"
 #include "gateway/livestream.h"
@@ -14,15 +15,13 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace Basilbend
 {
 
-/// Runs one live request: selects endpoints, attempts the request there according to the route's rules, and sends the client
+/// Runs one live request: attempts the request at the endpoints that its selector chooses, according to the route's rules, and sends the client
 /// exactly one response.
 class LiveCall : public std::enable_shared_from_this<LiveCall>
 {
@@ -41,26 +40,12 @@
     static Milliseconds timeLimit(const RouteRule &route, const ClientRequest &request);
 
 private:
-    void startAttempt();
-    void startRegularAttempt();
-    /// Starts an attempt of a request that is suspected of crashing endpoints.
-    void startTrial(const std::vector<const EndpointRecord *> &endpoints);
-    /// Rejects a request that endpoints may not run now, because others have crashed under it.
-    void rejectSuspect(Milliseconds retryAfter);
-    /// Endpoints that may receive the request now. Those that warm up are among them only when there is no other.
-    AttemptCandidates candidates() const;
-    /// Asks the leader for a request to one of the endpoints, which name limits.
-    void askForGrant(const std::vector<const EndpointRecord *> &endpoints);
-    void acceptGrantReply(const std::optional<GrantReply> &reply);
-    void rejectWithoutEndpoint();
-    void rejectLimited(Milliseconds retryAfter);
-    /// isIsolated: nothing else runs at the endpoint.
+    /// Sends the request to an endpoint. isIsolated: nothing else runs there.
     void send(const EndpointRecord &endpoint, bool isIsolated = false);
     void dispatch(const EndpointRecord &endpoint, bool isIsolated);
     /// Records the software version of the endpoint before it may begin the stream, then sends the request.
     void prepareStream(const EndpointRecord &endpoint, bool isIsolated);
     void acceptRecording(const EndpointRecord &endpoint, bool isIsolated, OriginRecording recording);
-    void rejectUnresumable(const char *message);
     CallHooks makeHooks(std::size_t index);
     void handleHead(std::size_t index, const ResponseHead &head);
     void handleBody(std::size_t index, std::string_view data);
@@ -73,8 +58,6 @@
     void acceptEnd(std::size_t index, CallOutcome end);
     void concludeAttempt(std::size_t index, CallOutcome end);
     void applyRetryDecision(std::size_t index, ForwardOutcome outcome);
-    void waitForCapacity();
-    void waitForTrial();
     void scheduleHedge();
     /// Starts an attempt at a second endpoint if the first has sent no response head within half of the latency target.
     /// attemptCount: number of attempts when the timer was set.
@@ -87,11 +70,12 @@
     void countUsage(Timestamp at);
 
     void forwardResponse(LiveAttempt &attempt);
-    void reject(int status, ResultCode code, const std::string &message, Milliseconds retryAfter);
+    void reject(const CallRejection &rejection);
     void finish(const char *outcome, int status);
 
     bool isStreamingRoute() const;
     void handleStreamHead(std::size_t index);
+    EndpointSelectorHooks selectorHooks();
     LiveStreamHooks streamHooks();
     void handleStreamEnd(std::size_t index, CallOutcome end);
     /// Checks periodically whether the stream makes progress, and ends an attempt that has sent no new event within the stall
@@ -102,6 +86,7 @@
 
     Milliseconds timeLeft() const;
     int attemptsInProgress() const;
+    AttemptCounts counts() const;
 
     GatewayContext &m_context;
     std::shared_ptr<ServerExchange> m_exchange;
@@ -111,21 +96,17 @@
     std::string m_service;
     CrashGuard m_crashGuard;
     StreamVersion m_streamVersion;
+    EndpointSelector m_selector;
     AttemptRecorder m_recorder;
     Timestamp m_arrivedAt;
     Timestamp m_deadline;
     std::vector<std::unique_ptr<LiveAttempt>> m_attempts;
-    std::set<std::string> m_excludedEndpoints;
     /// Connections that have carried the request.
     ConnectionHistory m_connections;
     int m_executedAttempts = 0;
     bool m_isFinished = false;
     bool m_isUsageCounted = false;
-    bool m_isWaitingForCapacity = false;
-    bool m_isWaitingForGrant = false;
     bool m_isPreparingStream = false;
-    /// Retry-After of the leader's denial, until the next attempt is sent.
-    std::optional<Milliseconds> m_grantDenial;
     /// Response bytes of this call that are reserved in the buffer budget.
     std::size_t m_bufferedBytes = 0;
     /// Streaming routes: the response to the client.
