Spend fewer store calls on the bounds of configurations

- Only a feed that has had updates from a peer returns to its confirmed revision and asks without a wait.
- Endpoints and crashes are watched for 2 s: a watch that a fault has swallowed is replaced within the 3 s after which copies must be current again.
- The reading of missed changes comes one and a half waits after a change, 1.5 s at least.

--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -64,8 +64,7 @@
 public:
     explicit Gateway(DaemonRuntime &runtime)
         : m_runtime(runtime)
-        , m_view(
-              runtime.store(), runtime.loop(), runtime.log(), ViewScope::Serving, watchSpans(runtime.settings()))
+        , m_view(runtime.store(), runtime.loop(), runtime.log(), ViewScope::Serving, watchSpans(runtime.settings()))
         , m_picker(runtime.settings().zone)
         , m_usageCounter(runtime.settings().usageWindow)
         , m_usagePublisher(runtime.store(), runtime.loop(), runtime.log(), runtime.settings().node + "-" + runtime.incarnation())
@@ -125,7 +124,7 @@
     static ViewWatchSpans watchSpans(const DaemonSettings &settings)
     {
         return {std::min(WatchTiming::spanFor(settings.configurationBound), settings.withdrawalBound / OperatorWatchDivisor),
-                WatchTiming::spanFor(settings.endpointLeaveBound)};
+                WatchTiming::spanFor(std::max(settings.endpointLeaveBound, WatchTiming::RecoveryBound))};
     }
 
     static FreshnessRule freshnessRuleFor(const DaemonSettings &settings)
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -49,8 +49,7 @@
 public:
     explicit Scheduler(DaemonRuntime &runtime)
         : m_runtime(runtime)
-        , m_view(
-              runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, watchSpans(runtime.settings()))
+        , m_view(runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, watchSpans(runtime.settings()))
         , m_leaderProbe(runtime.client(), runtime.loop())
         , m_election(runtime.store(),
                      runtime.loop(),
@@ -120,7 +119,7 @@
     static ViewWatchSpans watchSpans(const DaemonSettings &settings)
     {
         return {std::min(WatchTiming::spanFor(settings.configurationBound), settings.evacuationBound / OperatorWatchDivisor),
-                WatchTiming::spanFor(settings.endpointLeaveBound)};
+                WatchTiming::spanFor(std::max(settings.endpointLeaveBound, WatchTiming::RecoveryBound))};
     }
 
     BatchRunnerHooks batchRunnerHooks()
--- a/src/gateway/crashledger.cpp
+++ b/src/gateway/crashledger.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-/// Time within which a process must know that a request has crashed endpoints.
-constexpr Milliseconds CrashKnownBound{3000};
 constexpr Milliseconds RetryPause{250};
 
 }
@@ -23,7 +21,7 @@
     , m_loop(std::move(loop))
     , m_log(log)
     , m_hooks(std::move(hooks))
-    , m_feed(store, m_loop, CrashPrefix, WatchTiming::spanFor(CrashKnownBound), feedHooks())
+    , m_feed(store, m_loop, CrashPrefix, WatchTiming::spanFor(WatchTiming::RecoveryBound), feedHooks())
 {
 }
 
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -135,8 +135,8 @@
     // enough to verify it again within one span.
     const auto maxSpan = m_isServing ? std::min(m_watchSpan, ServingWatchSpan) : m_watchSpan;
     const auto usualSpan = std::clamp(maxSpan - (sentAt - *m_verifiedAt), std::min(WatchTiming::MinSpan, maxSpan), maxSpan);
-    const auto span = m_failures > 0 || m_hasLeftPeer ? std::min(WatchTiming::RetrySpan, usualSpan) : usualSpan;
-    m_hasLeftPeer = false;
+    const auto span = m_failures > 0 || m_hasFollowedPeer ? std::min(WatchTiming::RetrySpan, usualSpan) : usualSpan;
+    m_hasFollowedPeer = false;
     m_store.watch(m_prefix, m_position.heard(), span, [this, generation = m_generation, sentAt, span](const MetadataReply &reply) {
         if (generation == m_generation) {
             acceptWatch(reply, sentAt, span);
@@ -244,6 +244,7 @@
     if (!m_isFollowing) {
         return;
     }
+    m_hasFollowedPeer = true;
     if (update.baseRevision > m_position.heard()) {
         // An earlier update was missed or could not be decoded. Its changes must be read from the store.
         scheduleStopFollowing(false);
@@ -288,8 +289,9 @@
 {
     m_isFollowing = false;
     m_follower->stop(failed);
-    m_position.returnToConfirmed();
-    m_hasLeftPeer = true;
+    if (m_hasFollowedPeer) {
+        m_position.returnToConfirmed();
+    }
     watch();
 }
 
@@ -299,7 +301,8 @@
         return;
     }
     m_isGapCheckScheduled = true;
-    m_loop.runAfter(WatchPosition::MaxWatchGap, [this, gapCheck = ++m_gapCheck] {
+    const auto span = m_isServing ? std::min(m_watchSpan, ServingWatchSpan) : m_watchSpan;
+    m_loop.runAfter(WatchTiming::gapCheckDelayFor(span), [this, gapCheck = ++m_gapCheck] {
         if (gapCheck == m_gapCheck) {
             checkGap();
         }
@@ -341,12 +344,12 @@
 
 void PrefixFeed::restartFromConfirmed()
 {
+    m_position.returnToConfirmed();
     if (m_isFollowing) {
         stopFollowing(false);
         return;
     }
     ++m_generation;
-    m_position.returnToConfirmed();
     watch();
 }
 
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -172,8 +172,8 @@
     std::unique_ptr<FeedFollower> m_follower;
     bool m_isServing = false;
     bool m_isFollowing = false;
-    /// The next watch must not wait: the peer may have known changes that this feed lacks.
-    bool m_hasLeftPeer = false;
+    /// A peer has sent updates since the last watch. The next watch must not wait: the peer may have known changes that this feed lacks.
+    bool m_hasFollowedPeer = false;
     /// Number of the current attempt to follow; callbacks of earlier attempts are ignored.
     std::uint64_t m_followAttempt = 0;
 };
--- a/src/metadata/watchtiming.cpp
+++ b/src/metadata/watchtiming.cpp
@@ -1,5 +1,7 @@
 #include "metadata/watchtiming.h"
 
+#include "metadata/watchposition.h"
+
 #include <algorithm>
 
 namespace Basilbend
@@ -23,4 +25,9 @@
     return std::max(MinTimeout, span + AnswerAllowance);
 }
 
+Milliseconds WatchTiming::gapCheckDelayFor(Milliseconds span)
+{
+    return std::max(WatchPosition::MaxWatchGap, span * 3 / 2);
+}
+
 }
--- a/src/metadata/watchtiming.h
+++ b/src/metadata/watchtiming.h
@@ -18,11 +18,18 @@
     /// drops them.
     static constexpr Milliseconds RetrySpan{1};
 
+    /// Time after a fault of the store, or of a link to it, within which copies must be current again.
+    static constexpr Milliseconds RecoveryBound{3000};
+
     /// Returns the maximum wait of a watch with which a change is known within the bound although one watch is lost.
     static Milliseconds spanFor(Milliseconds bound);
 
     /// Returns the time after which a watch with the given wait counts as lost.
     static Milliseconds timeoutFor(Milliseconds span);
+
+    /// Returns the time from a change that a watch with the given wait reported until the changes before it are read again. A feed with
+    /// longer waits has a wider bound, and its price for each burst of changes is smaller.
+    static Milliseconds gapCheckDelayFor(Milliseconds span);
 };
 
 }
--- a/tests/metadata/watchtiming.cpp
+++ b/tests/metadata/watchtiming.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
 
 using namespace Basilbend;
 
@@ -18,6 +20,8 @@
     VirtualTime time{Timestamp(1'000'000)};
     FakeMetadataStore store{time};
     std::string value;
+    std::map<std::string, std::string> copy;
+    int changes = 0;
     Timestamp reportedAt;
     PrefixFeed feed{store,
                     virtualLoop(time),
@@ -26,6 +30,8 @@
                     {[](const auto &) {},
                      [this](const MetadataItem &item) {
                          value = item.value;
+                         copy[item.key] = item.value;
+                         ++changes;
                          reportedAt = time.now();
                      },
                      [](bool) {}}};
@@ -80,12 +86,51 @@
     BOOST_TEST(longest.count() <= Bound.count());
 }
 
+// Guards against a change that stays unknown until its key changes again: a watch misses it, hears a later one of another key, and the
+// feed goes on behind both.
+BOOST_FIXTURE_TEST_CASE(a_change_that_a_watch_missed_before_it_heard_another_one_is_reported, BoundedFeedFixture)
+{
+    store.faults.watchesMissChanges = true;
+    store.put("op/config", "new");
+    time.advance(Milliseconds(300));
+    store.faults.watchesMissChanges = false;
+    store.put("op/version/m", "2");
+    time.advance(Milliseconds(100));
+    BOOST_TEST(copy.count("op/version/m") == 1U);
+    time.advance(Milliseconds(1800));
+    BOOST_REQUIRE(copy.count("op/config") == 1U);
+    BOOST_TEST(copy.at("op/config") == "new");
+    BOOST_TEST(changes == 2);
+    BOOST_TEST(feed.confirmedRevision() == feed.revision());
+}
+
+// Guards against a check for missed changes that gives up because the store misses changes again, or does not answer.
+BOOST_FIXTURE_TEST_CASE(missed_changes_are_looked_for_until_the_store_reports_them, BoundedFeedFixture)
+{
+    store.faults.watchesMissChanges = true;
+    store.put("op/config", "new");
+    store.faults.watchesMissChanges = false;
+    store.put("op/version/m", "2");
+    time.advance(Milliseconds(1400));
+    store.faults.watchesMissChanges = true;
+    time.advance(Milliseconds(400));
+    store.faults.watchesMissChanges = false;
+    store.faults.doesNotAnswer = true;
+    time.advance(Milliseconds(4000));
+    BOOST_TEST(copy.count("op/config") == 0U);
+    store.faults.doesNotAnswer = false;
+    time.advance(Milliseconds(4000));
+    BOOST_TEST(copy.count("op/config") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(the_wait_of_a_watch_follows_from_the_bound)
 {
     BOOST_TEST(WatchTiming::spanFor(Milliseconds(2000)).count() == 1000);
     BOOST_TEST(WatchTiming::spanFor(Milliseconds(600)).count() == 300);
     BOOST_TEST(WatchTiming::timeoutFor(Milliseconds(1000)).count() == 1500);
     BOOST_TEST(WatchTiming::timeoutFor(Milliseconds(1)).count() == 1200);
+    BOOST_TEST(WatchTiming::gapCheckDelayFor(Milliseconds(1000)).count() == 1500);
+    BOOST_TEST(WatchTiming::gapCheckDelayFor(Milliseconds(2000)).count() == 3000);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
