--- a/src/catalog/systemview.cpp
+++ b/src/catalog/systemview.cpp
@@ -65,8 +65,12 @@
                 m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "operator"}, {"version", m_routes ? m_routes->version() : 0}});
             },
             nullptr,
-            [this](Milliseconds waited) { m_log.warning("watch_lost", {{"feed", "operator"}, {"waited_ms", waited}}); },
-            [this](std::size_t missed) { m_log.warning("watch_gap_closed", {{"feed", "operator"}, {"missed", missed}}); }};
+            [this](Milliseconds waited) {
+                m_log.warning("watch_lost", {{"feed", "operator"}, {"waited_ms", waited}});
+            },
+            [this](std::size_t missed) {
+                m_log.warning("watch_gap_closed", {{"feed", "operator"}, {"missed", missed}});
+            }};
 }
 
 PrefixFeedHooks SystemView::endpointHooks()
@@ -93,8 +97,12 @@
                 m_log.warning(reachable ? "store_regained" : "store_lost", {{"feed", "endpoints"}, {"endpoints", m_endpoints.size()}});
             },
             nullptr,
-            [this](Milliseconds waited) { m_log.warning("watch_lost", {{"feed", "endpoints"}, {"waited_ms", waited}}); },
-            [this](std::size_t missed) { m_log.warning("watch_gap_closed", {{"feed", "endpoints"}, {"missed", missed}}); }};
+            [this](Milliseconds waited) {
+                m_log.warning("watch_lost", {{"feed", "endpoints"}, {"waited_ms", waited}});
+            },
+            [this](std::size_t missed) {
+                m_log.warning("watch_gap_closed", {{"feed", "endpoints"}, {"missed", missed}});
+            }};
 }
 
 void SystemView::applyOperatorItem(const MetadataItem &item)
--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -117,7 +117,8 @@
         // A stale configuration may lack a new route.
         reject(*exchange,
                request,
-               configurationTrust() == ConfigurationTrust::Current ? Error{ResultCode::UnknownPath, "no route for this host and path"} : configurationNotFresh());
+               configurationTrust() == ConfigurationTrust::Current ? Error{ResultCode::UnknownPath, "no route for this host and path"}
+                                                                   : configurationNotFresh());
         return;
     }
     std::string workspace;
--- a/tests/daemon/daemonsettings.cpp
+++ b/tests/daemon/daemonsettings.cpp
@@ -53,10 +53,11 @@
 
 BOOST_AUTO_TEST_CASE(bounds_of_warm_up_and_evacuation_and_the_regions_are_read)
 {
-    const auto settings = read(std::string(Gateway)
-                                   + "configuration_seconds: 1500e-3\nevacuation_seconds: 4000e-3\nwarmup_rate_factor: 1.5\nwarmup_extra_requests: 5\ngateways: 25\n"
-                                     "regions:\n  \"z\": \"north\"\n  \"y\": \"south\"\n",
-                               "gateway");
+    const auto settings =
+        read(std::string(Gateway)
+                 + "configuration_seconds: 1500e-3\nevacuation_seconds: 4000e-3\nwarmup_rate_factor: 1.5\nwarmup_extra_requests: 5\ngateways: 25\n"
+                   "regions:\n  \"z\": \"north\"\n  \"y\": \"south\"\n",
+             "gateway");
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(settings.value().configurationBound.count() == 1500);
     BOOST_TEST(settings.value().evacuationBound.count() == 4000);
