Bound results that are listed together by their encoded size

Callers saw: nothing yet; the review read it in the code. Some thousand short results listed at once exceed one value of the store (1 MB) and are refused for good, so the batch never gets on.

Cause: nextResults() counted the bytes of the texts. Ids, versions and escapes come on top.

Change: it counts an upper bound of what encodeChunk() writes. Bytes that are not UTF-8 count as the three bytes that replace them.

--- a/src/batches/batchrecords.cpp
+++ b/src/batches/batchrecords.cpp
@@ -1,5 +1,7 @@
 #include "batches/batchrecords.h"
 
+#include "net/jsontext.h"
+
 #include <charconv>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -139,6 +141,15 @@
 
 std::string encodeChunk(const ResultChunk &chunk)
 {
+std::size_t maxEncodedBytes(const ItemResult &result)
+{
+    // The names of the fields with their separators, and the digits of a version.
+    constexpr std::size_t FrameBytes = 80;
+    constexpr std::size_t VersionBytes = 21;
+    return FrameBytes + maxJsonStringBytes(result.id) + maxJsonStringBytes(result.text) + maxJsonStringBytes(result.score)
+        + VersionBytes * result.versions.size();
+}
+
     auto list = json::array();
     for (const auto &result : chunk.results) {
         list.push_back(resultObject(result));
--- a/src/batches/batchrecords.h
+++ b/src/batches/batchrecords.h
@@ -71,6 +71,9 @@
 };
 
 std::string encodeChunk(const ResultChunk &chunk);
+/// Returns an upper bound of the number of bytes that the result takes in encodeChunk().
+std::size_t maxEncodedBytes(const ItemResult &result);
+
 Result<ResultChunk> decodeChunk(std::string_view text);
 
 /// Splits a submission into parts of at most partBytes. Returns one empty part for an empty body.
--- a/src/net/jsontext.cpp
+++ b/src/net/jsontext.cpp
@@ -23,6 +23,28 @@
     }
 }
 
+std::size_t maxJsonStringBytes(std::string_view text)
+{
+    constexpr std::size_t QuoteBytes = 2;
+    constexpr std::size_t ShortEscapeBytes = 2;
+    /// A control character as \u and four digits.
+    constexpr std::size_t LongEscapeBytes = 6;
+    /// A byte that is not valid UTF-8 is replaced by U+FFFD.
+    constexpr std::size_t ReplacementBytes = 3;
+    std::size_t n = QuoteBytes;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\' || c == '\n' || c == '\t' || c == '\r') {
+            n += ShortEscapeBytes;
+        } else if (byte < 0x20) {
+            n += LongEscapeBytes;
+        } else {
+            n += byte < 0x80 ? 1 : ReplacementBytes;
+        }
+    }
+    return n;
+}
+
 std::uint64_t unsignedField(const nlohmann::json &object, const char *name)
 {
     const auto it = object.find(name);
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/openbatch.h"
 
+#include "batches/batchrecords.h"
+#include "platform/clienttext.h"
 #include "scheduling/grouporder.h"
 #include "scheduling/textlimit.h"
 
@@ -240,7 +242,7 @@
     std::vector<ItemResult> results;
     std::size_t bytes = 0;
     for (const auto &result : m_pending) {
-        bytes += result.text.size();
+        bytes += BatchRecords::maxEncodedBytes(result);
         if (!results.empty() && bytes > maxBytes) {
             break;
         }
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -173,7 +173,7 @@
         return !m_pending.empty();
     }
 
-    /// The next results to list: at most maxBytes of text, but at least one result if any is pending.
+    /// The next results to list: at most maxBytes as encoded for the store, but at least one result if any is pending.
     std::vector<ItemResult> nextResults(std::size_t maxBytes) const;
 
     /// Marks the first n pending results as listed.
