--- a/src/platform/wirenames.h
+++ b/src/platform/wirenames.h
@@ -19,6 +19,8 @@
 inline constexpr const char *NotExecuted = "Basilbend-Not-Executed";
 inline constexpr const char *WaitMs = "Basilbend-Wait-Ms";
 inline constexpr const char *WeightVersions = "Basilbend-Weight-Versions";
+/// Model that the request is for.
+inline constexpr const char *Model = "Basilbend-Model";
 inline constexpr const char *LengthHint = "Basilbend-Length-Hint";
 inline constexpr const char *PromptPrefix = "Basilbend-Prompt-Prefix";
 inline constexpr const char *TokenCounts = "Basilbend-Token-Counts";
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -3,6 +3,7 @@
 #include "batches/batchrecords.h"
 #include "platform/clienttext.h"
 #include "scheduling/grouporder.h"
+#include "scheduling/itemprompt.h"
 #include "scheduling/textlimit.h"
 
 #include <algorithm>
@@ -58,19 +59,20 @@
 
 void OpenBatch::restoreTexts(const std::vector<ResumableText> &resumable, const BatchRules &rules)
 {
-    std::unordered_map<std::string, const ResumableText *> texts;
+    std::unordered_map<std::string_view, std::vector<const ResumableText *>> texts;
     for (const auto &text : resumable) {
-        texts.emplace(text.itemId, &text);
+        texts[text.itemId].push_back(&text);
     }
     std::set<std::string> carried;
     for (std::size_t i = 0; i < m_progress.size(); ++i) {
         const auto it = texts.find(m_submission.items[i].id);
-        if (it == texts.end()) {
+        const auto *own = it == texts.end() ? nullptr : firstTextOf(i, it->second);
+        if (own == nullptr) {
             continue;
         }
-        carried.insert(it->first);
+        carried.insert(own->itemId);
         m_groups[m_groupOf[i]].isCarried = true;
-        const auto &text = it->second->text;
+        const auto &text = own->text;
         const bool hasAllowedVersions = text.hasMinimumVersion(m_submission.minimumVersion) && (!rules.singleVersion || text.versions().size() <= 1);
         if (m_progress[i].phase != ItemPhase::Waiting || !hasAllowedVersions || text.eventCount() == 0) {
             continue;
@@ -78,13 +80,21 @@
         discardText(m_progress[i]);
         m_textBytes += text.bytes();
         m_progress[i].text = text;
-        if (it->second->isComplete) {
+        if (own->isComplete) {
             complete(i);
         }
     }
     m_order = startOrder(m_submission, carried);
 }
 
+const ResumableText *OpenBatch::firstTextOf(std::size_t i, const std::vector<const ResumableText *> &candidates) const
+{
+    const auto prompt = promptOf(m_submission.items[i], m_submission, m_index);
+    const auto it =
+        std::find_if(candidates.begin(), candidates.end(), [&prompt](const ResumableText *text) { return !text->prompt || *text->prompt == prompt; });
+    return it == candidates.end() ? nullptr : *it;
+}
+
 bool OpenBatch::addEvent(std::size_t i, std::uint64_t id, std::string data, std::uint64_t version, const BatchRules &rules, std::size_t otherTextBytes)
 {
     auto &progress = m_progress[i];
@@ -304,7 +314,8 @@
     std::vector<ResumableText> resumable;
     for (std::size_t i = 0; i < m_progress.size(); ++i) {
         if (incompleteGroups.count(m_submission.items[i].group) > 0) {
-            resumable.push_back({m_submission.items[i].id, m_progress[i].text, m_progress[i].isComplete});
+            const auto &item = m_submission.items[i];
+            resumable.push_back({item.id, m_progress[i].text, m_progress[i].isComplete, promptOf(item, m_submission, m_index)});
         }
     }
     return resumable;
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -90,7 +90,8 @@
     }
 
     /// Takes over texts that were generated for the same items in an earlier batch or by an earlier leader, where their
-    /// weight versions are allowed. Also determines the start order.
+    /// weight versions are allowed. An item of an earlier batch is the same if its id and what its text is generated from are.
+    /// Also determines the start order.
     void restoreTexts(const std::vector<ResumableText> &resumable, const BatchRules &rules);
 
     /// Appends an event of the current run. Returns false if the event cannot be appended and the run must be cancelled. otherTextBytes:
@@ -209,6 +210,8 @@
     std::vector<std::size_t> m_groupOf;
     std::vector<GroupProgress> m_groups;
     std::deque<ItemResult> m_pending;
+    /// Returns the first of the texts, which bear the id of the item, that was generated for it; null if there is none.
+    const ResumableText *firstTextOf(std::size_t i, const std::vector<const ResumableText *> &candidates) const;
     std::size_t m_decided = 0;
     std::size_t m_textBytes = 0;
     std::vector<std::string> m_listed;
--- a/src/scheduling/resumabletext.h
+++ b/src/scheduling/resumabletext.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "forwarding/requestfingerprint.h"
 #include "scheduling/itemtext.h"
 
+#include <optional>
 #include <string>
 
 namespace Basilbend
@@ -13,6 +15,8 @@
     std::string itemId;
     ItemText text;
     bool isComplete = false;
+    /// What the text was generated from, see promptOf(). Empty: an earlier leader has stored the text for the same batch.
+    std::optional<RequestFingerprint> prompt = std::nullopt;
 };
 
 }
