--- a/src/gateway/gatewayservice.cpp
+++ b/src/gateway/gatewayservice.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewayservice.h"
 
 #include "gateway/rejection.h"
+#include "platform/clienttext.h"
 
 #include <algorithm>
 #include <utility>
@@ -93,6 +94,10 @@
 void GatewayService::handle(const std::shared_ptr<ServerExchange> &exchange)
 {
     const auto request = decodeClientRequest(exchange->request());
+    if (const auto reason = invalidTextOf(exchange->request(), request)) {
+        rejectMalformed(*exchange, *reason);
+        return;
+    }
     if (m_context.view.routes() == nullptr) {
         reject(*exchange, request, Error{ResultCode::ConfigurationNotFresh, "no configuration yet", Execution::NotRun, NotConfiguredRetryAfter});
         return;
@@ -178,6 +183,15 @@
     }
 }
 
+void GatewayService::rejectMalformed(ServerExchange &exchange, const std::string &reason)
+{
+    const Error error{ResultCode::MalformedRequest, reason, Execution::NotRun};
+    m_context.metrics.count("basilbend_rejections_total", {{"code", std::string(resultCodeName(error.code))}});
+    m_context.log.warning("request_malformed", {{"reason", reason}});
+    // The id of the attempt may be the text that is invalid, so the response does not repeat it.
+    exchange.respond(makeRejection(400, error, {}));
+}
+
 void GatewayService::reject(ServerExchange &exchange, const ClientRequest &request, const Error &error)
 {
     const int status = httpStatusOf(error.code);
--- a/src/gateway/gatewayservice.h
+++ b/src/gateway/gatewayservice.h
@@ -49,6 +49,8 @@
     void submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, Timestamp waitDeadline);
     void startLiveCall(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const RouteRule &route, const std::string &workspace);
     void handleBatchCall(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request);
+    /// Rejects a request that holds a text which can't be a part of keys or messages.
+    void rejectMalformed(ServerExchange &exchange, const std::string &reason);
     void reject(ServerExchange &exchange, const ClientRequest &request, const Error &error);
 
     GatewayContext &m_context;
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -39,19 +39,12 @@
     return c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
 }
 
-std::string percentDecoded(std::string_view text)
+/// Decodes the value of a query parameter, in which a plus sign stands for a space.
+std::string queryDecoded(std::string_view text)
 {
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool escape = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
-        if (escape) {
-            decoded.push_back(static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2])));
-            i += 2;
-        } else {
-            decoded.push_back(text[i] == '+' ? ' ' : text[i]);
-        }
-    }
-    return decoded;
+    std::string plain(text);
+    std::replace(plain.begin(), plain.end(), '+', ' ');
+    return percentDecoded(plain);
 }
 
 }
@@ -112,7 +105,7 @@
         query.remove_prefix(std::min(end + 1, query.size()));
         const auto equals = std::min(pair.find('='), pair.size());
         if (pair.substr(0, equals) == name) {
-            return percentDecoded(pair.substr(std::min(equals + 1, pair.size())));
+            return queryDecoded(pair.substr(std::min(equals + 1, pair.size())));
         }
     }
     return {};
@@ -140,3 +133,18 @@
 }
 
 }
+std::string percentDecoded(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool isEscape = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
+        if (isEscape) {
+            decoded.push_back(static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2])));
+            i += 2;
+        } else {
+            decoded.push_back(text[i]);
+        }
+    }
+    return decoded;
+}
+
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -60,4 +60,7 @@
 /// Percent-encodes all characters except unreserved ones and the slash.
 std::string percentEncoded(std::string_view text);
 
+/// Decodes the percent-encoded bytes of a path segment (RFC 3986, section 2.1). Incomplete escapes stay as they are.
+std::string percentDecoded(std::string_view text);
+
 }
--- a/src/platform/clientrequest.cpp
+++ b/src/platform/clientrequest.cpp
@@ -58,7 +58,7 @@
     request.wait = millisecondsField(message.fields, Wire::WaitMs).value_or(Milliseconds(0));
     if (request.action != ClientAction::Submit) {
         const std::string_view prefix = request.action == ClientAction::ReadItem ? Wire::ItemPath : Wire::BatchPath;
-        request.batchId = request.path.substr(prefix.size());
+        request.batchId = percentDecoded(std::string_view(request.path).substr(prefix.size()));
         request.itemId = queryValue(message.target, "id");
         request.afterPosition = parseUnsigned(queryValue(message.target, "after")).value_or(0);
     }
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -159,6 +159,9 @@
     }
     batch->account = BatchAccount(batch->state->submission().items.size(), batch->openedAt);
     for (const auto &listed : batch->state->listed()) {
+    for (const auto &invalid : batch->state->terminateInvalidItems()) {
+        m_log.warning("item_invalid", {{"batch", id}, {"item", batch->state->item(invalid.index).id}, {"reason", invalid.reason}});
+    }
         if (const auto item = batch->state->indexOf(listed)) {
             batch->account.finish(*item, batch->openedAt);
         }
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -187,6 +187,19 @@
     decide(i, ItemOutcome::Terminated);
 }
 
+std::vector<InvalidItem> OpenBatch::terminateInvalidItems()
+{
+    std::vector<InvalidItem> invalid;
+    for (std::size_t i = 0; i < m_progress.size(); ++i) {
+        const auto reason = m_progress[i].phase == ItemPhase::Decided ? std::nullopt : invalidTextOf(m_submission.items[i]);
+        if (reason) {
+            invalid.push_back({i, *reason});
+            terminate(i);
+        }
+    }
+    return invalid;
+}
+
 void OpenBatch::recordServerError(std::size_t i, const BatchRules &rules)
 {
     if (++m_progress[i].serverErrors >= rules.attempts) {
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -47,6 +47,12 @@
     ConnectionHistory connections;
 };
 
+/// An item that can't be sent to an endpoint.
+struct InvalidItem {
+    std::size_t index = 0;
+    std::string reason;
+};
+
 /// Settings of a batch's route that apply to its items.
 struct BatchRules {
     int attempts = 1;
@@ -140,6 +146,10 @@
 
     void terminate(std::size_t i);
 
+    /// Terminates the undecided items that can't be sent to an endpoint. Gateways reject a batch with such an item; those of earlier
+    /// releases did not. Returns the items and what is wrong with them.
+    std::vector<InvalidItem> terminateInvalidItems();
+
     /// Returns a running item to the queue; its next run continues after its last event.
     void requeue(std::size_t i, const std::string &avoidedEndpoint, Timestamp notBefore);
 
--- a/tests/scheduling/openbatch.cpp
+++ b/tests/scheduling/openbatch.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/textlimit.h"
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
 
 using namespace Basilbend;
 
@@ -354,4 +355,108 @@
     BOOST_TEST(!batch.indexOf("other"));
 }
 
+// Guards against a workspace that is given a text made for the prompt of another one, which has numbered its items alike.
+BOOST_AUTO_TEST_CASE(a_text_goes_on_only_in_an_item_with_the_same_workspace_and_prompt)
+{
+    auto index = makeIndex();
+    index.workspace = "w";
+    index.host = "a.example";
+    auto submission = makeSubmission(1, 2);
+    submission.model = "m";
+    submission.items[0].path = "/p";
+    submission.items[0].body = "prompt";
+    OpenBatch first(index, submission, {});
+    first.progress(0).phase = ItemPhase::Running;
+    first.addEvent(0, 1, "e1", 5, {});
+    const auto carriesOver = [&first](const BatchIndex &nextIndex, const BatchSubmission &next) {
+        OpenBatch batch(nextIndex, next, {});
+        batch.restoreTexts(first.resumableTexts(), {});
+        return batch.progress(0).text.eventCount() > 0;
+    };
+    auto resubmitted = submission;
+    resubmitted.minimumVersion = 4;
+    resubmitted.items[0].lengthHint = 9;
+    BOOST_TEST(carriesOver(index, resubmitted));
+    auto otherWorkspace = index;
+    otherWorkspace.workspace = "v";
+    BOOST_TEST(!carriesOver(otherWorkspace, submission));
+    auto otherHost = index;
+    otherHost.host = "b.example";
+    BOOST_TEST(!carriesOver(otherHost, submission));
+    for (const auto &change :
+         {std::function<void(BatchSubmission &)>([](BatchSubmission &next) { next.model = "n"; }),
+          std::function<void(BatchSubmission &)>([](BatchSubmission &next) { next.items[0].path = "/q"; }),
+          std::function<void(BatchSubmission &)>([](BatchSubmission &next) { next.items[0].body = "other prompt"; }),
+          std::function<void(BatchSubmission &)>([](BatchSubmission &next) { next.items[0].fields.add("Basilbend-Prompt-Prefix", "a1:40"); })}) {
+        auto changed = submission;
+        change(changed);
+        BOOST_TEST(!carriesOver(index, changed));
+    }
+}
+
+// Guards against a text of another workspace that hides the item's own text, because both bear the same id.
+BOOST_AUTO_TEST_CASE(a_foreign_text_does_not_displace_the_own_text_of_an_item)
+{
+    const auto textOf = [](const std::string &workspace, const std::string &data) {
+        auto index = makeIndex();
+        index.workspace = workspace;
+        OpenBatch batch(index, makeSubmission(1, 1), {});
+        batch.progress(0).phase = ItemPhase::Running;
+        batch.addEvent(0, 1, data, 5, {});
+        return batch.resumableTexts().at(0);
+    };
+    auto index = makeIndex();
+    index.workspace = "w";
+    OpenBatch batch(index, makeSubmission(1, 1), {});
+    batch.restoreTexts({textOf("v", "foreign"), textOf("w", "own")}, {});
+    BOOST_TEST(batch.progress(0).text.joined() == "own");
+}
+
+// Guards against a leader that sends an item which a gateway of an earlier release has accepted and which holds another request.
+BOOST_AUTO_TEST_CASE(an_item_that_cannot_be_sent_is_terminated_and_the_others_run)
+{
+    auto submission = makeSubmission(1, 3);
+    for (auto &item : submission.items) {
+        item.path = "/p";
+    }
+    submission.items[1].path = "/p HTTP/1.1\r\n\r\nPOST /q";
+    OpenBatch batch(makeIndex(), submission, {});
+    const auto invalid = batch.terminateInvalidItems();
+    BOOST_REQUIRE(invalid.size() == 1U);
+    BOOST_TEST(invalid[0].index == 1U);
+    BOOST_TEST(invalid[0].reason.find("its path") == 0U);
+    BOOST_TEST((batch.nextResults(1000).at(0).outcome == ItemOutcome::Terminated));
+    BOOST_TEST(batch.waitingCount(Timestamp()) == 2U);
+    BOOST_TEST(batch.terminateInvalidItems().empty());
+}
+
+// Guards against results that are refused for good, because together they do not fit into one value of the store.
+BOOST_AUTO_TEST_CASE(results_listed_together_are_bounded_by_their_encoded_size)
+{
+    constexpr std::size_t MaxBytes = 100'000;
+    BatchSubmission submission;
+    for (int i = 0; i < 2000; ++i) {
+        BatchItem item;
+        item.id = std::string(200, i % 2 == 0 ? 'x' : '"') + std::to_string(i);
+        item.group = item.id;
+        submission.items.push_back(item);
+    }
+    OpenBatch batch(makeIndex(), submission, {});
+    for (std::size_t i = 0; i < submission.items.size(); ++i) {
+        batch.progress(i).phase = ItemPhase::Running;
+        batch.addEvent(i, 1, i % 3 == 0 ? "\n\x01\xff" : "e", 5, {});
+        batch.complete(i);
+    }
+    std::size_t listed = 0;
+    while (batch.hasPending()) {
+        const auto results = batch.nextResults(MaxBytes);
+        const auto encoded = BatchRecords::encodeChunk({"w", 2000, results});
+        BOOST_REQUIRE(encoded.size() <= MaxBytes);
+        BOOST_REQUIRE(results.size() > 50U);
+        listed += results.size();
+        batch.markListed(results.size());
+    }
+    BOOST_TEST(listed == 2000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
