Read submissions item by item and bound what gateways write

Cause: a submission was decoded into one JSON value and then into items, all alive while it was split and encoded; small values take up to twenty times their text. What the store can't take in one transaction was found by its refusals only, which were retried until the client's deadline.

Gateways check a batch without keeping it and find one item's body without decoding the others. The transaction is encoded without a JSON value of it. The index names the size of the submission; earlier releases ignore the field.

--- a/src/batches/batch.h
+++ b/src/batches/batch.h
@@ -69,12 +69,14 @@
     /// Number of values in the store that hold the submission.
     std::size_t parts = 0;
     bool ended = false;
+    /// Size of the submission in bytes; zero if an earlier release has accepted the batch.
+    std::size_t bytes = 0;
 };
 
 inline bool operator==(const BatchIndex &a, const BatchIndex &b)
 {
-    return std::tie(a.id, a.route, a.host, a.workspace, a.submittedAtMs, a.itemCount, a.parts, a.ended)
-        == std::tie(b.id, b.route, b.host, b.workspace, b.submittedAtMs, b.itemCount, b.parts, b.ended);
+    return std::tie(a.id, a.route, a.host, a.workspace, a.submittedAtMs, a.itemCount, a.parts, a.ended, a.bytes)
+        == std::tie(b.id, b.route, b.host, b.workspace, b.submittedAtMs, b.itemCount, b.parts, b.ended, b.bytes);
 }
 
 enum class ItemOutcome {
--- a/src/batches/batchrecords.cpp
+++ b/src/batches/batchrecords.cpp
@@ -119,7 +119,8 @@
                 {"submitted_at_ms", index.submittedAtMs},
                 {"items", index.itemCount},
                 {"parts", index.parts},
-                {"ended", index.ended}}
+                {"ended", index.ended},
+                {"bytes", index.bytes}}
         .dump();
 }
 
@@ -135,12 +136,11 @@
         index.itemCount = object.at("items").get<std::size_t>();
         index.parts = object.at("parts").get<std::size_t>();
         index.ended = object.at("ended").get<bool>();
+        index.bytes = object.value("bytes", std::size_t(0));
         return index;
     });
 }
 
-std::string encodeChunk(const ResultChunk &chunk)
-{
 std::size_t maxEncodedBytes(const ItemResult &result)
 {
     // The names of the fields with their separators, and the digits of a version.
@@ -150,6 +150,8 @@
         + VersionBytes * result.versions.size();
 }
 
+std::string encodeChunk(const ResultChunk &chunk)
+{
     auto list = json::array();
     for (const auto &result : chunk.results) {
         list.push_back(resultObject(result));
--- a/src/batches/batchrecords.h
+++ b/src/batches/batchrecords.h
@@ -3,6 +3,7 @@
 #include "base/result.h"
 #include "batches/batch.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -70,12 +71,19 @@
     std::vector<ItemResult> results;
 };
 
-std::string encodeChunk(const ResultChunk &chunk);
 /// Returns an upper bound of the number of bytes that the result takes in encodeChunk().
 std::size_t maxEncodedBytes(const ItemResult &result);
 
+std::string encodeChunk(const ResultChunk &chunk);
 Result<ResultChunk> decodeChunk(std::string_view text);
 
+/// Size of a part of a submission that stays below one megabyte with base64 encoding and the enclosing message.
+inline constexpr std::size_t SubmissionPartBytes = 700 * 1000;
+/// Maximum number of parts: the store accepts 32 entries in one transaction, among them the index and its precondition.
+inline constexpr std::size_t MaxSubmissionParts = 30;
+/// Maximum size of a submission that can be stored.
+inline constexpr std::size_t MaxSubmissionBytes = MaxSubmissionParts * SubmissionPartBytes;
+
 /// Splits a submission into parts of at most partBytes. Returns one empty part for an empty body.
 std::vector<std::string> splitSubmission(std::string_view body, std::size_t partBytes);
 }
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -5,6 +5,7 @@
 #include "gateway/gatewayservice.h"
 #include "gateway/rejection.h"
 #include "http/socketoptions.h"
+#include "http/connectionbudget.h"
 #include "http/webserver.h"
 #include "metadata/watchtiming.h"
 #include "platform/clientrequest.h"
@@ -100,6 +101,7 @@
             m_picker.remove(endpoint.id);
             m_runtime.client().closeIdleConnections(parseSocketEndpoint(endpoint.address));
         };
+        m_context.submissionBudget = SubmissionBudget(SubmissionBudget::limitFor(availableMemoryBytes()));
         m_view.onEndpointsChanged = [this] { m_context.origins.update(); };
         m_view.onConfigurationChanged = [this] { m_context.origins.update(); };
         m_runtime.onStopRequested = [this] { beginDrain(); };
--- a/src/gateway/batchacceptance.cpp
+++ b/src/gateway/batchacceptance.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-/// Size of a submission part that stays below one megabyte with base64 encoding and the enclosing message.
-constexpr std::size_t SubmissionPartBytes = 700 * 1000;
 constexpr Milliseconds InitialRetryDelay{30};
 constexpr Milliseconds MaxRetryDelay{300};
 /// Retry-After of a rejected submission: an outage of the metadata store lasts seconds.
@@ -19,12 +17,17 @@
 
 }
 
-BatchAcceptance::BatchAcceptance(
-    GatewayContext &context, std::shared_ptr<ServerExchange> exchange, ClientRequest request, BatchIndex index, Milliseconds storeTimeout)
+BatchAcceptance::BatchAcceptance(GatewayContext &context,
+                                 std::shared_ptr<ServerExchange> exchange,
+                                 ClientRequest request,
+                                 BatchIndex index,
+                                 SubmissionBudget::Reservation memory,
+                                 Milliseconds storeTimeout)
     : m_context(context)
     , m_exchange(std::move(exchange))
     , m_request(std::move(request))
     , m_index(std::move(index))
+    , m_memory(std::move(memory))
     , m_arrivedAt(context.loop.now())
     , m_storeDeadline(m_arrivedAt + storeTimeout)
 {
@@ -37,13 +40,14 @@
 
 void BatchAcceptance::commit()
 {
-    const auto parts = BatchRecords::splitSubmission(m_exchange->request().body, SubmissionPartBytes);
+    auto parts = BatchRecords::splitSubmission(m_exchange->request().body, BatchRecords::SubmissionPartBytes);
     m_index.parts = parts.size();
+    m_index.bytes = m_exchange->request().body.size();
     MetadataChange change;
     change.preconditions.push_back({BatchRecords::indexKey(m_index.id), 0});
     change.writes.push_back({BatchRecords::indexKey(m_index.id), BatchRecords::encodeIndex(m_index), 0});
     for (std::size_t part = 0; part < parts.size(); ++part) {
-        change.writes.push_back({BatchRecords::submissionKey(m_index.id, part), parts[part], 0});
+        change.writes.push_back({BatchRecords::submissionKey(m_index.id, part), std::move(parts[part]), 0});
     }
     m_context.store.commit(change, [self = shared_from_this()](const MetadataReply &reply) { self->handleReply(reply); });
 }
--- a/src/gateway/batchacceptance.h
+++ b/src/gateway/batchacceptance.h
@@ -17,7 +17,13 @@
 class BatchAcceptance : public std::enable_shared_from_this<BatchAcceptance>
 {
 public:
-    BatchAcceptance(GatewayContext &context, std::shared_ptr<ServerExchange> exchange, ClientRequest request, BatchIndex index, Milliseconds storeTimeout);
+    /// memory: the share of the batch, which is kept until the batch is written or given up.
+    BatchAcceptance(GatewayContext &context,
+                    std::shared_ptr<ServerExchange> exchange,
+                    ClientRequest request,
+                    BatchIndex index,
+                    SubmissionBudget::Reservation memory,
+                    Milliseconds storeTimeout);
 
     void start();
 
@@ -33,6 +39,7 @@
     std::shared_ptr<ServerExchange> m_exchange;
     ClientRequest m_request;
     BatchIndex m_index;
+    SubmissionBudget::Reservation m_memory;
     Timestamp m_arrivedAt;
     Timestamp m_storeDeadline;
     int m_failedCommits = 0;
--- a/src/gateway/batchapi.cpp
+++ b/src/gateway/batchapi.cpp
@@ -3,6 +3,8 @@
 #include "gateway/batchacceptance.h"
 #include "gateway/rejection.h"
 #include "platform/batchcodec.h"
+#include "platform/clienttext.h"
+#include "platform/submissionreader.h"
 
 #include <algorithm>
 
@@ -19,12 +21,26 @@
 constexpr Milliseconds RetryDelay{60};
 /// Retry-After when this process can't reach the metadata store; another process may reach it.
 constexpr Milliseconds StoreUnavailableRetryAfter{300};
+/// Retry-After while other batches hold the memory for submissions.
+constexpr Milliseconds BusyRetryAfter{500};
 /// Fractions of the client's time limit for which a submission waits for the metadata store.
 constexpr double StoreTimeShareWithPeers = 0.8;
 constexpr double StoreTimeShareWithoutPeers = 0.25;
 /// Time limit of a call that submits a batch, if the client sets none. It does not limit the batch itself.
 constexpr Milliseconds DefaultSubmissionTimeout{10000};
 
+/// Checks a submitted batch and its id. Returns the number of items.
+Result<std::size_t> checkBatch(const std::string &id, std::string_view body, std::size_t maxBytes)
+{
+    if (body.size() > maxBytes) {
+        return Error{ResultCode::BodyTooLarge, "a batch has at most " + std::to_string(maxBytes) + " bytes"};
+    }
+    if (!isBatchId(id)) {
+        return Error{ResultCode::MalformedRequest, "the batch has no id of 1 to " + std::to_string(MaxBatchIdBytes) + " bytes"};
+    }
+    return checkSubmission(body);
+}
+
 }
 
 BatchApi::BatchApi(GatewayContext &context)
@@ -36,11 +52,16 @@
 
 void BatchApi::submit(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const RouteRule &route, const std::string &workspace)
 {
-    const auto submission = decodeSubmission(exchange->request().body);
-    if (!submission || request.attemptId.empty()) {
-        const auto message = submission ? std::string("the batch has no id") : submission.error().message;
-        m_context.log.warning("batch_malformed", {{"batch", request.attemptId}, {"reason", message}});
-        exchange->respond(makeRejection(400, Error{ResultCode::MalformedRequest, message, Execution::NotRun}, request.attemptId));
+    const auto &body = exchange->request().body;
+    const auto itemCount = checkBatch(request.attemptId, body, m_context.submissionBudget.limitBytes());
+    if (!itemCount) {
+        rejectSubmission(*exchange, request, itemCount.error());
+        return;
+    }
+    auto memory = m_context.submissionBudget.reserve(body.size());
+    if (!memory) {
+        exchange->closeAfterResponse();
+        rejectSubmission(*exchange, request, Error{ResultCode::Overloaded, "the gateway is writing other batches", Execution::NotRun, BusyRetryAfter});
         return;
     }
     BatchIndex index;
@@ -49,12 +70,18 @@
     index.host = request.host;
     index.workspace = workspace;
     index.submittedAtMs = m_context.loop.now().milliseconds();
-    index.itemCount = submission.value().items.size();
+    index.itemCount = itemCount.value();
     // Without peers this process may be disconnected from the store while other processes are not, so the client should retry there.
     const double share = m_context.hasPeers ? StoreTimeShareWithPeers : StoreTimeShareWithoutPeers;
     const auto limit = std::min(route.timeout, request.deadline.value_or(DefaultSubmissionTimeout));
     const Milliseconds storeTimeout(static_cast<std::int64_t>(share * static_cast<double>(limit.count())));
-    std::make_shared<BatchAcceptance>(m_context, exchange, request, std::move(index), storeTimeout)->start();
+    std::make_shared<BatchAcceptance>(m_context, exchange, request, std::move(index), std::move(*memory), storeTimeout)->start();
+}
+
+void BatchApi::rejectSubmission(ServerExchange &exchange, const ClientRequest &request, const Error &error)
+{
+    m_context.log.warning("batch_not_taken", {{"batch", request.attemptId}, {"code", static_cast<int>(error.code)}, {"reason", error.message}});
+    exchange.respond(makeRejection(httpStatus(error.code), error, request.attemptId));
 }
 
 void BatchApi::readResults(const std::shared_ptr<ServerExchange> &exchange, const ClientRequest &request, const std::string &workspace)
@@ -161,18 +188,22 @@
 
 void BatchApi::respondWithItem(const BatchCall &call, const std::string &submission)
 {
-    const auto decoded = decodeSubmission(submission);
-    if (!decoded) {
-        reject(call, 503, ResultCode::InternalError, "the stored batch can't be read", StoreUnavailableRetryAfter);
-        return;
-    }
-    const auto &items = decoded.value().items;
-    const auto it = std::find_if(items.begin(), items.end(), [&call](const BatchItem &item) { return item.id == call.request.itemId; });
-    if (it == items.end()) {
+    std::optional<std::string> found;
+    const auto read = Basilbend::readSubmission(submission, [&call, &found](BatchItem &&item) {
+        const bool isWanted = item.id == call.request.itemId;
+        if (isWanted) {
+            found = std::move(item.body);
+        }
+        // The rest need not be read.
+        return isWanted ? std::optional<std::string>("found") : std::nullopt;
+    });
+    if (found) {
+        call.exchange->respond({200, {{"Content-Type", "application/octet-stream"}}, std::move(*found)});
+    } else if (read) {
         reject(call, 404, ResultCode::StepUnknown, "no such item", Milliseconds(0));
-        return;
+    } else {
+        reject(call, 503, ResultCode::InternalError, "the stored batch can't be read", StoreUnavailableRetryAfter);
     }
-    call.exchange->respond({200, {{"Content-Type", "application/octet-stream"}}, it->body});
 }
 
 void BatchApi::loadIndex(const BatchCall &call, const IndexHandler &handler)
--- a/src/gateway/batchapi.h
+++ b/src/gateway/batchapi.h
@@ -35,6 +35,7 @@
 
     using IndexHandler = std::function<void(const BatchIndex &, std::uint64_t revision)>;
 
+    void rejectSubmission(ServerExchange &exchange, const ClientRequest &request, const Error &error);
     void readFromStore(const BatchCall &call, Milliseconds wait);
     void respondWithResults(const BatchCall &call, const ResultPage &page);
     void loadIndex(const BatchCall &call, const IndexHandler &handler);
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -11,6 +11,7 @@
 #include "gateway/grantclient.h"
 #include "gateway/leaderclient.h"
 #include "gateway/streamorigins.h"
+#include "gateway/submissionbudget.h"
 #include "http/webclient.h"
 #include "log/eventlog.h"
 #include "metadata/metadatastore.h"
@@ -39,6 +40,7 @@
     GrantClient grants = GrantClient(leader, loop, log);
     CrashMonitor crashes = CrashMonitor(client, store, loop, log, metrics, picker);
     StreamOrigins origins = StreamOrigins(store, loop, log, view);
+    SubmissionBudget submissionBudget = SubmissionBudget();
 };
 
 }
--- a/src/platform/batchcodec.cpp
+++ b/src/platform/batchcodec.cpp
@@ -1,12 +1,12 @@
 #include "platform/batchcodec.h"
 
-#include "net/base64.h"
 #include "net/jsontext.h"
-#include "platform/jsonfields.h"
-#include "platform/wirenames.h"
+#include "platform/clienttext.h"
+#include "platform/submissionreader.h"
 
-#include <charconv>
-#include <set>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
 
 namespace Basilbend
 {
@@ -16,86 +16,6 @@
 
 using nlohmann::json;
 
-HttpFields decodeFields(const json &item)
-{
-    HttpFields fields;
-    const auto it = item.find("headers");
-    if (it == item.end()) {
-        return fields;
-    }
-    if (!it->is_object()) {
-        throw Wire::FieldError{"headers must be a map"};
-    }
-    for (const auto &[name, value] : it->items()) {
-        if (!value.is_string()) {
-            throw Wire::FieldError{"header " + name + " must be a text"};
-        }
-        fields.add(name, value.get<std::string>());
-    }
-    return fields;
-}
-
-/// Returns the unsigned integer at the start of the text, or zero. Wire::TokenCounts starts with the token count of the prompt.
-std::uint64_t leadingUnsigned(std::string_view text)
-{
-    std::uint64_t n = 0;
-    std::from_chars(text.data(), text.data() + text.size(), n);
-    return n;
-}
-
-std::string decodeBody(const json &object, const std::string &owner)
-{
-    const auto body = fromBase64(Wire::stringOr(object, "body", {}));
-    if (!body) {
-        throw Wire::FieldError{"body of " + owner + " is not base64"};
-    }
-    return *body;
-}
-
-std::optional<RewardRequest> decodeReward(const json &item, const std::string &itemId)
-{
-    const auto it = item.find("scorer");
-    if (it == item.end() || it->is_null()) {
-        return std::nullopt;
-    }
-    if (!it->is_object()) {
-        throw Wire::FieldError{"scorer of item " + itemId + " must be an object"};
-    }
-    return RewardRequest{
-        Wire::requiredString(*it, "id"), Wire::requiredString(*it, "host"), Wire::requiredString(*it, "path"), decodeBody(*it, "the scorer of item " + itemId)};
-}
-
-BatchItem decodeItem(const json &object)
-{
-    BatchItem item;
-    item.id = Wire::requiredString(object, "id");
-    item.path = Wire::requiredString(object, "path");
-    item.fields = decodeFields(object);
-    item.body = decodeBody(object, "item " + item.id);
-    item.tokens = Wire::unsignedOr(object, "tokens", 0);
-    item.group = Wire::stringOr(object, "group", item.id);
-    item.promptTokens = std::min(item.tokens, leadingUnsigned(item.fields.value(Wire::TokenCounts)));
-    item.lengthHint = leadingUnsigned(item.fields.value(Wire::LengthHint));
-    item.reward = decodeReward(object, item.id);
-    return item;
-}
-
-BatchSubmission decodeSubmissionObject(const json &object)
-{
-    BatchSubmission submission;
-    submission.model = Wire::stringOr(object, "model", {});
-    submission.minimumVersion = Wire::unsignedOr(object, "minimum_version", 0);
-    submission.desiredGroups = Wire::unsignedOr(object, "desired_count", 0);
-    std::set<std::string> ids;
-    for (const auto &entry : Wire::requiredArray(object, "items")) {
-        submission.items.push_back(decodeItem(entry));
-        if (!ids.insert(submission.items.back().id).second) {
-            throw Wire::FieldError{"item " + submission.items.back().id + " stands twice"};
-        }
-    }
-    return submission;
-}
-
 std::string encodeResult(const ItemResult &result)
 {
     std::string text = "{\"id\":";
@@ -115,7 +35,28 @@
 
 Result<BatchSubmission> decodeSubmission(std::string_view body)
 {
-    return Wire::decodeObject(body, decodeSubmissionObject);
+    std::vector<BatchItem> items;
+    auto submission = readSubmission(body, [&items](BatchItem &&item) {
+        items.push_back(std::move(item));
+        return std::optional<std::string>();
+    });
+    if (submission) {
+        submission.value().items = std::move(items);
+    }
+    return submission;
+}
+
+Result<std::size_t> checkSubmission(std::string_view body)
+{
+    std::size_t items = 0;
+    const auto submission = readSubmission(body, [&items](const BatchItem &item) {
+        ++items;
+        return invalidTextOf(item);
+    });
+    if (!submission) {
+        return submission.error();
+    }
+    return items;
 }
 
 std::string encodeResultPage(std::size_t total, std::size_t position, const std::vector<const ItemResult *> &results, std::size_t maxBytes)
--- a/src/platform/platformstore.cpp
+++ b/src/platform/platformstore.cpp
@@ -98,17 +98,37 @@
     return {"POST", target, {{"Content-Type", "application/json"}}, body.dump()};
 }
 
-json encodeChange(const MetadataChange &change)
+/// Appends the writes as a list. Values may be large, so they are encoded into the text directly.
+void appendWrites(std::string &to, const std::vector<MetadataWrite> &writes)
+{
+    to += '[';
+    for (const auto &write : writes) {
+        to += to.back() == '[' ? "" : ",";
+        to += R"({"key":)" + json(write.key).dump() + R"(,"lease":)" + std::to_string(write.lease) + R"(,"value":")";
+        to += toBase64(write.value);
+        to += R"("})";
+    }
+    to += ']';
+}
+
+std::string encodeChange(const MetadataChange &change)
 {
     auto preconditions = json::array();
     for (const auto &precondition : change.preconditions) {
         preconditions.push_back({{"key", precondition.key}, {"revision", precondition.revision}});
     }
-    auto writes = json::array();
+    const auto start = R"({"precondition":)" + preconditions.dump() + R"(,"remove":)" + json(change.removals).dump() + R"(,"writes":)";
+    constexpr std::size_t EntryBytes = 300;
+    std::size_t n = start.size() + EntryBytes;
     for (const auto &write : change.writes) {
-        writes.push_back({{"key", write.key}, {"value", toBase64(write.value)}, {"lease", write.lease}});
+        n += EntryBytes + write.value.size() * 4 / 3;
     }
-    return {{"precondition", std::move(preconditions)}, {"writes", std::move(writes)}, {"remove", change.removals}};
+    std::string text;
+    text.reserve(n);
+    text += start;
+    appendWrites(text, change.writes);
+    text += '}';
+    return text;
 }
 
 }
@@ -145,7 +165,7 @@
 void PlatformStore::commit(const MetadataChange &change, Callback callback)
 {
     ++m_counts.commits;
-    send(makePostRequest("/-/kv-txn", encodeChange(change)), CallTimeout, false, std::move(callback));
+    send({"POST", "/-/kv-txn", {{"Content-Type", "application/json"}}, encodeChange(change)}, CallTimeout, false, std::move(callback));
 }
 
 void PlatformStore::createLease(Milliseconds span, Callback callback)
