Load open batches as far as the memory of the leader allows

Cause: a leader loaded all open batches at once.

A batch counts no longer once all its results are listed; its requests are freed then. A loader frees the parts before it decodes them.

--- a/src/scheduling/batchloader.cpp
+++ b/src/scheduling/batchloader.cpp
@@ -124,12 +124,8 @@
 
 void BatchLoader::finish()
 {
-    std::string body;
-    for (const auto &part : m_parts) {
-        body += part.value;
-    }
-    auto submission = decodeSubmission(body);
-    if (submission && !isProgressConsistent(submission.value())) {
+    decodeParts();
+    if (m_submission && !isProgressConsistent(m_submission.value())) {
         // Earlier releases could store the results of another batch in this record. The results themselves tell the positions.
         m_log.warning("progress_inconsistent", {{"batch", m_index.id}, {"listed", m_progress.listed.size()}});
         m_progress = {};
@@ -140,7 +136,22 @@
     }
     const auto callback = std::move(m_callback);
     m_callback = nullptr;
-    callback(submission ? decode(std::move(submission.value())) : Result<LoadedBatch>(submission.error()));
+    callback(m_submission ? decode(std::move(m_submission.value())) : Result<LoadedBatch>(m_submission.error()));
+}
+
+void BatchLoader::decodeParts()
+{
+    if (m_submission) {
+        return;
+    }
+    std::string body;
+    body.reserve(m_index.bytes);
+    for (auto &part : m_parts) {
+        body += part.value;
+        part = {};
+    }
+    m_parts.clear();
+    m_submission = decodeSubmission(body);
 }
 
 bool BatchLoader::isProgressConsistent(const BatchSubmission &submission) const
--- a/src/scheduling/batchloader.h
+++ b/src/scheduling/batchloader.h
@@ -44,6 +44,8 @@
     void readResults();
     void retryLater(std::function<void()> step);
     void finish();
+    /// Decodes the submission from its parts, which are then freed.
+    void decodeParts();
     /// Whether the results that the progress record names are those of the submission, and the results read follow them.
     bool isProgressConsistent(const BatchSubmission &submission) const;
     Result<LoadedBatch> decode(BatchSubmission submission);
@@ -56,6 +58,8 @@
     std::vector<MetadataItem> m_parts;
     std::vector<MetadataItem> m_chunks;
     ProgressRecord m_progress;
+    /// The error until the submission has been read.
+    Result<BatchSubmission> m_submission = Error{ResultCode::InternalError, "the submission has not been read"};
     int m_failures = 0;
     /// Outstanding reads of the submission and of the results.
     int m_outstandingReads = 0;
--- a/src/scheduling/batchrunner.cpp
+++ b/src/scheduling/batchrunner.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/batchrunner.h"
 
+#include "http/connectionbudget.h"
 #include "scheduling/batchroute.h"
 
 #include <algorithm>
@@ -45,6 +46,7 @@
           store,
           m_loop,
           log,
+          BatchAdmission(BatchAdmission::limitFor(availableMemoryBytes())),
           {m_hooks.term, [this](const std::string &id, LoadedBatch loaded) { open(id, std::move(loaded)); }, [this](const std::string &id) { close(id); }})
     , m_requestLimiter(warmupTolerance)
     , m_grantServer(m_loop, metrics, m_requestLimiter, {m_hooks.mayGrant, m_hooks.sendShare})
@@ -157,11 +159,11 @@
         std::move(loaded.progress.begin(), loaded.progress.end(), std::back_inserter(texts));
         batch->state->restoreTexts(texts, rulesOf(*route));
     }
-    batch->account = BatchAccount(batch->state->submission().items.size(), batch->openedAt);
-    for (const auto &listed : batch->state->listed()) {
     for (const auto &invalid : batch->state->terminateInvalidItems()) {
         m_log.warning("item_invalid", {{"batch", id}, {"item", batch->state->item(invalid.index).id}, {"reason", invalid.reason}});
     }
+    batch->account = BatchAccount(batch->state->submission().items.size(), batch->openedAt);
+    for (const auto &listed : batch->state->listed()) {
         if (const auto item = batch->state->indexOf(listed)) {
             batch->account.finish(*item, batch->openedAt);
         }
@@ -172,6 +174,8 @@
                {{"batch", id},
                 {"items", batch->state->index().itemCount},
                 {"listed", batch->state->listedCount()},
+                {"held_bytes", m_batchWatch.admission().heldBytes()},
+                {"waiting_batches", m_batchWatch.admission().waitingCount()},
                 {"minimum_version", batch->state->submission().minimumVersion},
                 {"desired_groups", batch->state->submission().desiredGroups},
                 {"age_ms", m_loop.now().milliseconds() - batch->state->index().submittedAtMs}});
@@ -182,11 +186,21 @@
     }
     m_resultServer.open(batch->state->index(), batch->state->listedCount());
     m_demand.recordBatch(batch->state->submission());
+    if (batch->state->isListed()) {
+        releaseListed(id, *batch->state);
+    }
     m_batches.add(id, std::move(batch));
     m_hooks.onDemandChanged();
     scheduleRound();
 }
 
+void BatchRunner::releaseListed(const std::string &id, OpenBatch &batch)
+{
+    m_rewardCalls.drop(id);
+    batch.freeRequests();
+    m_batchWatch.release(id);
+}
+
 void BatchRunner::recordDuration(const OpenBatch &batch)
 {
     const auto now = m_loop.now();
@@ -208,6 +222,9 @@
             last = item;
         }
     }
+    if (batch->state->isListed()) {
+        releaseListed(id, *batch->state);
+    }
     if (last && !batch->isAccountReported && batch->state->areWantedGroupsListed()) {
         batch->isAccountReported = true;
         m_accountReport.reportReady(*batch->state, batch->account, *last, dueTimeOf(*batch->state), m_loop.now());
--- a/src/scheduling/batchrunner.h
+++ b/src/scheduling/batchrunner.h
@@ -124,6 +124,8 @@
     void open(const std::string &id, LoadedBatch loaded);
     void close(const std::string &id);
     void reload(const std::string &id);
+    /// Frees what a batch needs no more once all of its results are listed. It stays open until its client ends it.
+    void releaseListed(const std::string &id, OpenBatch &batch);
     void recordDuration(const OpenBatch &batch);
     /// Time after its submission at which the results of a batch are due; zero if there is none.
     Milliseconds dueTimeOf(const OpenBatch &batch) const;
--- a/src/scheduling/batchwatch.cpp
+++ b/src/scheduling/batchwatch.cpp
@@ -16,12 +16,13 @@
 
 }
 
-BatchWatch::BatchWatch(MetadataStore &store, EventLoop loop, EventLog &log, BatchWatchHooks hooks)
+BatchWatch::BatchWatch(MetadataStore &store, EventLoop loop, EventLog &log, BatchAdmission admission, BatchWatchHooks hooks)
     : m_store(store)
     , m_loop(std::move(loop))
     , m_log(log)
     , m_hooks(std::move(hooks))
     , m_cleaner(store, m_loop, log, m_hooks.term)
+    , m_admission(std::move(admission))
 {
 }
 
@@ -46,6 +47,7 @@
         loader->cancel();
     }
     m_loading.clear();
+    m_admission.clear();
     m_opened.clear();
     m_ended.clear();
     m_cleaner.clear();
@@ -87,7 +89,7 @@
         return;
     }
     const auto &id = index.value().id;
-    const bool isKnown = m_opened.count(id) > 0 || m_loading.count(id) > 0 || m_ended.count(id) > 0;
+    const bool isKnown = m_opened.count(id) > 0 || m_admission.contains(id) || m_ended.count(id) > 0;
     if (!isKnown) {
         load(index.value());
     }
@@ -95,26 +97,53 @@
 
 void BatchWatch::load(const BatchIndex &index)
 {
-    const auto loader =
-        std::make_shared<BatchLoader>(m_store, m_loop, m_log, index, [this, id = index.id](Result<LoadedBatch> loaded) { finishLoad(id, std::move(loaded)); });
-    m_loading[index.id] = loader;
-    loader->start();
+    m_admission.add(index);
+    loadAdmitted();
+    if (m_admission.isWaiting(index.id)) {
+        m_log.info("batch_waits_for_memory",
+                   {{"batch", index.id},
+                    {"workspace", index.workspace},
+                    {"bytes", BatchAdmission::heldBytes(index)},
+                    {"held_bytes", m_admission.heldBytes()},
+                    {"waiting", m_admission.waitingCount()}});
+    }
+}
+
+void BatchWatch::loadAdmitted()
+{
+    while (const auto index = m_admission.next()) {
+        const auto &id = index->id;
+        const auto loader =
+            std::make_shared<BatchLoader>(m_store, m_loop, m_log, *index, [this, id](Result<LoadedBatch> loaded) { finishLoad(id, std::move(loaded)); });
+        m_loading[id] = loader;
+        loader->start();
+    }
 }
 
 void BatchWatch::finishLoad(const std::string &id, Result<LoadedBatch> loaded)
 {
     m_loading.erase(id);
-    if (!loaded) {
+    if (loaded) {
+        m_opened.insert(id);
+        m_admission.finishLoad(id);
+        m_hooks.onOpened(id, std::move(loaded.value()));
+    } else {
         m_log.warning("batch_unreadable", {{"batch", id}, {"reason", loaded.error().message}});
-        return;
+        m_admission.remove(id);
     }
-    m_opened.insert(id);
-    m_hooks.onOpened(id, std::move(loaded.value()));
+    loadAdmitted();
+}
+
+void BatchWatch::release(const std::string &id)
+{
+    m_admission.remove(id);
+    loadAdmitted();
 }
 
 void BatchWatch::reload(const BatchIndex &index)
 {
     m_opened.erase(index.id);
+    m_admission.remove(index.id);
     load(index);
 }
 
@@ -124,9 +153,11 @@
         it->second->cancel();
         m_loading.erase(it);
     }
+    m_admission.remove(id);
     if (m_opened.erase(id) > 0) {
         m_hooks.onEnded(id);
     }
+    loadAdmitted();
 }
 
 }
--- a/src/scheduling/batchwatch.h
+++ b/src/scheduling/batchwatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "metadata/prefixfeed.h"
+#include "scheduling/batchadmission.h"
 #include "scheduling/batchcleaner.h"
 #include "scheduling/batchloader.h"
 
@@ -28,7 +29,8 @@
 class BatchWatch
 {
 public:
-    BatchWatch(MetadataStore &store, EventLoop loop, EventLog &log, BatchWatchHooks hooks);
+    /// admission: decides which open batches are loaded.
+    BatchWatch(MetadataStore &store, EventLoop loop, EventLog &log, BatchAdmission admission, BatchWatchHooks hooks);
 
     void start();
 
@@ -38,6 +40,14 @@
     /// Loads an open batch again and calls onOpened again.
     void reload(const BatchIndex &index);
 
+    /// The batch no longer counts for the memory of open batches, because all of its results are listed.
+    void release(const std::string &id);
+
+    const BatchAdmission &admission() const
+    {
+        return m_admission;
+    }
+
     /// Removes expired batches. Must be called regularly.
     void poll();
 
@@ -51,7 +61,9 @@
 private:
     void applySnapshot(std::vector<MetadataItem> items);
     void applyIndex(const MetadataItem &item);
+    /// Loads the batch now, or when there is memory for it.
     void load(const BatchIndex &index);
+    void loadAdmitted();
     void finishLoad(const std::string &id, Result<LoadedBatch> loaded);
     void end(const std::string &id);
 
@@ -60,6 +72,7 @@
     EventLog &m_log;
     BatchWatchHooks m_hooks;
     BatchCleaner m_cleaner;
+    BatchAdmission m_admission;
     std::unique_ptr<PrefixFeed> m_feed;
     /// Stopped feeds that may still receive responses to their calls.
     std::vector<std::unique_ptr<PrefixFeed>> m_stoppedFeeds;
--- a/src/scheduling/openbatch.cpp
+++ b/src/scheduling/openbatch.cpp
@@ -285,6 +285,16 @@
     }
 }
 
+void OpenBatch::freeRequests()
+{
+    for (auto &item : m_submission.items) {
+        // Assigning an empty text would keep the buffer.
+        std::string().swap(item.body);
+        item.fields = HttpFields();
+        item.reward.reset();
+    }
+}
+
 std::vector<ResumableText> OpenBatch::progressTexts(std::size_t maxBytes) const
 {
     std::vector<std::size_t> order;
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -190,6 +190,10 @@
     /// Marks the first n pending results as listed.
     void markListed(std::size_t n);
 
+    /// Frees the bodies, the header fields and the reward requests of all items, which are not sent any more. To be called once all results
+    /// are listed.
+    void freeRequests();
+
     /// Texts generated so far for undecided items, longest first, at most maxBytes in total.
     std::vector<ResumableText> progressTexts(std::size_t maxBytes) const;
 
@@ -206,6 +210,8 @@
         bool isCarried = false;
     };
 
+    /// Returns the first of the texts, which bear the id of the item, that was generated for it; null if there is none.
+    const ResumableText *firstTextOf(std::size_t i, const std::vector<const ResumableText *> &candidates) const;
     void decide(std::size_t i, ItemOutcome outcome, std::string score = {});
     void decrementUnfinished(std::size_t i);
     bool hasWantedGroups(std::size_t GroupProgress::*open) const;
@@ -220,8 +226,6 @@
     std::vector<std::size_t> m_groupOf;
     std::vector<GroupProgress> m_groups;
     std::deque<ItemResult> m_pending;
-    /// Returns the first of the texts, which bear the id of the item, that was generated for it; null if there is none.
-    const ResumableText *firstTextOf(std::size_t i, const std::vector<const ResumableText *> &candidates) const;
     std::size_t m_decided = 0;
     std::size_t m_textBytes = 0;
     std::vector<std::string> m_listed;
--- a/tests/scheduling/batchstorage.cpp
+++ b/tests/scheduling/batchstorage.cpp
@@ -239,6 +239,7 @@
     BatchWatch watch(store,
                      virtualLoop(time),
                      log,
+                     BatchAdmission(1'000'000),
                      {[this] { return term; }, [&opened](const std::string &, const LoadedBatch &) { ++opened; }, [](const std::string &) {}});
     BOOST_TEST(!rule.mayStart(watch.lastConfirmedAt(), time.now()));
     watch.start();
@@ -257,6 +258,35 @@
     BOOST_TEST(rule.mayStart(watch.lastConfirmedAt(), time.now()));
 }
 
+// Guards against a leader that outgrows its memory under batches that were all accepted, and against one of them that is forgotten.
+BOOST_FIXTURE_TEST_CASE(open_batches_beyond_the_memory_wait_until_earlier_ones_have_ended_or_are_listed, StoredBatchFixture)
+{
+    index.bytes = 400'000;
+    write();
+    for (const auto *id : {"c", "d"}) {
+        auto later = index;
+        later.id = id;
+        store.put(BatchRecords::submissionKey(id, 0), SubmissionText);
+        store.put(BatchRecords::indexKey(id), BatchRecords::encodeIndex(later));
+    }
+    std::vector<std::string> opened;
+    BatchWatch watch(store,
+                     virtualLoop(time),
+                     log,
+                     BatchAdmission(1'000'000),
+                     {[this] { return term; }, [&opened](const std::string &id, const LoadedBatch &) { opened.push_back(id); }, [](const std::string &) {}});
+    watch.start();
+    time.advance(Milliseconds(2000));
+    BOOST_TEST((opened == std::vector<std::string>{"b"}));
+    index.ended = true;
+    store.put(BatchRecords::indexKey("b"), BatchRecords::encodeIndex(index));
+    time.advance(Milliseconds(1000));
+    BOOST_TEST((opened == std::vector<std::string>{"b", "c"}));
+    watch.release("c");
+    time.advance(Milliseconds(1000));
+    BOOST_TEST((opened == std::vector<std::string>{"b", "c", "d"}));
+}
+
 // Guards against results that are listed twice: a new leader took the progress of a batch whose id begins with this one.
 BOOST_FIXTURE_TEST_CASE(a_batch_is_loaded_without_the_records_of_batches_whose_ids_begin_with_its_own, StoredBatchFixture)
 {
