Never send a request whose head could end early

Change: a second wall behind the checks of clienttext. A request that is not serializable is not sent, its call ends as not connected and is counted; a response field that is not one line is omitted.

Result: http/a_request_whose_head_would_end_early_is_not_sent and http/a_response_field_that_is_not_one_line_is_omitted pass.

--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -115,6 +115,7 @@
         m_metrics.setGauge("basilbend_server_connection_bytes", static_cast<double>(m_connectionBudget->heldBytes()));
         m_metrics.setGauge("basilbend_log_lines_dropped", static_cast<double>(m_log.droppedLines()));
         m_metrics.setGauge("basilbend_outgoing_connections_opened", static_cast<double>(m_client.counts().connects));
+        m_metrics.setGauge("basilbend_outgoing_calls_refused", static_cast<double>(m_client.counts().refusedCalls));
         m_metrics.setGauge("basilbend_store_calls", static_cast<double>(m_store.counts().calls));
         m_metrics.setGauge("basilbend_store_calls_unanswered", static_cast<double>(m_store.counts().unanswered));
         exchange->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.toText()});
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -1,5 +1,8 @@
 #include "http/httpmessage.h"
 
+#include "http/httpsyntax.h"
+
+#include <algorithm>
 #include <cstdio>
 #include <http_parser.h>
 
@@ -9,10 +12,17 @@
 namespace
 {
 
+bool isValidField(const HttpField &field)
+{
+    return isHttpToken(field.name) && isFieldValue(field.value);
+}
+
 void appendFields(std::string &to, const HttpFields &fields)
 {
     for (const auto &field : fields) {
-        to.append(field.name).append(": ").append(field.value).append("\r\n");
+        if (isValidField(field)) {
+            to.append(field.name).append(": ").append(field.value).append("\r\n");
+        }
     }
 }
 
@@ -49,6 +59,11 @@
 
 }
 
+bool isSerializable(const RequestMessage &request)
+{
+    return isHttpToken(request.method) && isRequestTarget(request.target) && std::all_of(request.fields.begin(), request.fields.end(), isValidField);
+}
+
 std::string serializeRequest(const RequestMessage &request)
 {
     std::string bytes;
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -36,10 +36,13 @@
     Close,
 };
 
-/// Serializes a request. Sets Content-Length when there is a body or the method is POST or PUT.
+/// Whether the request can be written as one message: no part of its head may end a line or hold control characters.
+bool isSerializable(const RequestMessage &request);
+
+/// Serializes a request for which isSerializable() is true. Sets Content-Length when there is a body or the method is POST or PUT.
 std::string serializeRequest(const RequestMessage &request);
 
-/// Serializes a response with Content-Length.
+/// Serializes a response with Content-Length. Omits fields that can't be written as one line, here and in serializeChunkedHead().
 std::string serializeResponse(const ResponseMessage &response, Persistence persistence);
 
 /// Serializes the head of a response whose body is sent with the chunked transfer encoding.
--- a/src/http/webclient.cpp
+++ b/src/http/webclient.cpp
@@ -1,6 +1,8 @@
 #include "http/webclient.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
 #include <vector>
 
 namespace Basilbend
@@ -67,12 +69,27 @@
 ClientCall WebClient::sendAgain(
     const asio::ip::tcp::endpoint &server, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout, ConnectionHistory &history)
 {
+    if (!isSerializable(request)) {
+        return refuseCall(std::move(hooks));
+    }
     const auto idle = takeIdle(server, history);
     const auto connection = idle ? idle : openConnection(server);
     history.add(connection->number());
     return startCall(connection, request, std::move(hooks), connectTimeout);
 }
 
+ClientCall WebClient::refuseCall(CallHooks hooks)
+{
+    ++m_counts.refusedCalls;
+    auto open = std::make_shared<bool>(true);
+    asio::post(m_io, [open, onEnd = std::move(hooks.onEnd)] {
+        if (std::exchange(*open, false)) {
+            onEnd(CallOutcome::NotConnected);
+        }
+    });
+    return ClientCall(nullptr, open);
+}
+
 ClientCall
 WebClient::startCall(const std::shared_ptr<ClientConnection> &connection, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout)
 {
--- a/src/http/webclient.h
+++ b/src/http/webclient.h
@@ -37,6 +37,8 @@
 struct WebClientCounts {
     std::uint64_t connects = 0;
     std::uint64_t calls = 0;
+    /// Calls whose request was not serializable.
+    std::uint64_t refusedCalls = 0;
 };
 
 /// HTTP/1.1 client for many servers, with a pool of idle connections per server. Runs on the thread of its I/O context.
@@ -48,7 +50,8 @@
     WebClient(const WebClient &) = delete;
     WebClient &operator=(const WebClient &) = delete;
 
-    /// Sends a request. The hooks are called from the event loop, never from within this function.
+    /// Sends a request. The hooks are called from the event loop, never from within this function. A request that is not serializable is
+    /// not sent: its call ends as not connected.
     ClientCall send(const asio::ip::tcp::endpoint &server, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout);
 
     /// Sends a request that may be sent more than once, on a connection that has not carried it. history: connections of the earlier
@@ -73,6 +76,8 @@
         Timestamp since;
     };
 
+    /// Ends a call as not connected, from the event loop.
+    ClientCall refuseCall(CallHooks hooks);
     ClientCall startCall(const std::shared_ptr<ClientConnection> &connection, const RequestMessage &request, CallHooks hooks, Milliseconds connectTimeout);
     std::shared_ptr<ClientConnection> openConnection(const asio::ip::tcp::endpoint &server);
     /// Returns an idle connection that is not in the history, or null.
