End a request with a 500 where its handler throws

Callers saw: one odd request ends the process, and with it all others.

Cause: nothing between the handler of a request and the end of the process caught an exception.

Change: ServerSession::dispatch() ends the request with a 500 that promises nothing, or closes the connection if the response has begun; the failure is logged and counted. Lack of memory still ends the process, and so does work that no request has started: it would silently stop for good, while a new process takes everything up from the store.

--- a/src/daemon/daemonruntime.cpp
+++ b/src/daemon/daemonruntime.cpp
@@ -126,6 +126,10 @@
 ServerHooks DaemonRuntime::sharedServerHooks(ServerHooks hooks)
 {
     hooks.budget = m_connectionBudget;
+    hooks.onHandlerFailed = [this](const std::exception &error) {
+        m_metrics.count("basilbend_handler_failures_total");
+        m_log.warning("handler_failed", {{"reason", std::string(error.what())}});
+    };
     hooks.onAcceptFailed = [this](const asio::error_code &ec) { m_log.warning("accept_failed", {{"reason", ec.message()}}); };
     return hooks;
 }
--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -40,7 +40,14 @@
 
 const char *rejectionMessage(int status)
 {
-    return status == 503 ? "the connections of this process hold too much memory" : "the request can't be read";
+    switch (status) {
+    case 500:
+        return "the request could not be handled";
+    case 503:
+        return "the connections of this process hold too much memory";
+    default:
+        return "the request can't be read";
+    }
 }
 
 ResultCode resultCodeForStatus(int status)
@@ -50,6 +57,8 @@
         return ResultCode::RequestTimeout;
     case 413:
         return ResultCode::BodyTooLarge;
+    case 500:
+        return ResultCode::InternalError;
     case 431:
         return ResultCode::HeadersTooLarge;
     case 503:
@@ -145,7 +154,8 @@
             m_runtime.metrics().count("basilbend_refused_messages_total", {{"status", std::to_string(status)}});
             m_runtime.log().warning("message_refused", {{"status", status}});
             const auto retryAfter = status == 503 ? OverloadRetryAfter : Milliseconds(0);
-            return makeRejection(status, Error{resultCodeForStatus(status), rejectionMessage(status), Execution::NotRun, retryAfter}, {});
+            const auto execution = status == 500 ? Execution::Unknown : Execution::NotRun;
+            return makeRejection(status, Error{resultCodeForStatus(status), rejectionMessage(status), execution, retryAfter}, {});
         };
         hooks.limits = [this] { return m_service.limits(); };
         hooks.isDraining = [this] { return m_service.isDraining(); };
--- a/src/http/serverexchange.cpp
+++ b/src/http/serverexchange.cpp
@@ -28,7 +28,9 @@
 void ServerExchange::beginStream(const ResponseHead &head)
 {
     if (const auto session = m_session.lock(); session && !m_ended) {
-        session->send(serializeChunkedHead(head, session->decidePersistence(*this)));
+        m_hasBegun = true;
+        const auto persistence = session->decidePersistence(*this);
+        session->send(isHeadRequest() ? serializeBodiless(head, persistence) : serializeChunkedHead(head, persistence));
     }
 }
 
@@ -59,6 +61,16 @@
 std::size_t ServerExchange::pendingBytes() const
 {
     const auto session = m_session.lock();
+void ServerExchange::fail(const ResponseMessage &response)
+{
+    if (m_hasBegun) {
+        abort();
+        return;
+    }
+    closeAfterResponse();
+    respond(response);
+}
+
     return session ? session->pendingBytes() : 0;
 }
 
--- a/src/http/serverexchange.h
+++ b/src/http/serverexchange.h
@@ -36,6 +36,9 @@
     /// Closes the connection without completing the response.
     void abort();
 
+    /// Ends the exchange after a failure: with the response if nothing has been sent, else by closing the connection.
+    void fail(const ResponseMessage &response);
+
     /// Bytes of the response that have not been written to the socket yet.
     std::size_t pendingBytes() const;
 
@@ -55,3 +58,4 @@
 };
 
 }
+    bool m_hasBegun = false;
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
+#include <new>
 
 namespace Basilbend
 {
@@ -239,11 +240,25 @@
     // Posted so that it runs after the parser has returned, because a handler may respond at once and start the next request.
     asio::post(m_socket.get_executor(), [self = shared_from_this(), exchange = m_exchange] {
         if (!self->m_closed) {
-            self->m_hooks.onRequest(exchange);
+            self->dispatch(exchange);
         }
     });
 }
 
+void ServerSession::dispatch(const std::shared_ptr<ServerExchange> &exchange)
+{
+    try {
+        m_hooks.onRequest(exchange);
+    } catch (const std::bad_alloc &) {
+        throw;
+    } catch (const std::exception &error) {
+        if (m_hooks.onHandlerFailed) {
+            m_hooks.onHandlerFailed(error);
+        }
+        exchange->fail(m_hooks.errorResponse(500));
+    }
+}
+
 void ServerSession::reject(int status)
 {
     if (m_closeAfterWrite || m_closed) {
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -9,6 +9,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <string>
@@ -32,11 +33,14 @@
 /// Callbacks that the sessions of a server share.
 struct ServerHooks {
     std::function<void(std::shared_ptr<ServerExchange>)> onRequest;
-    /// Creates the response to a request that is rejected before it reaches onRequest (status 400, 408, 413, 431 or 503).
+    /// Creates the response to a request that is rejected before it reaches onRequest (status 400, 408, 413, 431 or 503), or
+    /// whose handler has failed (500).
     std::function<ResponseMessage(int status)> errorResponse;
     std::function<ServerLimits()> limits;
     std::function<bool()> isDraining;
     std::function<void(ServerSession *)> onClosed;
+    /// Called when onRequest has thrown, before the request is answered with status 500. May be null.
+    std::function<void(const std::exception &)> onHandlerFailed = nullptr;
     /// Limits what the connections of all servers of the process use together. Null: they are not limited.
     std::shared_ptr<ConnectionBudget> budget = nullptr;
     /// Called when a connection can't be accepted, for example for lack of descriptors, once until the next one is accepted. May be null.
@@ -78,6 +82,9 @@
     void handleHead(MessageHead &&head);
     void handleBody(std::string_view data);
     void handleMessage();
+    /// Passes a request to its handler. A handler that throws ends its request with status 500, unless memory is used up: that ends the
+    /// process.
+    void dispatch(const std::shared_ptr<ServerExchange> &exchange);
     void reject(int status);
     void armTimer(Milliseconds span, void (ServerSession::*action)());
     void armIdleTimer(Milliseconds limit, Milliseconds span);
