Answer HEAD requests without a body

Callers saw (review, read in the code): a HEAD request waits for a body that does not come until its time limit, and a refusal of one carries a body.

Change: the parser of a response to a HEAD request expects no body; a server sends the head alone, without Content-Length, which would be that of the body.

Result: http/a_head_request_gets_a_head_only_and_its_connection_is_used_again and gateway/a_head_request_is_answered_with_the_head_of_the_endpoints_ response pass.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -19,6 +19,8 @@
 constexpr int MaxSkippedResponses = 4;
 constexpr std::size_t MaxSkippedBytes = 1024 * 1024;
 
+constexpr std::string_view HeadRequestStart = "HEAD ";
+
 /// Parses the timeout parameter of a Keep-Alive field, which is in seconds. Returns zero when there is none.
 Milliseconds parseKeepAliveTimeout(std::string_view text)
 {
@@ -74,6 +76,7 @@
 {
     m_hooks = std::make_shared<const CallHooks>(std::move(hooks));
     m_request = std::move(request);
+    m_parser.expectBody(m_request.compare(0, HeadRequestStart.size(), HeadRequestStart) != 0);
     m_hasCall = true;
     m_requestWritten = false;
     m_responseStarted = false;
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -88,6 +88,16 @@
     return bytes;
 }
 
+std::string serializeBodiless(const ResponseHead &head, Persistence persistence)
+{
+    std::string bytes;
+    appendStatusLine(bytes, head.status);
+    appendFields(bytes, head.fields);
+    appendPersistence(bytes, persistence);
+    bytes.append("\r\n");
+    return bytes;
+}
+
 std::string serializeChunkedHead(const ResponseHead &head, Persistence persistence)
 {
     std::string bytes;
@@ -126,6 +136,21 @@
     return {};
 }
 
+std::string percentDecoded(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const bool isEscape = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
+        if (isEscape) {
+            decoded.push_back(static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2])));
+            i += 2;
+        } else {
+            decoded.push_back(text[i]);
+        }
+    }
+    return decoded;
+}
+
 std::string_view targetPath(std::string_view target)
 {
     return target.substr(0, std::min(target.find('?'), target.size()));
@@ -148,18 +173,3 @@
 }
 
 }
-std::string percentDecoded(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool isEscape = text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
-        if (isEscape) {
-            decoded.push_back(static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2])));
-            i += 2;
-        } else {
-            decoded.push_back(text[i]);
-        }
-    }
-    return decoded;
-}
-
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -45,6 +45,9 @@
 /// Serializes a response with Content-Length. Omits fields that can't be written as one line, here and in serializeChunkedHead().
 std::string serializeResponse(const ResponseMessage &response, Persistence persistence);
 
+/// Serializes the response to a HEAD request: without a body, and without Content-Length, which would be that of the body.
+std::string serializeBodiless(const ResponseHead &head, Persistence persistence);
+
 /// Serializes the head of a response whose body is sent with the chunked transfer encoding.
 std::string serializeChunkedHead(const ResponseHead &head, Persistence persistence);
 
@@ -57,13 +60,13 @@
 /// Returns the percent-decoded value of a query parameter, or an empty string.
 std::string queryValue(std::string_view target, std::string_view name);
 
+/// Decodes the percent-encoded bytes of a path segment (RFC 3986, section 2.1). Incomplete escapes stay as they are.
+std::string percentDecoded(std::string_view text);
+
 /// Returns the target without its query.
 std::string_view targetPath(std::string_view target);
 
 /// Percent-encodes all characters except unreserved ones and the slash.
 std::string percentEncoded(std::string_view text);
 
-/// Decodes the percent-encoded bytes of a path segment (RFC 3986, section 2.1). Incomplete escapes stay as they are.
-std::string percentDecoded(std::string_view text);
-
 }
--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -103,6 +103,9 @@
     m_head.fields = takeFields();
     m_readingHead = false;
     m_incompleteHeadBytes = 0;
+    if (!m_isBodyExpected) {
+        m_parser.flags |= F_SKIPBODY;
+    }
     m_head.keepAlive = http_should_keep_alive(&m_parser) != 0;
     if (m_kind == Kind::Request) {
         m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -55,6 +55,12 @@
 
     bool hasFailed() const;
 
+    /// Whether the next responses have a body. The response to a HEAD request has none, whatever its fields say.
+    void expectBody(bool isExpected)
+    {
+        m_isBodyExpected = isExpected;
+    }
+
     /// Whether a message has begun and is not complete.
     bool isInsideMessage() const
     {
@@ -104,6 +110,7 @@
     bool m_readingHead = false;
     bool m_readingValue = false;
     bool m_isInterim = false;
+    bool m_isBodyExpected = true;
     int m_interimResponses = 0;
     bool m_failed = false;
     std::size_t m_incompleteHeadBytes = 0;
--- a/src/http/serverexchange.cpp
+++ b/src/http/serverexchange.cpp
@@ -20,7 +20,8 @@
 {
     if (const auto session = m_session.lock(); session && !m_ended) {
         m_ended = true;
-        session->send(serializeResponse(response, session->decidePersistence(*this)));
+        const auto persistence = session->decidePersistence(*this);
+        session->send(isHeadRequest() ? serializeBodiless({response.status, response.fields}, persistence) : serializeResponse(response, persistence));
         session->finishExchange();
     }
 }
@@ -36,7 +37,7 @@
 
 void ServerExchange::sendChunk(std::string_view data)
 {
-    if (const auto session = m_session.lock(); session && !m_ended && !data.empty()) {
+    if (const auto session = m_session.lock(); session && !m_ended && !data.empty() && !isHeadRequest()) {
         session->send(serializeChunk(data));
     }
 }
@@ -45,7 +46,9 @@
 {
     if (const auto session = m_session.lock(); session && !m_ended) {
         m_ended = true;
-        session->send(LastChunk);
+        if (!isHeadRequest()) {
+            session->send(LastChunk);
+        }
         session->finishExchange();
     }
 }
@@ -58,9 +61,6 @@
     }
 }
 
-std::size_t ServerExchange::pendingBytes() const
-{
-    const auto session = m_session.lock();
 void ServerExchange::fail(const ResponseMessage &response)
 {
     if (m_hasBegun) {
@@ -71,6 +71,9 @@
     respond(response);
 }
 
+std::size_t ServerExchange::pendingBytes() const
+{
+    const auto session = m_session.lock();
     return session ? session->pendingBytes() : 0;
 }
 
--- a/src/http/serverexchange.h
+++ b/src/http/serverexchange.h
@@ -51,11 +51,17 @@
 private:
     friend class ServerSession;
 
+    /// Whether the response has no body because the request asks for its head only.
+    bool isHeadRequest() const
+    {
+        return m_request.method == "HEAD";
+    }
+
     std::weak_ptr<ServerSession> m_session;
     RequestMessage m_request;
     bool m_ended = false;
+    bool m_hasBegun = false;
     bool m_closeAfterResponse = false;
 };
 
 }
-    bool m_hasBegun = false;
--- a/tests/gateway/livecall.cpp
+++ b/tests/gateway/livecall.cpp
@@ -55,14 +55,14 @@
         time.advance(Milliseconds(50));
     }
 
-    void send(const std::string &path)
+    void send(const std::string &path, const std::string &method = "POST")
     {
         CallHooks hooks;
         hooks.onHead = [this](const ResponseHead &head) { status = head.status; };
         hooks.onBody = [this](std::string_view data) { body.append(data); };
         hooks.onEnd = [this](CallOutcome callOutcome) { outcome = callOutcome; };
         RequestMessage request{
-            "POST", path, {{"Host", "a.example"}, {"X-Api-Key", "k"}, {"Basilbend-Attempt-Id", "r-1"}, {"Basilbend-Deadline-Ms", "5000"}}, "b"};
+            method, path, {{"Host", "a.example"}, {"X-Api-Key", "k"}, {"Basilbend-Attempt-Id", "r-1"}, {"Basilbend-Deadline-Ms", "5000"}}, "b"};
         call = client.send({asio::ip::make_address("127.0.0.1"), gateway->server.port()}, request, std::move(hooks), Milliseconds(500));
     }
 
@@ -467,4 +467,17 @@
     BOOST_TEST(body == event(1) + event(2));
 }
 
+// Guards against a HEAD request that waits for a body until its time limit.
+BOOST_FIXTURE_TEST_CASE(a_head_request_is_answered_with_the_head_of_the_endpoints_response, LiveFixture)
+{
+    script(respondWhole, rejectNotRun);
+    send("/often/a", "HEAD");
+    run(500);
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((*outcome == CallOutcome::Complete));
+    BOOST_TEST(status == 200);
+    BOOST_TEST(body.empty());
+    BOOST_TEST(runs() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/http/clientserver.cpp
+++ b/tests/http/clientserver.cpp
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
+#include <stdexcept>
 
 using namespace Basilbend;
 
@@ -261,4 +262,86 @@
     BOOST_TEST((*seen == CallOutcome::NotConnected));
 }
 
+// Guards against a target or a field that ends the head of its request and begins another request on the connection.
+BOOST_FIXTURE_TEST_CASE(a_request_whose_head_would_end_early_is_not_sent, WebFixture)
+{
+    const std::vector<RequestMessage> requests{{"GET", "/p HTTP/1.1\r\n\r\nGET /q", {{"Host", "h"}}, {}},
+                                               {"GET", "/p", {{"Host", "h"}, {"X-Odd", "1\r\nX-More: 2"}}, {}},
+                                               {"GET", "/p", {{"Host", "h"}, {"X: 1\nX-More", "2"}}, {}},
+                                               {"GET /q", "/p", {{"Host", "h"}}, {}}};
+    for (const auto &request : requests) {
+        Outcome outcome;
+        const auto open = call(request, outcome);
+        BOOST_TEST(!outcome.end.has_value());
+        BOOST_REQUIRE(runUntil([&] { return outcome.end.has_value(); }));
+        BOOST_TEST((*outcome.end == CallOutcome::NotConnected));
+    }
+    BOOST_TEST(exchanges.empty());
+    BOOST_TEST(client.counts().refusedCalls == requests.size());
+}
+
+// Guards against a response field that ends the head of the response.
+BOOST_FIXTURE_TEST_CASE(a_response_field_that_is_not_one_line_is_omitted, WebFixture)
+{
+    onRequest = [](const std::shared_ptr<ServerExchange> &exchange) { exchange->respond({200, {{"X-Odd", "1\r\nX-More: 2"}, {"X-Sound", "3"}}, "b"}); };
+    Outcome outcome;
+    const auto open = call({"GET", "/p", {{"Host", "h"}}, {}}, outcome);
+    BOOST_REQUIRE(runUntil([&] { return outcome.end.has_value(); }));
+    BOOST_TEST(outcome.head.fields.find("X-Odd") == nullptr);
+    BOOST_TEST(outcome.head.fields.find("X-More") == nullptr);
+    BOOST_TEST(outcome.head.fields.value("X-Sound") == "3");
+}
+
+// Guards against a process that ends, and with it all other requests, because the handler of one request throws.
+BOOST_FIXTURE_TEST_CASE(a_handler_that_throws_ends_its_own_request_only, WebFixture)
+{
+    onRequest = [](const std::shared_ptr<ServerExchange> &exchange) {
+        if (exchange->request().target == "/stream") {
+            exchange->beginStream({200, {}});
+        }
+        if (exchange->request().target != "/sound") {
+            throw std::runtime_error("odd request");
+        }
+        exchange->respond({200, {}, {}});
+    };
+    Outcome failed;
+    Outcome broken;
+    Outcome sound;
+    const auto first = call({"GET", "/odd", {{"Host", "h"}}, {}}, failed);
+    const auto second = call({"GET", "/stream", {{"Host", "h"}}, {}}, broken);
+    const auto third = call({"GET", "/sound", {{"Host", "h"}}, {}}, sound);
+    BOOST_REQUIRE(runUntil([&] { return failed.end && broken.end && sound.end; }));
+    BOOST_TEST(failed.head.status == 500);
+    BOOST_TEST((*failed.end == CallOutcome::Complete));
+    BOOST_TEST((*broken.end != CallOutcome::Complete));
+    BOOST_TEST(sound.head.status == 200);
+}
+
+// Guards against a call that waits for a body that a HEAD request does not get, and against one that is sent.
+BOOST_FIXTURE_TEST_CASE(a_head_request_gets_a_head_only_and_its_connection_is_used_again, WebFixture)
+{
+    onRequest = [](const std::shared_ptr<ServerExchange> &exchange) {
+        if (exchange->request().target == "/stream") {
+            exchange->beginStream({200, {{"X-Kind", "stream"}}});
+            exchange->sendChunk("data");
+            exchange->endStream();
+        } else {
+            exchange->respond({200, {{"X-Kind", "whole"}}, "data"});
+        }
+    };
+    for (const auto *target : {"/whole", "/stream"}) {
+        Outcome head;
+        const auto first = call({"HEAD", target, {{"Host", "h"}}, {}}, head);
+        BOOST_REQUIRE(runUntil([&] { return head.end.has_value(); }));
+        BOOST_TEST((*head.end == CallOutcome::Complete));
+        BOOST_TEST(head.body.empty());
+        BOOST_TEST(head.head.fields.value("X-Kind") == std::string_view(target).substr(1));
+        Outcome next;
+        const auto second = call({"GET", target, {{"Host", "h"}}, {}}, next);
+        BOOST_REQUIRE(runUntil([&] { return next.end.has_value(); }));
+        BOOST_TEST(next.body == "data");
+    }
+    BOOST_TEST(client.counts().connects == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
