Do not count a 504 of an endpoint as a failed attempt of an item

Callers saw (review, read in the code): an item that carries a time limit is terminated after as many 504 as its route has attempts.

Change: a 504 ends a run as timed out, and the next run goes on after its last event. It says nothing about the health of the endpoint.

Result: scheduling/a_504_response_does_not_count_as_an_error_of_the_endpoint passes.

--- a/src/scheduling/endpointhealth.cpp
+++ b/src/scheduling/endpointhealth.cpp
@@ -67,6 +67,7 @@
         }
         break;
     case RunEnd::ServerError:
+    case RunEnd::TimedOut:
     case RunEnd::Unprocessable:
         break;
     }
--- a/src/scheduling/itemrun.cpp
+++ b/src/scheduling/itemrun.cpp
@@ -131,8 +131,9 @@
     case 422:
         return RunEnd::Unprocessable;
     case 500:
-    case 504:
         return RunEnd::ServerError;
+    case 504:
+        return RunEnd::TimedOut;
     default:
         return RunEnd::Broken;
     }
--- a/src/scheduling/openbatch.h
+++ b/src/scheduling/openbatch.h
@@ -30,7 +30,7 @@
     ItemText text;
     /// Whether the last event of the text has arrived.
     bool isComplete = false;
-    /// Number of 500 or 504 responses to its runs.
+    /// Number of 500 responses to its runs.
     int serverErrors = 0;
     /// Number of 500 responses to its reward calls.
     int rewardErrors = 0;
@@ -141,7 +141,7 @@
     /// Index of an item; empty if the batch has no item with this id.
     std::optional<std::size_t> indexOf(const std::string &id) const;
 
-    /// Counts a 500 or 504 response to a run of an item. Terminates the item after as many attempts as the route allows.
+    /// Counts a 500 response to a run of an item. Terminates the item after as many attempts as the route allows.
     void recordServerError(std::size_t i, const BatchRules &rules);
 
     void terminate(std::size_t i);
--- a/src/scheduling/runend.cpp
+++ b/src/scheduling/runend.cpp
@@ -10,6 +10,8 @@
         return "complete";
     case RunEnd::ServerError:
         return "server_error";
+    case RunEnd::TimedOut:
+        return "timed_out";
     case RunEnd::Unprocessable:
         return "unprocessable";
     case RunEnd::Refused:
--- a/src/scheduling/runend.h
+++ b/src/scheduling/runend.h
@@ -9,8 +9,10 @@
 enum class RunEnd {
     /// The last event has been received.
     Complete,
-    /// The endpoint ran the item and failed (500 or 504).
+    /// The endpoint ran the item and failed (500).
     ServerError,
+    /// The endpoint stopped at the time limit that the item's header fields name (504). Another run continues its text.
+    TimedOut,
     /// The endpoint can never run the item.
     Unprocessable,
     /// The endpoint refused the item and did not run it.
--- a/tests/scheduling/itemrun.cpp
+++ b/tests/scheduling/itemrun.cpp
@@ -182,4 +182,20 @@
     BOOST_TEST((*end == RunEnd::Oversized));
 }
 
+// Guards against an item that is given up because its own time limit, and not an error of the endpoint, has ended its runs.
+BOOST_FIXTURE_TEST_CASE(a_504_response_does_not_count_as_an_error_of_the_endpoint, UnframedRunFixture)
+{
+    const auto runWith = [this](const std::string &status) {
+        return run([status](const RawEndpoint::ConnectionPtr &connection) {
+            connection->write("HTTP/1.1 " + status + "\r\nBasilbend-Attempt-Id: i\r\nBasilbend-Server-Signature: s\r\nContent-Length: 0\r\n\r\n");
+        });
+    };
+    const auto timedOut = runWith("504 Gateway Timeout");
+    BOOST_REQUIRE(timedOut.has_value());
+    BOOST_TEST((*timedOut == RunEnd::TimedOut));
+    const auto failed = runWith("500 Internal Server Error");
+    BOOST_REQUIRE(failed.has_value());
+    BOOST_TEST((*failed == RunEnd::ServerError));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
