Take whole numbers that are written with a fraction of zero (CONFIG)

Callers saw: nothing so far. A configuration with 2.0 for a whole number was refused, and an older version would have stayed in force for good. JSON does not tell 2 from 2.0.

--- a/src/platform/jsonfields.cpp
+++ b/src/platform/jsonfields.cpp
@@ -1,11 +1,16 @@
 #include "platform/jsonfields.h"
 
+#include <cmath>
+
 namespace Basilbend::Wire
 {
 
 namespace
 {
 
+/// Up to this number a double represents each whole number.
+constexpr double MaxExactDouble = 9007199254740992.0;
+
 const nlohmann::json *findField(const nlohmann::json &object, const char *name)
 {
     const auto it = object.is_object() ? object.find(name) : object.end();
@@ -31,10 +36,15 @@
 
 std::uint64_t asUnsigned(const nlohmann::json &field, const char *name)
 {
-    if (!field.is_number_unsigned()) {
+    if (field.is_number_unsigned()) {
+        return field.get<std::uint64_t>();
+    }
+    // JSON does not tell 2 from 2.0 (RFC 8259, section 6), so a writer may use either.
+    const double n = field.is_number_float() ? field.get<double>() : -1;
+    if (!(n >= 0 && n <= MaxExactDouble && n == std::floor(n))) {
         throw FieldError{std::string(name) + " must be a whole number without sign"};
     }
-    return field.get<std::uint64_t>();
+    return static_cast<std::uint64_t>(n);
 }
 
 }
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -65,6 +65,27 @@
     BOOST_TEST(decodeConfiguration("\xff").has_error());
 }
 
+// Guards against a new version that is never in force, because its writer spells whole numbers with a fraction of zero.
+BOOST_AUTO_TEST_CASE(a_whole_number_of_a_configuration_may_be_written_with_a_fraction_of_zero)
+{
+    std::string text = ConfigurationText;
+    for (const auto &[from, to] : {std::pair{R"("version":7)", R"("version":7.0)"},
+                                   std::pair{R"("priority":2)", R"("priority":2.0)"},
+                                   std::pair{R"("weight":90)", R"("weight":9.0e1)"},
+                                   std::pair{R"("slots":16)", R"("slots":16.0)"}}) {
+        text.replace(text.find(from), std::string(from).size(), to);
+    }
+    const auto configuration = decodeConfiguration(text);
+    BOOST_REQUIRE(configuration.has_value());
+    BOOST_TEST(configuration.value().version == 7U);
+    BOOST_TEST(configuration.value().routes.at(0).shares.at(0).weight == 90);
+    for (const auto *version : {"7.5", "-7.0", "1e30", "1e400"}) {
+        auto odd = std::string(ConfigurationText);
+        odd.replace(odd.find("7"), 1, version);
+        BOOST_TEST(decodeConfiguration(odd).has_error(), version);
+    }
+}
+
 // Guards against using registry entries of other writers as endpoints.
 BOOST_AUTO_TEST_CASE(a_malformed_endpoint_entry_is_rejected)
 {
