--- a/src/daemon/gatewaydaemon.cpp
+++ b/src/daemon/gatewaydaemon.cpp
@@ -2,12 +2,12 @@
 
 #include "billing/usagepublisher.h"
 #include "catalog/systemview.h"
+#include "daemon/viewwatchspans.h"
 #include "gateway/gatewayservice.h"
 #include "gateway/rejection.h"
-#include "http/socketoptions.h"
 #include "http/connectionbudget.h"
+#include "http/socketoptions.h"
 #include "http/webserver.h"
-#include "metadata/watchtiming.h"
 #include "platform/clientrequest.h"
 
 #include <algorithm>
@@ -19,8 +19,6 @@
 namespace
 {
 
-/// Part of the bound for withdrawn keys that a watch waits at most, so that one lost watch does not make the configuration too old.
-constexpr int OperatorWatchDivisor = 2;
 /// Endpoint changes are coalesced for half of the time after which a leaving endpoint must not get requests.
 constexpr int EndpointCoalescingDivisor = 2;
 constexpr Milliseconds HousekeepingInterval{500};
@@ -57,10 +55,10 @@
         return ResultCode::RequestTimeout;
     case 413:
         return ResultCode::BodyTooLarge;
-    case 500:
-        return ResultCode::InternalError;
     case 431:
         return ResultCode::HeadersTooLarge;
+    case 500:
+        return ResultCode::InternalError;
     case 503:
         return ResultCode::Overloaded;
     default:
@@ -74,7 +72,7 @@
 public:
     explicit Gateway(DaemonRuntime &runtime)
         : m_runtime(runtime)
-        , m_view(runtime.store(), runtime.loop(), runtime.log(), ViewScope::Serving, watchSpans(runtime.settings()))
+        , m_view(runtime.store(), runtime.loop(), runtime.log(), ViewScope::Serving, viewWatchSpansFor(runtime.settings(), runtime.settings().withdrawalBound))
         , m_picker(runtime.settings().zone)
         , m_usageCounter(runtime.settings().usageWindow)
         , m_usagePublisher(runtime.store(), runtime.loop(), runtime.log(), runtime.settings().node + "-" + runtime.incarnation())
@@ -103,6 +101,7 @@
               runtime.settings().internalAddress,
               runtime.sharedServerHooks(defaultServerHooks([this](const std::shared_ptr<ServerExchange> &exchange) { serveInternalRequest(exchange); })))
     {
+        m_context.submissionBudget = SubmissionBudget(SubmissionBudget::limitFor(availableMemoryBytes()));
         m_view.shareFeeds(m_feedHub, [this] { return makeFollower(); });
         m_context.crashes.ledger().feed().share(m_feedHub, makeFollower());
         m_view.setRegions(runtime.settings().regionOfZone);
@@ -110,7 +109,6 @@
             m_picker.remove(endpoint.id);
             m_runtime.client().closeIdleConnections(parseSocketEndpoint(endpoint.address));
         };
-        m_context.submissionBudget = SubmissionBudget(SubmissionBudget::limitFor(availableMemoryBytes()));
         m_view.onEndpointsChanged = [this] { m_context.origins.update(); };
         m_view.onConfigurationChanged = [this] { m_context.origins.update(); };
         m_runtime.onStopRequested = [this] { beginDrain(); };
@@ -132,12 +130,6 @@
         return std::make_unique<FeedFollower>(m_runtime.client(), m_runtime.loop(), m_runtime.log(), otherPeers(settings), settings.node);
     }
 
-    static ViewWatchSpans watchSpans(const DaemonSettings &settings)
-    {
-        return {std::min(WatchTiming::spanFor(settings.configurationBound), settings.withdrawalBound / OperatorWatchDivisor),
-                WatchTiming::spanFor(std::max(settings.endpointLeaveBound, WatchTiming::RecoveryBound))};
-    }
-
     static FreshnessRule freshnessRuleFor(const DaemonSettings &settings)
     {
         FreshnessRule rule;
--- a/src/daemon/schedulerdaemon.cpp
+++ b/src/daemon/schedulerdaemon.cpp
@@ -3,11 +3,11 @@
 #include "billing/usagewindowreporter.h"
 #include "catalog/systemview.h"
 #include "daemon/hostretirement.h"
+#include "daemon/viewwatchspans.h"
 #include "election/leaderelection.h"
 #include "election/leaderprobe.h"
 #include "http/socketoptions.h"
 #include "http/webserver.h"
-#include "metadata/watchtiming.h"
 #include "platform/configurationcodec.h"
 #include "platform/operatorkeys.h"
 #include "scheduling/batchrunner.h"
@@ -26,8 +26,6 @@
 namespace
 {
 
-/// Part of the bound for evacuations that a watch waits at most, so that one lost watch does not make the known ones too old.
-constexpr int OperatorWatchDivisor = 2;
 constexpr Milliseconds EndpointCoalescingDelay{200};
 constexpr Milliseconds PollInterval{250};
 /// While it is uncertain whether the lease still holds, new items are started for at most this long, because another process may
@@ -49,7 +47,7 @@
 public:
     explicit Scheduler(DaemonRuntime &runtime)
         : m_runtime(runtime)
-        , m_view(runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, watchSpans(runtime.settings()))
+        , m_view(runtime.store(), runtime.loop(), runtime.log(), ViewScope::Control, viewWatchSpansFor(runtime.settings(), runtime.settings().evacuationBound))
         , m_leaderProbe(runtime.client(), runtime.loop())
         , m_election(runtime.store(),
                      runtime.loop(),
@@ -116,12 +114,6 @@
         return settings;
     }
 
-    static ViewWatchSpans watchSpans(const DaemonSettings &settings)
-    {
-        return {std::min(WatchTiming::spanFor(settings.configurationBound), settings.evacuationBound / OperatorWatchDivisor),
-                WatchTiming::spanFor(std::max(settings.endpointLeaveBound, WatchTiming::RecoveryBound))};
-    }
-
     BatchRunnerHooks batchRunnerHooks()
     {
         BatchRunnerHooks hooks;
--- a/src/metadata/prefixfeed.cpp
+++ b/src/metadata/prefixfeed.cpp
@@ -128,12 +128,17 @@
     followOrWatch();
 }
 
+Milliseconds PrefixFeed::maxWatchSpan() const
+{
+    return m_isServing ? std::min(m_watchSpan, ServingWatchSpan) : m_watchSpan;
+}
+
 void PrefixFeed::watch()
 {
     const auto sentAt = m_loop.now();
     // An answer with a change verifies the state only for the time at which the watch was sent, so the next watch ends early
     // enough to verify it again within one span.
-    const auto maxSpan = m_isServing ? std::min(m_watchSpan, ServingWatchSpan) : m_watchSpan;
+    const auto maxSpan = maxWatchSpan();
     const auto usualSpan = std::clamp(maxSpan - (sentAt - *m_verifiedAt), std::min(WatchTiming::MinSpan, maxSpan), maxSpan);
     const auto span = m_failures > 0 || m_hasFollowedPeer ? std::min(WatchTiming::RetrySpan, usualSpan) : usualSpan;
     m_hasFollowedPeer = false;
@@ -301,8 +306,7 @@
         return;
     }
     m_isGapCheckScheduled = true;
-    const auto span = m_isServing ? std::min(m_watchSpan, ServingWatchSpan) : m_watchSpan;
-    m_loop.runAfter(WatchTiming::gapCheckDelayFor(span), [this, gapCheck = ++m_gapCheck] {
+    m_loop.runAfter(WatchTiming::gapCheckDelayFor(maxWatchSpan()), [this, gapCheck = ++m_gapCheck] {
         if (gapCheck == m_gapCheck) {
             checkGap();
         }
--- a/src/metadata/prefixfeed.h
+++ b/src/metadata/prefixfeed.h
@@ -126,6 +126,8 @@
 private:
     void listPage(const std::string &afterKey);
     void acceptPage(MetadataReply reply);
+    /// Maximum wait of a watch; shorter while followers depend on it.
+    Milliseconds maxWatchSpan() const;
     void watch();
     void acceptWatch(const MetadataReply &reply, Timestamp sentAt, Milliseconds span);
     void scheduleGapCheck();
