--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -81,7 +81,7 @@
     BOOST_TEST(configuration.value().routes.at(0).shares.at(0).weight == 90);
     for (const auto *version : {"7.5", "-7.0", "1e30", "1e400"}) {
         auto odd = std::string(ConfigurationText);
-        odd.replace(odd.find("7"), 1, version);
+        odd.replace(odd.find('7'), 1, version);
         BOOST_TEST(decodeConfiguration(odd).has_error(), version);
     }
 }
