Leave out the space after a field's value

Callers would have seen: an id or a host that is followed by a space, which HTTP does not count, rejected with 400 since the texts of clients are checked; before that the space was a part of the id.

Cause: http_parser removes the space before a value only.

Result: http/space_around_a_field_value_does_not_belong_to_it passes.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -10,6 +10,15 @@
 constexpr int MaxInterimResponses = 16;
 constexpr int CallbackFailure = -1;
 
+/// Space after a field's value does not belong to it (RFC 9110, section 5.5). http_parser removes only that before it.
+std::string_view withoutTrailingSpace(std::string_view value)
+{
+    while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
+        value.remove_suffix(1);
+    }
+    return value;
+}
+
 }
 
 MessageParser::MessageParser(Kind kind, MessageHooks hooks)
@@ -91,7 +100,8 @@
     fields.reserve(m_fieldSizes.size());
     std::size_t position = 0;
     for (const auto &size : m_fieldSizes) {
-        fields.add(m_headText.substr(position, size.name), m_headText.substr(position + size.name, size.value));
+        const auto value = std::string_view(m_headText).substr(position + size.name, size.value);
+        fields.add(m_headText.substr(position, size.name), std::string(withoutTrailingSpace(value)));
         position += size.name + size.value;
     }
     clearFields();
--- a/tests/http/messageparser.cpp
+++ b/tests/http/messageparser.cpp
@@ -48,6 +48,17 @@
     BOOST_TEST(heads.at(0).fields.value("host") == "h");
 }
 
+// Guards against a client whose id differs from the one that it sent, or is rejected, because of space that HTTP does not count.
+BOOST_FIXTURE_TEST_CASE(space_around_a_field_value_does_not_belong_to_it, ParserFixture)
+{
+    MessageParser parser(MessageParser::Kind::Request, hooks());
+    parser.feed("GET / HTTP/1.1\r\nHost: \t h.example \t\r\nX-Empty:  \r\nX-Inner: a  b \r\n\r\n");
+    BOOST_REQUIRE(heads.size() == 1U);
+    BOOST_TEST(heads[0].fields.value("Host") == "h.example");
+    BOOST_TEST(heads[0].fields.value("X-Empty").empty());
+    BOOST_TEST(heads[0].fields.value("X-Inner") == "a  b");
+}
+
 // Guards against request smuggling: two servers could interpret conflicting lengths differently.
 BOOST_AUTO_TEST_CASE(messages_with_conflicting_lengths_are_rejected)
 {
