Take a response without a length for interrupted if its connection ends within the request

Callers saw: an endpoint answers a long upload at once with a 200 without a length, sends part of its body and resets the connection while the upload is still being written.

Cause: the system reports the error of a socket once. A write that is under way takes the error of the reset, and the next read sees an orderly end, so the call ended as Unframed; the endpoint still runs, so the identity check took the response for whole. The same holds without a reset: an endpoint that ends its side of the connection while it reads, with nothing unread at that moment, sends the end before the reset. Ruled out: uploads that fit into the system's buffers, where the read takes the error itself.

Change: CallOutcome::Interrupted. A response without a length is Unframed only if its connection ended in order after the whole request was passed to the system; otherwise only its head can be used. A reset is reported in the same way whichever side takes the error. Every caller that accepts Complete or Unframed sees a third outcome: judgeAnswerEnd() makes it a cut response, so an idempotent request runs elsewhere, a resumable stream goes on after its last event, and the others fail. A refusal needs its head only and stays "not run". Responses with a length, or in chunks, are whole when they end, as before.

Ways weighed: such responses stay whole if no write has failed (the order of the end and the reset is a race); a failed write makes the outcome Broken (a refusal of a long upload would then count as a run and be lost to the caller).

The fixture of gateway/rawanswers moved to a header, its tests are unchanged.

--- a/src/forwarding/answerend.cpp
+++ b/src/forwarding/answerend.cpp
@@ -5,7 +5,13 @@
 
 AnswerEnd judgeAnswerEnd(CallOutcome outcome, bool isInsideEvent, bool notExecuted)
 {
-    if (outcome != CallOutcome::Unframed || notExecuted) {
+    if (notExecuted) {
+        return AnswerEnd::Final;
+    }
+    if (outcome == CallOutcome::Interrupted) {
+        return AnswerEnd::Truncated;
+    }
+    if (outcome != CallOutcome::Unframed) {
         return AnswerEnd::Final;
     }
     return isInsideEvent ? AnswerEnd::Truncated : AnswerEnd::Unconfirmed;
--- a/src/forwarding/answerend.h
+++ b/src/forwarding/answerend.h
@@ -14,7 +14,7 @@
     /// The response has no length and its connection closed in order. It is whole if the endpoint still runs, because a process that
     /// ends closes all of its connections.
     Unconfirmed,
-    /// The response has no length and ends within an event.
+    /// The response has no length and ends within an event, or by an interruption of its connection.
     Truncated,
 };
 
--- a/src/forwarding/attemptrule.cpp
+++ b/src/forwarding/attemptrule.cpp
@@ -19,8 +19,7 @@
     if (callOutcome == CallOutcome::NotConnected) {
         return ForwardOutcome::NotRun;
     }
-    const bool hasAnswer = callOutcome == CallOutcome::Complete || callOutcome == CallOutcome::Unframed;
-    if (hasAnswer && notExecuted) {
+    if (hasUsableHead(callOutcome) && notExecuted) {
         return ForwardOutcome::NotRun;
     }
     if (callOutcome != CallOutcome::Complete) {
--- a/src/forwarding/attemptrule.h
+++ b/src/forwarding/attemptrule.h
@@ -45,7 +45,7 @@
 RetryDecision decideRetry(ForwardOutcome outcome, const RetryState &state);
 
 /// Derives the outcome of an attempt. The status and the flags notExecuted and isSigned come from the head of the response. They
-/// count only if the call ended with CallOutcome::Complete; notExecuted counts also if the response had no length, since it needs no body.
+/// count only if the call ended with CallOutcome::Complete; notExecuted counts whenever the head can be used, since it needs no body.
 ForwardOutcome classifyResponse(CallOutcome callOutcome, int status, bool notExecuted, bool isSigned);
 
 }
--- a/src/gateway/livecall.h
+++ b/src/gateway/livecall.h
@@ -54,7 +54,7 @@
     void handleEnd(std::size_t index, CallOutcome end);
     /// Finds out whether the endpoint meant to end a response without a length.
     void confirmEnd(std::size_t index);
-    /// end: not CallOutcome::Unframed, unless the head of the response says that the request did not run.
+    /// end: neither CallOutcome::Unframed nor CallOutcome::Interrupted, unless the head of the response says that the request did not run.
     void acceptEnd(std::size_t index, CallOutcome end);
     void concludeAttempt(std::size_t index, CallOutcome end);
     void applyRetryDecision(std::size_t index, ForwardOutcome outcome);
--- a/src/http/clientcall.h
+++ b/src/http/clientcall.h
@@ -16,6 +16,9 @@
     /// A response without a length has ended with an orderly close of its connection. It is whole only if the server meant to end it:
     /// the system closes the connections of a process that is killed in the same way.
     Unframed,
+    /// A response without a length has ended by a reset of its connection, or before the whole request was sent. Only its head is whole:
+    /// a server that ends a connection within the request ends it in the same way whether or not it has sent all of its response.
+    Interrupted,
     /// The connection could not be established; nothing was sent.
     NotConnected,
     /// The connection closed before the first byte of a response. The server may have run the request.
@@ -24,6 +27,9 @@
     Broken,
 };
 
+/// Whether the call has ended with a response of which at least the head can be used. That is enough where the body does not count.
+bool hasUsableHead(CallOutcome outcome);
+
 /// The name of an outcome in log lines.
 std::string_view callOutcomeName(CallOutcome outcome);
 
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -37,6 +37,11 @@
 
 }
 
+bool hasUsableHead(CallOutcome outcome)
+{
+    return outcome == CallOutcome::Complete || outcome == CallOutcome::Unframed || outcome == CallOutcome::Interrupted;
+}
+
 std::string_view callOutcomeName(CallOutcome outcome)
 {
     switch (outcome) {
@@ -44,6 +49,8 @@
         return "complete";
     case CallOutcome::Unframed:
         return "unframed";
+    case CallOutcome::Interrupted:
+        return "interrupted";
     case CallOutcome::NotConnected:
         return "not_connected";
     case CallOutcome::ClosedUnanswered:
@@ -117,7 +124,8 @@
 {
     asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this()](const asio::error_code &ec, std::size_t) {
         if (self->m_closed || ec) {
-            // After a failed write the read side ends too, and that determines the outcome of the call.
+            // After a failed write the read side ends too, and that determines the outcome of the call. The system reports the error of a
+            // connection once, so the read side then ends as if the server had closed the connection in order.
             return;
         }
         self->m_requestWritten = true;
@@ -220,10 +228,12 @@
         closeSocket();
         return;
     }
-    const bool endsWithConnection = isOrderly && m_responseStarted && !m_skippingResponse && m_parser.finish() && m_messageComplete;
+    const bool endsWithConnection = m_responseStarted && !m_skippingResponse && m_parser.finish() && m_messageComplete;
     m_messageComplete = false;
     if (endsWithConnection) {
-        endCall(CallOutcome::Unframed);
+        // Without the whole request the end is no proof of a whole response: the write side may have taken the error of a reset, and the
+        // end of a response is received before the reset if the server had nothing unread when it closed the connection.
+        endCall(isOrderly && m_requestWritten ? CallOutcome::Unframed : CallOutcome::Interrupted);
     } else {
         endCall(m_responseStarted ? CallOutcome::Broken : CallOutcome::ClosedUnanswered);
     }
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -82,6 +82,7 @@
     bool m_connected = false;
     bool m_closed = false;
     bool m_hasCall = false;
+    /// The whole request has been passed to the system. Stays false after a failed write.
     bool m_requestWritten = false;
     bool m_responseKeepsAlive = false;
     bool m_responseStarted = false;
--- a/src/scheduling/itemrun.cpp
+++ b/src/scheduling/itemrun.cpp
@@ -118,8 +118,7 @@
     if (outcome == CallOutcome::NotConnected) {
         return RunEnd::NotConnected;
     }
-    const bool hasAnswer = outcome == CallOutcome::Complete || outcome == CallOutcome::Unframed;
-    if (hasAnswer && m_responseFields.notExecuted) {
+    if (hasUsableHead(outcome) && m_responseFields.notExecuted) {
         return RunEnd::Refused;
     }
     if (outcome != CallOutcome::Complete || (m_responseFields.status == 200 && !m_events)) {
--- /dev/null
+++ b/tests/gateway/brokenanswers.cpp
@@ -0,0 +1,149 @@
+#include "gateway/rawanswerfixture.h"
+#include "http/socketoptions.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Basilbend;
+
+namespace
+{
+
+/// More than a connection's buffers hold, so that the gateway is still sending the request when the response arrives.
+constexpr std::size_t LongUploadBytes = 4 * 1024 * 1024;
+
+constexpr const char *UnframedRefusal = "HTTP/1.1 503 Service Unavailable\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Not-Executed: 1\r\n\r\n";
+
+/// How an endpoint ends the connection of a response without a length.
+enum class Ending {
+    Reset,
+    /// A close while part of the request has not been read, which the system turns into a reset.
+    CloseUnread,
+    /// An orderly end of the response; the connection stays open in the other direction, and the rest of the request is not read.
+    Shutdown,
+};
+
+std::string name(Ending ending)
+{
+    return ending == Ending::Reset ? "reset" : ending == Ending::CloseUnread ? "close" : "shutdown";
+}
+
+void endConnection(const RawEndpoint::ConnectionPtr &connection, Ending ending)
+{
+    asio::error_code ec;
+    switch (ending) {
+    case Ending::Reset:
+        resetConnection(connection->socket);
+        break;
+    case Ending::CloseUnread:
+        connection->close();
+        break;
+    case Ending::Shutdown:
+        connection->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+        break;
+    }
+}
+
+/// The first request, at whichever endpoint it arrives, is answered as soon as its head has been read; later ones are answered as a whole.
+/// The endpoint that answers early goes on running, so it answers who it is.
+struct EarlyAnswerFixture : RawAnswerFixture {
+    void answerFirst(const std::string &bytes, Ending ending)
+    {
+        auto hasFirst = std::make_shared<bool>(false);
+        for (const auto &endpoint : endpoints) {
+            endpoint->onRequestHead = [this, hasFirst, bytes, ending, raw = endpoint.get()](const ConnectionPtr &connection) {
+                ++heads;
+                if (!*hasFirst) {
+                    *hasFirst = true;
+                    faulty = raw->id;
+                    connection->write(bytes);
+                    endConnection(connection, ending);
+                }
+            };
+            endpoint->onRequest = [](const ConnectionPtr &connection) {
+                const bool isResumed = !connection->request.fields.value("Last-Event-Id").empty();
+                connection->write(isResumed ? RawEndpoint::head("r-1") + event(3) + event(4) : std::string(WholeAnswer));
+                if (isResumed) {
+                    connection->close();
+                }
+            };
+        }
+    }
+
+    bool isFaultySuspended() const
+    {
+        return !gateway->picker.isAvailable(faulty, time.now());
+    }
+
+    int heads = 0;
+    /// Id of the endpoint that has answered early.
+    std::string faulty;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(gateway, *boost::unit_test::label("gateway"))
+
+// Guards against a client that gets part of a response as a complete one (MIXED): the endpoint answers a long upload at once, without a
+// length, and its connection ends while the upload is being sent.
+BOOST_AUTO_TEST_CASE(a_response_without_a_length_is_not_whole_if_its_connection_ends_within_the_upload)
+{
+    for (const auto ending : {Ending::Reset, Ending::CloseUnread, Ending::Shutdown}) {
+        for (const std::string path : {"/once/a", "/often/a", "/kept/a", "/stream/a"}) {
+            EarlyAnswerFixture fixture;
+            fixture.answerFirst(RawEndpoint::head("r-1") + RawAnswerFixture::event(1) + RawAnswerFixture::event(2), ending);
+            fixture.send(path, std::string(LongUploadBytes, 'b'));
+            fixture.run(4000);
+            const auto seen = path + " " + name(ending);
+            BOOST_REQUIRE_MESSAGE(fixture.outcome.has_value(), seen);
+            const bool isComplete = *fixture.outcome == CallOutcome::Complete;
+            if (path == "/once/a") {
+                BOOST_TEST(fixture.status == 502, seen);
+                BOOST_TEST(fixture.heads == 1, seen);
+                BOOST_TEST(fixture.isFaultySuspended(), seen);
+            } else if (path == "/often/a") {
+                BOOST_TEST(isComplete, seen);
+                BOOST_TEST(fixture.status == 200, seen);
+                BOOST_TEST(fixture.body == "whole", seen);
+            } else if (path == "/kept/a") {
+                BOOST_TEST(isComplete, seen);
+                BOOST_TEST(fixture.body == RawAnswerFixture::event(1) + RawAnswerFixture::event(2) + RawAnswerFixture::event(3) + RawAnswerFixture::event(4),
+                           seen);
+            } else {
+                BOOST_TEST(!isComplete, seen);
+                BOOST_TEST(fixture.heads == 1, seen);
+                BOOST_TEST(fixture.isFaultySuspended(), seen);
+            }
+        }
+    }
+}
+
+// Guards against a refusal of a long upload that counts as a run: its head says that the request did not run, however its connection ends.
+BOOST_AUTO_TEST_CASE(a_refusal_without_a_length_is_not_a_run_if_its_connection_ends_within_the_upload)
+{
+    for (const auto ending : {Ending::Reset, Ending::CloseUnread, Ending::Shutdown}) {
+        EarlyAnswerFixture fixture;
+        fixture.answerFirst(UnframedRefusal, ending);
+        fixture.send("/once/a", std::string(LongUploadBytes, 'b'));
+        fixture.run(4000);
+        BOOST_TEST(fixture.status == 200, name(ending));
+        BOOST_TEST(fixture.body == "whole", name(ending));
+        BOOST_TEST(fixture.heads == 2, name(ending));
+    }
+}
+
+// Guards against a whole early response that is lost, because the upload that it answers could not be sent: its length shows that it is whole.
+BOOST_AUTO_TEST_CASE(a_response_with_a_length_is_delivered_if_its_connection_ends_within_the_upload)
+{
+    for (const auto ending : {Ending::Reset, Ending::CloseUnread, Ending::Shutdown}) {
+        EarlyAnswerFixture fixture;
+        fixture.answerFirst("HTTP/1.1 413 Content Too Large\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Server-Signature: s\r\nContent-Length: 4\r\n\r\nlong",
+                            ending);
+        fixture.send("/once/a", std::string(LongUploadBytes, 'b'));
+        fixture.run(4000);
+        BOOST_TEST(fixture.status == 413, name(ending));
+        BOOST_TEST(fixture.body == "long", name(ending));
+        BOOST_TEST(fixture.heads == 1, name(ending));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/rawanswers.cpp
+++ b/tests/gateway/rawanswers.cpp
@@ -1,107 +1,13 @@
-#include "gateway/gatewayprocess.h"
-#include "http/rawendpoint.h"
+#include "gateway/rawanswerfixture.h"
 
 #include <boost/test/unit_test.hpp>
-#include <nlohmann/json.hpp>
-#include <optional>
 
 using namespace Basilbend;
 
 namespace
 {
 
-constexpr const char *ConfigurationText = R"({"version":7,"services":[{"name":"s","health_path":"/health"}],"tenants":[{"name":"w","api_keys":["k"]}],
- "routes":[
- {"name":"once","host":"a.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":400,"service":"s","attempts":3},
- {"name":"often","host":"a.example","path_prefix":"/often/","kind":"idempotent","timeout_ms":3000,"target_latency_ms":4000,"service":"s","attempts":3},
- {"name":"kept","host":"a.example","path_prefix":"/kept/","kind":"streaming","resumable":true,"timeout_ms":9000,"target_latency_ms":400,"service":"s",
-  "attempts":3},
- {"name":"stream","host":"a.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":9000,"target_latency_ms":400,"service":"s","attempts":3}]})";
-
 constexpr const char *Refusal = "HTTP/1.1 503 Service Unavailable\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-constexpr const char *WholeAnswer = "HTTP/1.1 200 OK\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Server-Signature: s\r\nContent-Length: 5\r\n\r\nwhole";
-
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
-}
-
-/// A gateway and endpoints of which the tests write the responses.
-struct RawAnswerFixture {
-    using ConnectionPtr = RawEndpoint::ConnectionPtr;
-
-    asio::io_context io;
-    VirtualTime time{Timestamp(1'000'000)};
-    FakeMetadataStore store{time};
-    std::vector<std::unique_ptr<RawEndpoint>> endpoints;
-    std::unique_ptr<GatewayProcess> gateway;
-    WebClient client{io, systemNow};
-    ClientCall call;
-    int status = 0;
-    std::string body;
-    std::optional<CallOutcome> outcome;
-
-    /// A request that an endpoint crashed under is not sent to the last one that is left.
-    explicit RawAnswerFixture(int endpointCount = 4)
-    {
-        store.put("op/config", ConfigurationText);
-        for (int i = 1; i <= endpointCount; ++i) {
-            const auto id = "i-" + std::to_string(i);
-            endpoints.push_back(std::make_unique<RawEndpoint>(io, id, 1000));
-            const auto address = "127.0.0.1:" + std::to_string(endpoints.back()->port());
-            store.put("servers/" + id,
-                      nlohmann::json{{"service", "s"}, {"address", address}, {"zone", "z"}, {"slots", 8}, {"state", "ready"}, {"born", 1000}}.dump());
-        }
-        gateway = std::make_unique<GatewayProcess>(io, time, store);
-        time.advance(Milliseconds(50));
-    }
-
-    void send(const std::string &path)
-    {
-        CallHooks hooks;
-        hooks.onHead = [this](const ResponseHead &head) { status = head.status; };
-        hooks.onBody = [this](std::string_view data) { body.append(data); };
-        hooks.onEnd = [this](CallOutcome callOutcome) { outcome = callOutcome; };
-        RequestMessage request{
-            "POST", path, {{"Host", "a.example"}, {"X-Api-Key", "k"}, {"Basilbend-Attempt-Id", "r-1"}, {"Basilbend-Deadline-Ms", "5000"}}, "b"};
-        call = client.send({asio::ip::make_address("127.0.0.1"), gateway->server.port()}, request, std::move(hooks), Milliseconds(500));
-    }
-
-    /// Runs sockets and virtual time until the response has ended, for at most ms milliseconds of virtual time.
-    void run(int ms)
-    {
-        for (int i = 0; i < ms && !outcome; i += 10) {
-            io.restart();
-            io.run_for(std::chrono::milliseconds(2));
-            time.advance(Milliseconds(10));
-        }
-    }
-
-    /// Sets the behaviour for the first request, at whichever endpoint it arrives, and for all later requests.
-    void script(const std::function<void(RawEndpoint &, const ConnectionPtr &)> &onFirst, const std::function<void(const ConnectionPtr &)> &onLater)
-    {
-        auto hasFirst = std::make_shared<bool>(false);
-        for (const auto &endpoint : endpoints) {
-            endpoint->onRequest = [hasFirst, onFirst, onLater, raw = endpoint.get()](const ConnectionPtr &connection) {
-                if (*hasFirst) {
-                    onLater(connection);
-                } else {
-                    *hasFirst = true;
-                    onFirst(*raw, connection);
-                }
-            };
-        }
-    }
-
-    std::size_t runs() const
-    {
-        std::size_t n = 0;
-        for (const auto &endpoint : endpoints) {
-            n += endpoint->requests.size();
-        }
-        return n;
-    }
-};
 
 struct SingleEndpointFixture : RawAnswerFixture {
     SingleEndpointFixture()
@@ -129,7 +35,7 @@
             connection->write(Refusal);
         }
         ++executed;
-        connection->write(WholeAnswer);
+        connection->write(RawAnswerFixture::WholeAnswer);
     };
     send("/once/a");
     run(2000);
@@ -146,19 +52,19 @@
         RawAnswerFixture fixture;
         fixture.script(
             [&lastBytes](RawEndpoint &endpoint, const RawEndpoint::ConnectionPtr &connection) {
-                connection->write(RawEndpoint::head("r-1") + event(1) + event(2) + lastBytes);
+                connection->write(RawEndpoint::head("r-1") + RawAnswerFixture::event(1) + RawAnswerFixture::event(2) + lastBytes);
                 endpoint.kill();
             },
             [](const RawEndpoint::ConnectionPtr &connection) {
                 BOOST_TEST(connection->request.fields.value("Last-Event-Id") == "2");
-                connection->write(RawEndpoint::head("r-1") + event(3) + event(4));
+                connection->write(RawEndpoint::head("r-1") + RawAnswerFixture::event(3) + RawAnswerFixture::event(4));
                 connection->close();
             });
         fixture.send("/kept/a");
         fixture.run(2000);
         BOOST_REQUIRE(fixture.outcome.has_value());
         BOOST_TEST((*fixture.outcome == CallOutcome::Complete));
-        BOOST_TEST(fixture.body == event(1) + event(2) + event(3) + event(4));
+        BOOST_TEST(fixture.body == RawAnswerFixture::event(1) + RawAnswerFixture::event(2) + RawAnswerFixture::event(3) + RawAnswerFixture::event(4));
         BOOST_TEST(fixture.runs() == 2U);
     }
 }
@@ -168,7 +74,7 @@
 {
     script(
         [](RawEndpoint &endpoint, const ConnectionPtr &connection) {
-            connection->write(RawEndpoint::head("r-1") + event(1) + event(2));
+            connection->write(RawEndpoint::head("r-1") + RawAnswerFixture::event(1) + RawAnswerFixture::event(2));
             endpoint.kill();
         },
         [](const ConnectionPtr &) {});
@@ -186,7 +92,7 @@
         RawAnswerFixture fixture;
         fixture.script(
             [](RawEndpoint &, const RawEndpoint::ConnectionPtr &connection) {
-                connection->write(RawEndpoint::head("r-1") + event(1) + event(2));
+                connection->write(RawEndpoint::head("r-1") + RawAnswerFixture::event(1) + RawAnswerFixture::event(2));
                 connection->close();
             },
             [](const RawEndpoint::ConnectionPtr &) {});
@@ -195,7 +101,7 @@
         BOOST_REQUIRE(fixture.outcome.has_value());
         BOOST_TEST((*fixture.outcome == CallOutcome::Complete), path);
         BOOST_TEST(fixture.status == 200, path);
-        BOOST_TEST(fixture.body == event(1) + event(2), path);
+        BOOST_TEST(fixture.body == RawAnswerFixture::event(1) + RawAnswerFixture::event(2), path);
         BOOST_TEST(fixture.runs() == 1U, path);
     }
 }
@@ -208,7 +114,7 @@
             connection->write(RawEndpoint::head("r-1") + "who");
             endpoint.kill();
         },
-        [](const ConnectionPtr &connection) { connection->write(WholeAnswer); });
+        [](const ConnectionPtr &connection) { connection->write(RawAnswerFixture::WholeAnswer); });
     send("/often/a");
     run(2000);
     BOOST_TEST(status == 200);
@@ -224,7 +130,7 @@
             connection->write(RawEndpoint::head("r-1") + "who");
             endpoint.kill();
         },
-        [](const ConnectionPtr &connection) { connection->write(WholeAnswer); });
+        [](const ConnectionPtr &connection) { connection->write(RawAnswerFixture::WholeAnswer); });
     send("/once/a");
     run(2000);
     BOOST_TEST(status == 502);
@@ -239,7 +145,7 @@
             connection->write("HTTP/1.1 503 Service Unavailable\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Not-Executed: 1\r\n\r\n");
             endpoint.kill();
         },
-        [](const ConnectionPtr &connection) { connection->write(WholeAnswer); });
+        [](const ConnectionPtr &connection) { connection->write(RawAnswerFixture::WholeAnswer); });
     send("/once/a");
     run(2000);
     BOOST_TEST(status == 200);
@@ -290,7 +196,7 @@
         [](RawEndpoint &, const ConnectionPtr &connection) {
             connection->write("HTTP/1.1 503 Service Unavailable\r\nBasilbend-Attempt-Id: r-1\r\nBasilbend-Server-Signature: s\r\nContent-Length: 0\r\n\r\n");
         },
-        [](const ConnectionPtr &connection) { connection->write(WholeAnswer); });
+        [](const ConnectionPtr &connection) { connection->write(RawAnswerFixture::WholeAnswer); });
     send("/once/a");
     run(2000);
     BOOST_TEST(status == 502);
--- a/tests/http/rawendpoint.h
+++ b/tests/http/rawendpoint.h
@@ -75,6 +75,8 @@
     std::int64_t startedAt = 0;
     /// Called with each request that does not ask who the endpoint is.
     std::function<void(const ConnectionPtr &)> onRequest = [](const ConnectionPtr &) {};
+    /// Called with the head of each such request, before its body has been read.
+    std::function<void(const ConnectionPtr &)> onRequestHead = [](const ConnectionPtr &) {};
     std::vector<RequestMessage> requests;
     int identityRequests = 0;
     /// Requests that ask who the endpoint is get no answer.
@@ -129,7 +131,7 @@
             const auto connection = std::make_shared<Connection>(std::move(socket));
             m_connections.push_back(connection);
             MessageHooks hooks;
-            hooks.onHead = [raw = connection.get()](MessageHead &&head) { raw->request = {head.method, head.target, std::move(head.fields), {}}; };
+            hooks.onHead = [this, weak = std::weak_ptr<Connection>(connection)](MessageHead &&head) { acceptHead(weak.lock(), std::move(head)); };
             hooks.onBody = [raw = connection.get()](std::string_view data) { raw->request.body.append(data); };
             hooks.onComplete = [this, weak = std::weak_ptr<Connection>(connection)] { serve(weak.lock()); };
             connection->parser = std::make_unique<MessageParser>(MessageParser::Kind::Request, std::move(hooks));
@@ -151,6 +153,14 @@
         });
     }
 
+    void acceptHead(const ConnectionPtr &connection, MessageHead &&head)
+    {
+        connection->request = {head.method, head.target, std::move(head.fields), {}};
+        if (connection->request.method != "GET") {
+            onRequestHead(connection);
+        }
+    }
+
     void serve(const ConnectionPtr &connection)
     {
         const auto &request = connection->request;
--- a/tests/scheduling/itemrun.cpp
+++ b/tests/scheduling/itemrun.cpp
@@ -3,6 +3,7 @@
 #include "base/systemclock.h"
 #include "http/rawendpoint.h"
 #include "http/scriptedendpoint.h"
+#include "http/socketoptions.h"
 
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -26,6 +27,7 @@
     WebClient client{io, systemNow};
     RawEndpoint endpoint{io, "i-1", StartedAtMs};
     int events = 0;
+    std::string body;
 
     /// Returns how the run ended, or nothing if it did not.
     std::optional<RunEnd> run(std::function<void(const RawEndpoint::ConnectionPtr &)> onRequest)
@@ -43,6 +45,7 @@
         BatchItem item;
         item.id = "i";
         item.path = "/p";
+        item.body = body;
         BatchIndex batch;
         batch.host = "a.example";
         ConnectionHistory connections;
@@ -131,6 +134,21 @@
     BOOST_TEST(events == 2);
 }
 
+// Guards against an item that is completed with part of its text: the endpoint answers before it has read the item, and resets the connection
+// while the rest is sent. It goes on running.
+BOOST_FIXTURE_TEST_CASE(a_stream_without_a_length_is_broken_if_its_connection_is_reset_within_the_item, UnframedRunFixture)
+{
+    body = std::string(4 * 1024 * 1024, 'b');
+    endpoint.onRequestHead = [](const RawEndpoint::ConnectionPtr &connection) {
+        writeEvents(connection, {});
+        resetConnection(connection->socket);
+    };
+    const auto end = run([](const RawEndpoint::ConnectionPtr &) {});
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == RunEnd::Broken));
+    BOOST_TEST(events == 2);
+}
+
 // Guards against a process at the address of a killed endpoint that is taken for it: another endpoint, or the next start of the same one.
 BOOST_AUTO_TEST_CASE(a_stream_without_a_length_is_broken_if_its_endpoint_was_killed_and_restarted)
 {
