Reject responses whose status line is invalid

Cause: MessageParser took each status under 200 for an interim response, and accepted what http_parser accepts: any number up to 999 of any number of digits, and any version.

Change: a status is 100 to 599 and has three digits; 101 is rejected, since no upgrade is ever asked for; the major version is 1, also of requests, which get 400. http_parser shows no status line, so heads of responses are fed to it line by line and the first line is checked. All readers of responses but the client of the own interface use this parser: live requests, items, rewards, orders, reports, the identity check, store, leader, peers, relays and usage. Such a response ends its call as Broken, which counts as a failure of its endpoint.

--- /dev/null
+++ b/src/http/headcheck.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string_view>
+
+namespace Basilbend
+{
+
+/// Rules for the heads of received messages that parser libraries do not enforce. Readers disagree about a head that breaks one of them, and so
+/// about where its body ends, so such a message is invalid as a whole.
+
+/// Whether a client may accept the status of a response: 100 to 599 (RFC 9110, section 15). 101 answers the request for another protocol, which
+/// this system never asks for.
+bool isAcceptableStatus(int status);
+
+/// Whether a status line, or its beginning, has a status of three digits (RFC 9112, section 4).
+bool hasThreeDigitStatus(std::string_view line);
+
+}
--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -1,5 +1,9 @@
 #include "http/messageparser.h"
 
+#include "http/headcheck.h"
+
+#include <algorithm>
+
 namespace Basilbend
 {
 
@@ -9,6 +13,9 @@
 /// Limit on interim (1xx) responses before a final one; a faulty server may send them endlessly.
 constexpr int MaxInterimResponses = 16;
 constexpr int CallbackFailure = -1;
+/// Of a status line no more is kept than a check of its version and its status needs.
+constexpr std::size_t MaxStatusLineBytes = 64;
+constexpr int SupportedMajorVersion = 1;
 
 /// Space after a field's value does not belong to it (RFC 9110, section 5.5). http_parser removes only that before it.
 std::string_view withoutTrailingSpace(std::string_view value)
@@ -41,6 +48,7 @@
         s.on_message_begin = [](http_parser *parser) {
             self(parser).m_insideMessage = true;
             self(parser).m_readingHead = true;
+            self(parser).m_readingStatusLine = self(parser).m_kind == Kind::Response;
             self(parser).m_head = {};
             return 0;
         };
@@ -108,15 +116,27 @@
     return fields;
 }
 
+void MessageParser::checkStatusLine(std::string_view text)
+{
+    m_statusLine.append(text.substr(0, MaxStatusLineBytes - m_statusLine.size()));
+    if (text.back() == '\n') {
+        m_failed = !hasThreeDigitStatus(m_statusLine);
+        m_readingStatusLine = false;
+        m_statusLine.clear();
+    }
+}
+
+bool MessageParser::isAcceptableHead() const
+{
+    const bool isAcceptableStart = m_parser.http_major == SupportedMajorVersion && (m_kind == Kind::Request || isAcceptableStatus(m_head.status));
+    return isAcceptableStart && m_interimResponses <= MaxInterimResponses;
+}
+
 int MessageParser::completeHead()
 {
     m_head.fields = takeFields();
     m_readingHead = false;
     m_incompleteHeadBytes = 0;
-    if (!m_isBodyExpected) {
-        m_parser.flags |= F_SKIPBODY;
-    }
-    m_head.keepAlive = http_should_keep_alive(&m_parser) != 0;
     if (m_kind == Kind::Request) {
         m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
     } else {
@@ -124,9 +144,13 @@
         m_isInterim = m_head.status < 200;
         m_interimResponses = m_isInterim ? m_interimResponses + 1 : 0;
     }
-    if (m_interimResponses > MaxInterimResponses) {
+    if (!isAcceptableHead()) {
         return CallbackFailure;
     }
+    if (!m_isBodyExpected) {
+        m_parser.flags |= F_SKIPBODY;
+    }
+    m_head.keepAlive = http_should_keep_alive(&m_parser) != 0;
     if (!m_isInterim) {
         m_hooks.onHead(std::move(m_head));
     }
@@ -138,11 +162,11 @@
 {
     // Trailer fields are ignored.
     clearFields();
+    m_insideMessage = false;
     if (m_isInterim) {
         m_isInterim = false;
         return 0;
     }
-    m_insideMessage = false;
     http_parser_pause(&m_parser, 1);
     m_hooks.onComplete();
     return 0;
@@ -154,6 +178,24 @@
         return 0;
     }
     http_parser_pause(&m_parser, 0);
+    std::size_t used = 0;
+    while (used < bytes.size()) {
+        const auto rest = bytes.substr(used);
+        // The library shows no status line, so heads of responses are fed line by line. Another one may follow an interim response.
+        const bool isResponseHead = m_kind == Kind::Response && (!m_insideMessage || m_readingHead);
+        const auto lineEnd = isResponseHead ? rest.find('\n') : std::string_view::npos;
+        const auto piece = lineEnd == std::string_view::npos ? rest : rest.substr(0, lineEnd + 1);
+        const auto n = execute(piece);
+        used += n;
+        if (m_failed || n < piece.size() || HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED) {
+            break;
+        }
+    }
+    return used;
+}
+
+std::size_t MessageParser::execute(std::string_view bytes)
+{
     const auto n = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
     if (error == HPE_PAUSED) {
@@ -166,6 +208,9 @@
     if (m_insideMessage && m_readingHead) {
         m_incompleteHeadBytes += n;
     }
+    if (m_readingStatusLine) {
+        checkStatusLine(bytes);
+    }
     return n;
 }
 
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -32,7 +32,8 @@
 };
 
 /// Parses a byte stream into HTTP/1.1 messages. Wraps http_parser, which rejects messages that allow request smuggling
-/// (both Content-Length and Transfer-Encoding, conflicting lengths, invalid chunk sizes).
+/// (both Content-Length and Transfer-Encoding, conflicting lengths, invalid chunk sizes), and rejects what that library accepts beside the
+/// protocol: invalid statuses and versions.
 class MessageParser
 {
 public:
@@ -94,6 +95,11 @@
     void addFieldValue(std::string_view text);
     void clearFields();
     HttpFields takeFields();
+    /// Keeps the beginning of a response's first line and checks it once it is complete.
+    void checkStatusLine(std::string_view text);
+    bool isAcceptableHead() const;
+    /// Feeds bytes to the library: of a response's head no more than one line. Returns how many were used.
+    std::size_t execute(std::string_view bytes);
     int completeHead();
     int completeMessage();
     static const http_parser_settings &callbacks();
@@ -106,8 +112,11 @@
     /// thousands of fields of a few bytes and never end the head.
     std::string m_headText;
     std::vector<FieldSize> m_fieldSizes;
+    /// The beginning of a response's first line, while that is being read.
+    std::string m_statusLine;
     bool m_insideMessage = false;
     bool m_readingHead = false;
+    bool m_readingStatusLine = false;
     bool m_readingValue = false;
     bool m_isInterim = false;
     bool m_isBodyExpected = true;
--- a/tests/gateway/brokenanswers.cpp
+++ b/tests/gateway/brokenanswers.cpp
@@ -79,6 +79,42 @@
     std::string faulty;
 };
 
+const std::string NamedFields = "Basilbend-Attempt-Id: r-1\r\nBasilbend-Server-Signature: s\r\n";
+const std::string SignedHead = "HTTP/1.1 200 OK\r\n" + NamedFields;
+const std::string OddBody = "Content-Length: 3\r\n\r\nodd";
+
+/// Lets one endpoint answer with each of the responses, on each kind of route. No client may get it, a request that may run again runs elsewhere,
+/// and the endpoint counts as faulty.
+void checkReachesNoClient(const std::vector<std::string> &responses)
+{
+    for (const auto &bytes : responses) {
+        for (const std::string path : {"/once/a", "/often/a", "/kept/a", "/stream/a"}) {
+            RawAnswerFixture fixture;
+            std::string faulty;
+            fixture.script(
+                [&](RawEndpoint &endpoint, const RawEndpoint::ConnectionPtr &connection) {
+                    faulty = endpoint.id;
+                    connection->write(bytes);
+                    connection->close();
+                },
+                [](const RawEndpoint::ConnectionPtr &connection) { connection->write(RawAnswerFixture::WholeAnswer); });
+            fixture.send(path);
+            fixture.run(4000);
+            const auto seen = path + ": " + bytes;
+            BOOST_REQUIRE_MESSAGE(fixture.outcome.has_value(), seen);
+            BOOST_TEST(fixture.body.find("odd") == std::string::npos, seen);
+            BOOST_TEST(!fixture.gateway->picker.isAvailable(faulty, fixture.time.now()), seen);
+            if (path == "/once/a" || path == "/stream/a") {
+                BOOST_TEST(fixture.status == 502, seen);
+                BOOST_TEST(fixture.runs() == 1U, seen);
+            } else {
+                BOOST_TEST(fixture.status == 200, seen);
+                BOOST_TEST(fixture.runs() == 2U, seen);
+            }
+        }
+    }
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(gateway, *boost::unit_test::label("gateway"))
@@ -146,4 +182,16 @@
     }
 }
 
+// Guards against a client that gets a response without a valid status as an answer, or what follows a status of 000 (MIXED).
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_status_line_reaches_no_client)
+{
+    checkReachesNoClient({"HTTP/1.1 000 \r\n" + NamedFields + OddBody,
+                          "HTTP/1.1 000 \r\n" + NamedFields + "Content-Length: 0\r\n\r\n" + SignedHead + OddBody,
+                          "HTTP/1.1 101 Switching Protocols\r\n" + NamedFields + "\r\n" + SignedHead + OddBody,
+                          "HTTP/1.1 700 Odd\r\n" + NamedFields + OddBody,
+                          "HTTP/1.1 999 Odd\r\n" + NamedFields + OddBody,
+                          "HTTP/1.1 0200 OK\r\n" + NamedFields + OddBody,
+                          "HTTP/9.9 200 OK\r\n" + NamedFields + OddBody});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/http/clientserver.cpp
+++ b/tests/http/clientserver.cpp
@@ -187,6 +187,13 @@
     BOOST_TEST(exchanges.empty());
 }
 
+// Guards against a request of another version of the protocol that is read as one of this version.
+BOOST_FIXTURE_TEST_CASE(a_request_of_another_version_gets_400, WebFixture)
+{
+    BOOST_TEST(rawExchange("GET /p HTTP/9.9\r\nHost: h\r\n\r\n").substr(0, 12) == "HTTP/1.1 400");
+    BOOST_TEST(exchanges.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_draining_server_sends_connection_close_with_its_response, WebFixture)
 {
     draining = true;
--- a/tests/http/messageparser.cpp
+++ b/tests/http/messageparser.cpp
@@ -21,6 +21,22 @@
     }
 };
 
+/// Feeds each response in pieces of several sizes, and checks that none of them is completed, also at the end of the connection.
+void checkRejected(const std::vector<std::string> &responses)
+{
+    for (const auto &bytes : responses) {
+        for (const std::size_t pieceBytes : {bytes.size(), std::size_t(1), std::size_t(7)}) {
+            ParserFixture fixture;
+            MessageParser parser(MessageParser::Kind::Response, fixture.hooks());
+            for (std::size_t at = 0; at < bytes.size() && !parser.hasFailed() && fixture.completed == 0; at += pieceBytes) {
+                parser.feed(std::string_view(bytes).substr(at, pieceBytes));
+            }
+            parser.finish();
+            BOOST_TEST(fixture.completed == 0, bytes << " in pieces of " << pieceBytes);
+        }
+    }
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(http, *boost::unit_test::label("http"))
@@ -87,6 +103,55 @@
     BOOST_TEST(completed == 1);
 }
 
+// Guards against a response without a status that is taken for an interim one, so that what follows is taken for the answer, and against one
+// that is passed on with a status that there is not.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_status_line_is_rejected)
+{
+    const std::string rest = "Content-Length: 2\r\n\r\nab";
+    checkRejected({"HTTP/1.1 000 \r\n" + rest,
+                   "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+                   "HTTP/1.1 99 Odd\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+                   "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+                   "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: odd\r\n\r\nab",
+                   "HTTP/1.1 600 Odd\r\n" + rest,
+                   "HTTP/1.1 700 Odd\r\n" + rest,
+                   "HTTP/1.1 999 Odd\r\n" + rest,
+                   "HTTP/1.1 0200 OK\r\n" + rest,
+                   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 0200 OK\r\n" + rest,
+                   "HTTP/1.1 20 OK\r\n" + rest,
+                   "HTTP/1.1 +200 OK\r\n" + rest,
+                   "HTTP/9.9 200 OK\r\n" + rest,
+                   "HTTP/0.9 200 OK\r\n" + rest,
+                   "HTTP/2.0 200 OK\r\n" + rest});
+}
+
+// Guards against a valid response that is rejected together with invalid ones.
+BOOST_AUTO_TEST_CASE(a_valid_response_is_accepted_however_it_is_divided)
+{
+    const std::string rest = "Content-Length: 2\r\n\r\nab";
+    for (const auto &bytes : std::vector<std::string>{"HTTP/1.1 200 OK\r\n" + rest,
+                                                      "HTTP/1.0 200 OK\r\n" + rest,
+                                                      "HTTP/1.1 200\r\n" + rest,
+                                                      "HTTP/1.1 200 \r\n" + rest,
+                                                      "HTTP/1.1 200 OK\n" + rest,
+                                                      "HTTP/1.1 599 Odd\r\n" + rest,
+                                                      "HTTP/1.1 102 Processing\r\nX-Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+                                                      "HTTP/1.1 200 OK\r\nX-Text: \xc3\xa4\t1\r\n" + rest,
+                                                      "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: 1\r\n" + rest,
+                                                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nab\r\n0\r\nX-Sum: 1\r\n\r\n"}) {
+        for (const std::size_t pieceBytes : {bytes.size(), std::size_t(1), std::size_t(7)}) {
+            ParserFixture fixture;
+            MessageParser parser(MessageParser::Kind::Response, fixture.hooks());
+            for (std::size_t at = 0; at < bytes.size(); at += pieceBytes) {
+                parser.feed(std::string_view(bytes).substr(at, pieceBytes));
+            }
+            BOOST_TEST(!parser.hasFailed(), bytes);
+            BOOST_TEST(fixture.completed == 1, bytes << " in pieces of " << pieceBytes);
+            BOOST_TEST(fixture.body == "ab", bytes);
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(interim_responses_are_skipped, ParserFixture)
 {
     MessageParser parser(MessageParser::Kind::Response, hooks());
