Reject messages with a line in their head that is no field

"Content Length: 3" was dropped and the body was everything up to the close; "Content-Length : 3" and "Transfer-Encoding : chunked" were read as if the blank were not there.

Cause: http_parser accepts blanks in names, and matches the names that it knows in spite of them. What is refused when messages are written was dropped line by line there, so nobody judged the message.

Change: a message is invalid as a whole if one name is no token or one value has a control character, also in its trailers. Responses end their call as Broken. Requests get 400 and a close: such a name is a known way to smuggle a request past a reader that takes the line for another one.

--- a/src/http/headcheck.cpp
+++ b/src/http/headcheck.cpp
@@ -1,5 +1,7 @@
 #include "http/headcheck.h"
 
+#include "http/httpsyntax.h"
+
 #include <algorithm>
 
 namespace Basilbend
@@ -19,6 +21,16 @@
 
 }
 
+bool isValidField(const HttpField &field)
+{
+    return isHttpToken(field.name) && isFieldValue(field.value);
+}
+
+bool areValidFields(const HttpFields &fields)
+{
+    return std::all_of(fields.begin(), fields.end(), isValidField);
+}
+
 bool isAcceptableStatus(int status)
 {
     return status >= MinStatus && status <= MaxStatus && status != SwitchingProtocols;
--- a/src/http/headcheck.h
+++ b/src/http/headcheck.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/httpfields.h"
+
 #include <string_view>
 
 namespace Basilbend
@@ -8,6 +10,12 @@
 /// Rules for the heads of received messages that parser libraries do not enforce. Readers disagree about a head that breaks one of them, and so
 /// about where its body ends, so such a message is invalid as a whole.
 
+/// Whether the name of the field is a token and its value has the syntax of field values (RFC 9110, section 5).
+bool isValidField(const HttpField &field);
+
+/// Whether all fields are valid.
+bool areValidFields(const HttpFields &fields);
+
 /// Whether a client may accept the status of a response: 100 to 599 (RFC 9110, section 15). 101 answers the request for another protocol, which
 /// this system never asks for.
 bool isAcceptableStatus(int status);
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -1,5 +1,6 @@
 #include "http/httpmessage.h"
 
+#include "http/headcheck.h"
 #include "http/httpsyntax.h"
 
 #include <algorithm>
@@ -12,11 +13,6 @@
 namespace
 {
 
-bool isValidField(const HttpField &field)
-{
-    return isHttpToken(field.name) && isFieldValue(field.value);
-}
-
 void appendFields(std::string &to, const HttpFields &fields)
 {
     for (const auto &field : fields) {
@@ -61,7 +57,7 @@
 
 bool isSerializable(const RequestMessage &request)
 {
-    return isHttpToken(request.method) && isRequestTarget(request.target) && std::all_of(request.fields.begin(), request.fields.end(), isValidField);
+    return isHttpToken(request.method) && isRequestTarget(request.target) && areValidFields(request.fields);
 }
 
 std::string serializeRequest(const RequestMessage &request)
--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -129,7 +129,7 @@
 bool MessageParser::isAcceptableHead() const
 {
     const bool isAcceptableStart = m_parser.http_major == SupportedMajorVersion && (m_kind == Kind::Request || isAcceptableStatus(m_head.status));
-    return isAcceptableStart && m_interimResponses <= MaxInterimResponses;
+    return isAcceptableStart && areValidFields(m_head.fields) && m_interimResponses <= MaxInterimResponses;
 }
 
 int MessageParser::completeHead()
@@ -160,8 +160,10 @@
 
 int MessageParser::completeMessage()
 {
-    // Trailer fields are ignored.
-    clearFields();
+    // Trailer fields are ignored, but an invalid one shows that the message is not what the server meant to send.
+    if (!areValidFields(takeFields())) {
+        return CallbackFailure;
+    }
     m_insideMessage = false;
     if (m_isInterim) {
         m_isInterim = false;
--- a/tests/gateway/brokenanswers.cpp
+++ b/tests/gateway/brokenanswers.cpp
@@ -82,6 +82,7 @@
 const std::string NamedFields = "Basilbend-Attempt-Id: r-1\r\nBasilbend-Server-Signature: s\r\n";
 const std::string SignedHead = "HTTP/1.1 200 OK\r\n" + NamedFields;
 const std::string OddBody = "Content-Length: 3\r\n\r\nodd";
+const std::string OddChunks = "3\r\nodd\r\n0\r\n\r\n";
 
 /// Lets one endpoint answer with each of the responses, on each kind of route. No client may get it, a request that may run again runs elsewhere,
 /// and the endpoint counts as faulty.
@@ -194,4 +195,19 @@
                           "HTTP/9.9 200 OK\r\n" + NamedFields + OddBody});
 }
 
+// Guards against a client that gets a response whose head holds a line that is no field, without that line or with another body (MIXED).
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_reaches_no_client)
+{
+    checkReachesNoClient({SignedHead + "X Odd: 1\r\n" + OddBody,
+                          SignedHead + "X-Odd : 1\r\n" + OddBody,
+                          "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n" + NamedFields + OddBody,
+                          SignedHead + "X\tOdd: 1\r\n" + OddBody,
+                          SignedHead + "X\x01Odd: 1\r\n" + OddBody,
+                          SignedHead + ": 1\r\n" + OddBody,
+                          SignedHead + "X-Odd\r\n" + OddBody,
+                          SignedHead + "Content-Length : 3\r\n\r\nodd",
+                          SignedHead + "Content Length: 3\r\n\r\nodd and more",
+                          SignedHead + "Transfer-Encoding : chunked\r\n\r\n" + OddChunks});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/http/clientserver.cpp
+++ b/tests/http/clientserver.cpp
@@ -122,6 +122,22 @@
     std::array<char, 4096> buf{};
 };
 
+/// Sends requests with these fields and bodies, and a second request behind each, and checks that the first is refused and the second not read.
+void checkRefused(const std::vector<std::string> &requests)
+{
+    const std::string next = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const auto &fields : requests) {
+        // A line that begins with a blank belongs to the line before it, so it has to be the first field.
+        const auto host = fields.front() == ' ' ? std::string() : std::string("Host: h\r\n");
+        WebFixture fixture;
+        const auto response = fixture.rawExchange("POST /p HTTP/1.1\r\n" + host + fields + next);
+        BOOST_TEST(response.substr(0, 12) == "HTTP/1.1 400", fields);
+        BOOST_TEST(response.find("Connection: close") != std::string::npos, fields);
+        BOOST_TEST(response.find("HTTP/1.1", 1) == std::string::npos, fields);
+        BOOST_TEST(fixture.exchanges.empty(), fields);
+    }
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(http, *boost::unit_test::label("http"))
@@ -187,6 +203,20 @@
     BOOST_TEST(exchanges.empty());
 }
 
+// Guards against request smuggling: another reader of such a name sees another body, or another request behind it (RFC 9112, section 5.1).
+BOOST_AUTO_TEST_CASE(a_request_with_an_invalid_field_gets_400_and_a_close)
+{
+    checkRefused({"Content-Length : 3\r\n\r\nabc",
+                  "Content Length: 3\r\n\r\nabc",
+                  " Content-Length: 3\r\n\r\nabc",
+                  "Transfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                  "X Odd: 1\r\nContent-Length: 3\r\n\r\nabc",
+                  "X-Odd : 1\r\nContent-Length: 3\r\n\r\nabc",
+                  "X\tOdd: 1\r\nContent-Length: 3\r\n\r\nabc",
+                  ": 1\r\nContent-Length: 3\r\n\r\nabc",
+                  "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX Odd: 1\r\n\r\n"});
+}
+
 // Guards against a request of another version of the protocol that is read as one of this version.
 BOOST_FIXTURE_TEST_CASE(a_request_of_another_version_gets_400, WebFixture)
 {
--- a/tests/http/messageparser.cpp
+++ b/tests/http/messageparser.cpp
@@ -125,6 +125,32 @@
                    "HTTP/2.0 200 OK\r\n" + rest});
 }
 
+// Guards against a response that is passed on without the lines of its head that are no fields, or with a body that such a line leaves open.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_is_rejected)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string rest = "Content-Length: 2\r\n\r\nab";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n";
+    checkRejected({ok + "X Odd: 1\r\n" + rest,
+                   ok + "X-Odd : 1\r\n" + rest,
+                   ok + " X-Odd: 1\r\n" + rest,
+                   ok + "X\tOdd: 1\r\n" + rest,
+                   ok + "X-Odd\t: 1\r\n" + rest,
+                   ok + "X\x01Odd: 1\r\n" + rest,
+                   ok + "X\x7fOdd: 1\r\n" + rest,
+                   ok + "X\xe4Odd: 1\r\n" + rest,
+                   ok + "X(Odd): 1\r\n" + rest,
+                   ok + "X-Odd: 1\x01\r\n" + rest,
+                   ok + "X-Odd: 1\rX-Two: 2\r\n" + rest,
+                   ok + ": 1\r\n" + rest,
+                   ok + "X-Odd\r\n" + rest,
+                   ok + "Content-Length : 2\r\n\r\nabc",
+                   ok + "Content Length: 2\r\n\r\nabc",
+                   ok + "Transfer-Encoding : chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+                   ok + chunked + "X Odd: 1\r\n\r\n",
+                   ok + chunked + "X-Odd : 1\r\n\r\n"});
+}
+
 // Guards against a valid response that is rejected together with invalid ones.
 BOOST_AUTO_TEST_CASE(a_valid_response_is_accepted_however_it_is_divided)
 {
@@ -152,6 +178,26 @@
     }
 }
 
+// Guards against a folded line that is taken for a field of its own, or is joined to its value without the space before it (RFC 9112, 5.2).
+BOOST_AUTO_TEST_CASE(the_lines_of_a_folded_value_are_one_value_however_they_are_divided)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nX-Versions: 1\r\n 2\r\nX-Long: one\r\n Content-Length: 9\r\nX-Late:\r\n late\r\n"
+                              "Content-Length: 2\r\n\r\n b";
+    for (std::size_t pieceBytes = 1; pieceBytes <= bytes.size(); ++pieceBytes) {
+        ParserFixture fixture;
+        MessageParser parser(MessageParser::Kind::Response, fixture.hooks());
+        for (std::size_t at = 0; at < bytes.size(); at += pieceBytes) {
+            parser.feed(std::string_view(bytes).substr(at, pieceBytes));
+        }
+        BOOST_REQUIRE(fixture.heads.size() == 1U);
+        const auto &fields = fixture.heads[0].fields;
+        BOOST_TEST(fields.value("X-Versions") == "1 2");
+        BOOST_TEST(fields.value("X-Long") == "one Content-Length: 9");
+        BOOST_TEST(fields.value("X-Late") == "late");
+        BOOST_TEST(fixture.body == " b");
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(interim_responses_are_skipped, ParserFixture)
 {
     MessageParser parser(MessageParser::Kind::Response, hooks());
--- a/tests/scheduling/rewardcalls.cpp
+++ b/tests/scheduling/rewardcalls.cpp
@@ -295,6 +295,24 @@
     BOOST_TEST(raw.requests.size() == 1U);
 }
 
+// Guards against a score from an invalid response: its head holds a line that is no field, or its status is none.
+BOOST_FIXTURE_TEST_CASE(a_reward_call_is_repeated_after_an_invalid_response, UnframedRewardFixture)
+{
+    raw.onRequest = [this](const RawEndpoint::ConnectionPtr &connection) {
+        const bool isFirst = raw.requests.size() == 1;
+        if (!isFirst) {
+            addFirst();
+        }
+        connection->write(std::string(isFirst ? "HTTP/1.1 200 OK\r\nX Odd: 1" : "HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK")
+                          + "\r\nBasilbend-Attempt-Id: r0\r\nBasilbend-Server-Signature: odd\r\nContent-Length: 0\r\n\r\n");
+    };
+    finishTexts(1, 1);
+    run(2000);
+    BOOST_REQUIRE(scores.size() == 1U);
+    BOOST_TEST(scores.front().second == "scored-r0");
+    BOOST_TEST(raw.requests.size() == 2U);
+}
+
 // Guards against a score that is lost because its response has no length.
 BOOST_FIXTURE_TEST_CASE(a_reward_response_without_a_length_counts_if_its_endpoint_still_runs, UnframedRewardFixture)
 {
