Reject messages whose length or coding can't be followed

Cause: the framing of http_parser is taken as it is. It ignores codings that it does not decode, takes an empty length for none, and reads the body that fields announce whatever the status says.

Change: a Content-Length is a decimal number, a Transfer-Encoding is one "chunked"; anything else makes the message invalid, for requests 400. Responses with status 1xx, 204 and 304 end with their head; a connection on which a 204 announced a body is not used again.

Measured: the tests of lengths and codings in http/messageparser, http/clientserver and gateway/brokenanswers, and that of statuses without a body, fail on the landed sources and pass now. Two lengths, and a length beside chunks, were not passed on before; their rows stay.

--- a/src/http/headcheck.h
+++ b/src/http/headcheck.h
@@ -16,10 +16,17 @@
 /// Whether all fields are valid.
 bool areValidFields(const HttpFields &fields);
 
+/// Whether the fields that state the length of the body can be followed (RFC 9112, section 6): a Content-Length is a decimal number, and a
+/// Transfer-Encoding is "chunked", since no other coding is decoded.
+bool isReadableFraming(const HttpFields &fields);
+
 /// Whether a client may accept the status of a response: 100 to 599 (RFC 9110, section 15). 101 answers the request for another protocol, which
 /// this system never asks for.
 bool isAcceptableStatus(int status);
 
+/// Whether a response with this status has no body, whatever its fields say (RFC 9112, section 6.3).
+bool isBodilessStatus(int status);
+
 /// Whether a status line, or its beginning, has a status of three digits (RFC 9112, section 4).
 bool hasThreeDigitStatus(std::string_view line);
 
--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -16,6 +16,7 @@
 /// Of a status line no more is kept than a check of its version and its status needs.
 constexpr std::size_t MaxStatusLineBytes = 64;
 constexpr int SupportedMajorVersion = 1;
+constexpr int NoContent = 204;
 
 /// Space after a field's value does not belong to it (RFC 9110, section 5.5). http_parser removes only that before it.
 std::string_view withoutTrailingSpace(std::string_view value)
@@ -66,9 +67,7 @@
         };
         s.on_headers_complete = [](http_parser *parser) { return self(parser).completeHead(); };
         s.on_body = [](http_parser *parser, const char *at, std::size_t n) {
-            if (!self(parser).m_isInterim) {
-                self(parser).m_hooks.onBody({at, n});
-            }
+            self(parser).m_hooks.onBody({at, n});
             return 0;
         };
         s.on_message_complete = [](http_parser *parser) { return self(parser).completeMessage(); };
@@ -129,7 +128,7 @@
 bool MessageParser::isAcceptableHead() const
 {
     const bool isAcceptableStart = m_parser.http_major == SupportedMajorVersion && (m_kind == Kind::Request || isAcceptableStatus(m_head.status));
-    return isAcceptableStart && areValidFields(m_head.fields) && m_interimResponses <= MaxInterimResponses;
+    return isAcceptableStart && areValidFields(m_head.fields) && isReadableFraming(m_head.fields) && m_interimResponses <= MaxInterimResponses;
 }
 
 int MessageParser::completeHead()
@@ -137,6 +136,7 @@
     m_head.fields = takeFields();
     m_readingHead = false;
     m_incompleteHeadBytes = 0;
+    const bool announcesBody = (m_parser.flags & F_CHUNKED) != 0 || ((m_parser.flags & F_CONTENTLENGTH) != 0 && m_parser.content_length > 0);
     if (m_kind == Kind::Request) {
         m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
     } else {
@@ -147,10 +147,11 @@
     if (!isAcceptableHead()) {
         return CallbackFailure;
     }
-    if (!m_isBodyExpected) {
+    if (!m_isBodyExpected || (m_kind == Kind::Response && isBodilessStatus(m_head.status))) {
         m_parser.flags |= F_SKIPBODY;
     }
-    m_head.keepAlive = http_should_keep_alive(&m_parser) != 0;
+    // A server that announces a body with status 204 may send one, which would be read as the start of the next response.
+    m_head.keepAlive = http_should_keep_alive(&m_parser) != 0 && !(m_head.status == NoContent && announcesBody);
     if (!m_isInterim) {
         m_hooks.onHead(std::move(m_head));
     }
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -33,7 +33,7 @@
 
 /// Parses a byte stream into HTTP/1.1 messages. Wraps http_parser, which rejects messages that allow request smuggling
 /// (both Content-Length and Transfer-Encoding, conflicting lengths, invalid chunk sizes), and rejects what that library accepts beside the
-/// protocol: invalid names of fields, statuses and versions.
+/// protocol: invalid names of fields, statuses and versions, and bodies whose length or coding can't be followed.
 class MessageParser
 {
 public:
--- a/tests/gateway/brokenanswers.cpp
+++ b/tests/gateway/brokenanswers.cpp
@@ -210,4 +210,14 @@
                           SignedHead + "Transfer-Encoding : chunked\r\n\r\n" + OddChunks});
 }
 
+// Guards against a client that gets a body that is not the endpoint's, since its length or its coding was taken for another one (MIXED).
+BOOST_AUTO_TEST_CASE(a_response_whose_length_or_coding_cannot_be_followed_reaches_no_client)
+{
+    checkReachesNoClient({SignedHead + "Content-Length:\r\n\r\nodd",
+                          SignedHead + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nodd",
+                          SignedHead + "Transfer-Encoding: gzip\r\n\r\nodd",
+                          SignedHead + "Transfer-Encoding: gzip, chunked\r\n\r\n" + OddChunks,
+                          SignedHead + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + OddChunks});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/http/clientserver.cpp
+++ b/tests/http/clientserver.cpp
@@ -217,6 +217,14 @@
                   "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX Odd: 1\r\n\r\n"});
 }
 
+// Guards against a body that is not the client's: its length or its coding is taken for another one.
+BOOST_AUTO_TEST_CASE(a_request_whose_length_or_coding_cannot_be_followed_gets_400_and_a_close)
+{
+    checkRefused({"Content-Length:\r\n\r\n",
+                  "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                  "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"});
+}
+
 // Guards against a request of another version of the protocol that is read as one of this version.
 BOOST_FIXTURE_TEST_CASE(a_request_of_another_version_gets_400, WebFixture)
 {
--- a/tests/http/messageparser.cpp
+++ b/tests/http/messageparser.cpp
@@ -151,6 +151,25 @@
                    ok + chunked + "X-Odd : 1\r\n\r\n"});
 }
 
+// Guards against a body that is not the server's: its length or its coding is taken for another one.
+BOOST_AUTO_TEST_CASE(a_response_whose_length_or_coding_cannot_be_followed_is_rejected)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunks = "2\r\nab\r\n0\r\n\r\n";
+    checkRejected({ok + "Content-Length:\r\n\r\nabc",
+                   ok + "Content-Length: 2, 2\r\n\r\nabc",
+                   ok + "Content-Length: 2\r\n 3\r\n\r\nabc",
+                   ok + "Content-Length: +2\r\n\r\nabc",
+                   ok + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+                   ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+                   ok + "Transfer-Encoding:\r\n\r\nab",
+                   ok + "Transfer-Encoding: gzip\r\n\r\nab",
+                   ok + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+                   ok + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+                   ok + "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunks,
+                   "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nab" + ok + "Content-Length: 2\r\n\r\nab"});
+}
+
 // Guards against a valid response that is rejected together with invalid ones.
 BOOST_AUTO_TEST_CASE(a_valid_response_is_accepted_however_it_is_divided)
 {
@@ -198,6 +217,22 @@
     }
 }
 
+// Guards against a client that takes the body of a response that must not have one for its next response.
+BOOST_AUTO_TEST_CASE(a_response_whose_status_allows_no_body_ends_with_its_head)
+{
+    for (const std::string head : {"HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n",
+                                   "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                   "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n"}) {
+        ParserFixture fixture;
+        MessageParser parser(MessageParser::Kind::Response, fixture.hooks());
+        BOOST_TEST(parser.feed(head + "ab") == head.size());
+        BOOST_TEST(fixture.completed == 1);
+        BOOST_TEST(fixture.body.empty());
+        BOOST_REQUIRE(fixture.heads.size() == 1U);
+        BOOST_TEST(fixture.heads[0].keepAlive == (fixture.heads[0].status == 304), head);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(interim_responses_are_skipped, ParserFixture)
 {
     MessageParser parser(MessageParser::Kind::Response, hooks());
