HttpClient: fail exchanges whose response is invalid or interrupted

Status 000, four digits and HTTP/9.9 ended as ConnectFailed, which callers read as "not run" though the server had got the request.

A folded line belongs to the value before it. A response without a length is lost if libcurl has not sent the whole request. The error that libcurl gives for an unknown protocol is ConnectFailed only if nothing of the request was sent.

Other transfer codings were not passed on before; their row stays. Engines mark the end of their streams, so a cut stream of theirs was never whole.

Open: a sidecar takes an orderly end of a plain service's response without a length for its end, also if the service was killed; the sidecar has no check of who answers yet.

--- a/src/net/curlexchange.cpp
+++ b/src/net/curlexchange.cpp
@@ -1,5 +1,10 @@
 #include "net/curlexchange.h"
 
+#include "http/headcheck.h"
+#include "http/httpsyntax.h"
+
+#include <algorithm>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <new>
@@ -17,6 +22,16 @@
 /// Below the server's idle timeout of 10 s, so that a request is rarely sent on a connection that the server is closing.
 constexpr long MaxConnectionIdleSeconds = 8;
 
+constexpr std::string_view StatusLineStart = "HTTP/";
+constexpr std::string_view SupportedVersion = "HTTP/1.";
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view Blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(Blanks), text.size()));
+    return text.substr(0, text.find_last_not_of(Blanks) + 1);
+}
+
 CurlExchange::CurlExchange(HttpClientRequest request, HttpClient::DoneCallback done, HttpClient::DataCallback data)
     : m_request(std::move(request))
     , m_done(std::move(done))
@@ -104,25 +119,49 @@
     auto *exchange = static_cast<CurlExchange *>(self);
     exchange->m_lastReceivedAt = Clock::now();
     std::string_view line(data, size * count);
-    if (line.substr(0, 5) == "HTTP/") {
-        // Discards the headers of an interim response (1xx).
-        exchange->m_response.headers.clear();
-        return size * count;
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+        line.remove_suffix(1);
     }
-    const auto colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        std::string name(line.substr(0, colon));
-        for (auto &c : name) {
-            c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    // libcurl ends the exchange with an error if not all bytes are taken.
+    return exchange->readHeadLine(line) ? size * count : 0;
+}
+
+bool CurlExchange::readHeadLine(std::string_view line)
+{
+    if (line.empty()) {
+        return true;
+    }
+    if (line.substr(0, StatusLineStart.size()) != StatusLineStart) {
+        return readField(line);
+    }
+    // Discards the headers of an interim response (1xx).
+    m_response.headers.clear();
+    m_lastField.clear();
+    return line.substr(0, SupportedVersion.size()) == SupportedVersion && hasThreeDigitStatus(line) && isAcceptableStatus(status());
+}
+
+bool CurlExchange::readField(std::string_view line)
+{
+    const bool isFolded = line.front() == ' ' || line.front() == '\t';
+    if (isFolded) {
+        // The line break stands for a space (RFC 9112, section 5.2).
+        const auto it = m_response.headers.find(m_lastField);
+        if (it != m_response.headers.end()) {
+            it->second.append(" ").append(trimmed(line));
         }
-        line.remove_prefix(colon + 1);
-        const auto first = line.find_first_not_of(" \t");
-        const auto last = line.find_last_not_of(" \t\r\n");
-        const auto value =
-            first == std::string_view::npos || last == std::string_view::npos || last < first ? std::string_view() : line.substr(first, last - first + 1);
-        exchange->m_response.headers[name] = std::string(value);
+        return it != m_response.headers.end() && isFieldValue(line);
     }
-    return size * count;
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    m_lastField = line.substr(0, colon);
+    for (auto &c : m_lastField) {
+        c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    }
+    const HttpField field{m_lastField, std::string(trimmed(line.substr(colon + 1)))};
+    m_response.headers[m_lastField] = field.value;
+    return isValidField(field) && isReadableFraming({field});
 }
 
 std::size_t CurlExchange::receiveBody(char *data, std::size_t size, std::size_t count, void *self)
@@ -149,11 +188,21 @@
     return m_request.silenceTimeout.count() > 0 && now - m_lastReceivedAt >= m_request.silenceTimeout;
 }
 
+bool CurlExchange::isInterrupted() const
+{
+    const auto &headers = m_response.headers;
+    const bool isFramed =
+        m_request.method == "HEAD" || headers.count("content-length") > 0 || headers.count("transfer-encoding") > 0 || isBodilessStatus(status());
+    curl_off_t sent = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+    return !isFramed && sent < static_cast<curl_off_t>(m_request.body.size());
+}
+
 TransportFailure CurlExchange::failureOf(CURLcode code) const
 {
     switch (code) {
     case CURLE_OK:
-        return TransportFailure::None;
+        return isInterrupted() ? TransportFailure::ConnectionLost : TransportFailure::None;
     case CURLE_COULDNT_CONNECT: {
         long osError = 0;
         curl_easy_getinfo(m_easy, CURLINFO_OS_ERRNO, &osError);
@@ -161,8 +210,13 @@
     }
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
         return TransportFailure::ConnectFailed;
+    case CURLE_UNSUPPORTED_PROTOCOL: {
+        // Also the error of a response with an unknown version or status; the server has got the request then.
+        long requestBytes = 0;
+        curl_easy_getinfo(m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+        return requestBytes == 0 ? TransportFailure::ConnectFailed : TransportFailure::ConnectionLost;
+    }
     case CURLE_OPERATION_TIMEDOUT: {
         curl_off_t connected = 0;
         curl_easy_getinfo(m_easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
--- a/tests/net/httpclient.cpp
+++ b/tests/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 
 #include "net/httpserver.h"
+#include "net/rawresponder.h"
 
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -93,4 +94,64 @@
     BOOST_TEST((done.get_future().get().failure == TransportFailure::Cancelled));
 }
 
+// Guards against an invalid response that is taken for an answer, or whose body is taken for another one.
+BOOST_AUTO_TEST_CASE(an_exchange_with_an_invalid_response_fails)
+{
+    for (const std::string bytes : {"HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 101 Switching Protocols\r\n\r\nab",
+                                    "HTTP/1.1 700 Odd\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 999 Odd\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/9.9 200 OK\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\nX-Odd : 1\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\n X-Odd: 1\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\nX\tOdd: 1\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\nX-Odd: 1\x01\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\nX-Odd\r\nContent-Length: 2\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nabc",
+                                    "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nabc",
+                                    "HTTP/1.1 200 OK\r\nContent-Length: 2x\r\n\r\nab",
+                                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: odd\r\n\r\nab"}) {
+        const RawResponder responder(bytes);
+        HttpClient client;
+        HttpClientRequest request;
+        request.url = responder.url();
+        request.timeout = Milliseconds(3000);
+        const auto response = client.sendAndWait(request);
+        BOOST_TEST((response.failure == TransportFailure::ConnectionLost), bytes);
+    }
+}
+
+// Guards against a field that loses a part of its value, or against a part that is taken for another field.
+BOOST_AUTO_TEST_CASE(a_folded_line_belongs_to_the_field_before_it)
+{
+    const RawResponder responder("HTTP/1.1 200 OK\r\nX-Long: one\r\n X-Two: two\r\nContent-Length: 2\r\n\r\nab");
+    HttpClient client;
+    HttpClientRequest request;
+    request.url = responder.url();
+    const auto response = client.sendAndWait(request);
+    BOOST_TEST((response.failure == TransportFailure::None));
+    BOOST_TEST(response.headers.at("x-long") == "one X-Two: two");
+    BOOST_TEST(response.headers.size() == 2U);
+    BOOST_TEST(response.body == "ab");
+}
+
+// Guards against part of a response that is taken for all of it: it has no length, and its connection ends within the request.
+BOOST_AUTO_TEST_CASE(a_response_without_a_length_that_ends_within_the_request_is_no_answer)
+{
+    const RawResponder responder("HTTP/1.1 200 OK\r\n\r\npart");
+    HttpClient client;
+    HttpClientRequest request;
+    request.method = "POST";
+    request.url = responder.url();
+    request.timeout = Milliseconds(3000);
+    request.body = std::string(16 * 1024 * 1024, 'b');
+    const auto response = client.sendAndWait(request);
+    BOOST_TEST((response.failure == TransportFailure::ConnectionLost));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
