--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -51,6 +51,8 @@
     LinkFault fault = LinkFault::None;
     Timestamp healedAt;
     std::vector<std::weak_ptr<Connection>> connections;
+    /// Silenced connections, which stay open on both sides.
+    std::vector<std::shared_ptr<Connection>> silenced;
     bool isStopped = false;
     bool isListening = true;
 };
@@ -80,6 +82,12 @@
         });
     }
 
+    void silence()
+    {
+        m_isSilenced = true;
+        m_state->silenced.push_back(shared_from_this());
+    }
+
     void reset()
     {
         resetConnection(m_client);
@@ -108,6 +116,9 @@
 
     void forward(Socket &from, Socket &to, Buffer &buf, std::size_t n, bool isAnswer)
     {
+        if (m_isSilenced) {
+            return;
+        }
         if (isHeldBack(isAnswer) && !m_state->isStopped) {
             m_state->loop.runAfter(HoldCheckInterval,
                                    [self = shared_from_this(), &from, &to, &buf, n, isAnswer] { self->forward(from, to, buf, n, isAnswer); });
@@ -125,6 +136,9 @@
     /// Closes both directions when one has ended. While bytes are held back, the close is delayed until the fault ends.
     void closeOnceReleased(Socket &to, bool isAnswer)
     {
+        if (m_isSilenced) {
+            return;
+        }
         if (isHeldBack(isAnswer) && !m_state->isStopped) {
             m_state->loop.runAfter(HoldCheckInterval, [self = shared_from_this(), &to, isAnswer] { self->closeOnceReleased(to, isAnswer); });
             return;
@@ -139,6 +153,7 @@
     Socket m_server;
     Buffer m_requestBuffer{};
     Buffer m_answerBuffer{};
+    bool m_isSilenced = false;
 };
 
 FaultProxy::FaultProxy(asio::io_context &io, EventLoop loop)
@@ -153,6 +168,7 @@
     asio::error_code ignored;
     m_state->acceptor.close(ignored);
     resetAll();
+    m_state->silenced.clear();
 }
 
 std::uint16_t FaultProxy::port() const
@@ -214,6 +230,15 @@
     m_state->connections.clear();
 }
 
+void FaultProxy::silenceOpenConnections()
+{
+    for (const auto &connection : m_state->connections) {
+        if (const auto open = connection.lock()) {
+            open->silence();
+        }
+    }
+}
+
 void FaultProxy::accept(const std::shared_ptr<State> &state)
 {
     state->acceptor.async_accept([state](const asio::error_code &ec, Socket socket) {
--- a/tests/soak/faultproxy.h
+++ b/tests/soak/faultproxy.h
@@ -56,6 +56,9 @@
     /// Resets all open connections.
     void resetAll();
 
+    /// Open connections pass nothing any more, not even their end. New ones are not affected.
+    void silenceOpenConnections();
+
 private:
     struct State;
     class Connection;
