--- a/Makefile
+++ b/Makefile
@@ -24,10 +24,12 @@
 check-processes: build
 	tests/e2e/processes.sh $(BUILD)
 
-# Two short runs of the soak with fixed seeds, as in CI; the second with deadly requests and releases of software.
+# Three short runs of the soak with fixed seeds, as in CI; the second with deadly requests and releases of software, the third with endpoints
+# whose responses are broken.
 soak-short: build
 	$(BUILD)/basilbend-soak --program $(BUILD)/basilbend --seed 1 --seconds 6
 	$(BUILD)/basilbend-soak --program $(BUILD)/basilbend --seed 2 --seconds 6 --services 4 --deadly-interval 300 --release-interval 700
+	$(BUILD)/basilbend-soak --program $(BUILD)/basilbend --seed 7002 --seconds 6 --services 4 --broken-endpoints 2
 
 # All seeds that have ever failed. For fresh ones: basilbend-soak --program build/basilbend --seed N
 soak: build
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,6 +29,8 @@
 /// Grace period of the settings plus one second.
 constexpr Milliseconds StopTime{6000};
 constexpr Milliseconds ReplacementTime{300};
+/// Beside broken endpoints one in this many requests is long enough to be answered before it is in.
+constexpr int LongBodyShare = 4;
 /// Memory of the smallest host that runs a gateway.
 constexpr long MaxMemoryKib = 110 * 1024;
 
@@ -117,7 +119,12 @@
         for (const auto &endpoint : m_system.endlessEndpoints()) {
             endlessBytes += endpoint->sentBytes();
         }
-        out << "; endless responses: " << endlessBytes / (1024 * 1024) << " MiB taken\n";
+        out << "; endless responses: " << endlessBytes / (1024 * 1024) << " MiB taken";
+        int brokenResponses = 0;
+        for (const auto &endpoint : m_system.brokenEndpoints()) {
+            brokenResponses += endpoint->requests();
+        }
+        out << "; broken responses: " << brokenResponses << "\n";
     }
 
     /// Replaces one engine after the other: in each round by the other software version, so that both serve side by side.
@@ -181,6 +188,9 @@
         for (const auto &endpoint : m_system.endlessEndpoints()) {
             endpoint->stop();
         }
+        for (const auto &endpoint : m_system.brokenEndpoints()) {
+            endpoint->stop();
+        }
         m_clients.stopDeadlyRequests();
         m_loop.runAfter(SettleTime, [this] { measureServedShare(); });
     }
@@ -294,6 +304,8 @@
                    "milliseconds between two configurations; each gateway is asked which one it has in force; 0: neither")
         ->check(CLI::Range(0, 60000));
     app.add_option("--endless-endpoints", settings.endlessEndpoints, "number of faulty endpoints whose responses never end")->check(CLI::Range(0, 100));
+    app.add_option("--broken-endpoints", settings.brokenEndpoints, "number of faulty plain endpoints whose responses are invalid or cut")
+        ->check(CLI::Range(0, 100));
     app.add_option("--engines", settings.engines, "number of model engines")->check(CLI::Range(1, 1000));
     app.add_option("--engine-slots", settings.engineSlots, "runs at once of an engine")->check(CLI::Range(1, 256));
     app.add_option("--event-interval", eventIntervalMs, "milliseconds between two events of a run")->check(CLI::Range(1, 10000));
@@ -307,6 +319,7 @@
     settings.emptyHostsInterval = Milliseconds(emptyHostsIntervalMs);
     settings.configurationInterval = Milliseconds(configurationIntervalMs);
     load.deadlyInterval = Milliseconds(deadlyIntervalMs);
+    load.longBodyShare = settings.brokenEndpoints > 0 ? LongBodyShare : 0;
     settings.eventInterval = Milliseconds(eventIntervalMs);
     for (int i = static_cast<int>(settings.models.size()); i < modelCount; ++i) {
         settings.models.push_back("model" + std::to_string(i));
--- a/tests/soak/soakclients.cpp
+++ b/tests/soak/soakclients.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds ReadPause{250};
 constexpr Milliseconds TrainTime{200};
 constexpr Milliseconds RandomReadInterval{300};
+/// More than the buffers of a connection hold.
+constexpr std::size_t LongBodyBytes = 4 * 1024 * 1024;
 
 }
 
@@ -117,7 +119,8 @@
     // One request in ten uses the key that is withdrawn first.
     const auto key = m_random.below(10) == 0 ? std::string("w1-a") : randomKey();
     auto request = makeRequest("POST", isIdempotent ? "/status/a" : "/order/a", attempt, key);
-    request.body = "question";
+    const bool isLong = m_load.longBodyShare > 0 && ++m_liveCount % m_load.longBodyShare == 0;
+    request.body = isLong ? std::string(LongBodyBytes, 'q') : std::string("question");
     request.fields.set(Wire::DeadlineMs, std::to_string(LiveTimeout.count()));
     m_checker.recordRequest(attempt, isIdempotent, key);
     sendToRandomGateway(request, LiveTimeout, [this, attempt](int status, const std::string &body) { m_checker.recordAnswer(attempt, status, body); });
--- a/tests/soak/soakclients.h
+++ b/tests/soak/soakclients.h
@@ -23,6 +23,8 @@
     std::size_t itemsPerGroup = 4;
     /// Time between two requests that crash their endpoints; zero: there are none.
     Milliseconds deadlyInterval{0};
+    /// One in this many requests of the callers has a long body; zero: none has.
+    int longBodyShare = 0;
 
     std::size_t itemsPerStep() const
     {
@@ -113,6 +115,7 @@
     SoakLoad m_load;
     std::uint64_t m_lastCallNumber = 0;
     std::uint64_t m_lastId = 0;
+    int m_liveCount = 0;
     std::size_t m_deadlyCount = 0;
     std::set<std::string> m_openSteps;
     std::vector<std::string> m_acceptedBatches;
--- a/tests/soak/soaksystem.cpp
+++ b/tests/soak/soaksystem.cpp
@@ -106,6 +106,9 @@
         const auto models = isPlain ? std::vector<std::string>() : m_settings.models;
         m_endlessEndpoints.push_back(std::make_unique<EndlessEndpoint>(io, isPlain ? "desk" : "engine", "x" + std::to_string(i), models, writeKey));
     }
+    for (int i = 0; i < m_settings.brokenEndpoints; ++i) {
+        m_brokenEndpoints.push_back(std::make_unique<BrokenEndpoint>(io, "desk", "y" + std::to_string(i), writeKey));
+    }
     publishConfiguration();
     for (int i = 0; i < m_settings.gateways; ++i) {
         addNode("gateway", i);
--- a/tests/soak/soaksystem.h
+++ b/tests/soak/soaksystem.h
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "http/webserver.h"
+#include "soak/brokenendpoint.h"
 #include "soak/endlessendpoint.h"
 #include "soak/faultproxy.h"
 #include "soak/invariantchecker.h"
@@ -32,6 +33,8 @@
     int services = 2;
     /// Number of faulty endpoints, of the plain service and of the engines in turn, whose responses never end.
     int endlessEndpoints = 0;
+    /// Number of faulty endpoints of the plain service whose responses are invalid or cut.
+    int brokenEndpoints = 0;
     /// Time between two replacements of an engine by one of another software version; zero: there are none.
     Milliseconds releaseInterval{0};
     /// Time between two changes of the schedulers' hosts that are to be emptied; zero: there are none.
@@ -82,6 +85,11 @@
         return m_endlessEndpoints;
     }
 
+    const std::vector<std::unique_ptr<BrokenEndpoint>> &brokenEndpoints() const
+    {
+        return m_brokenEndpoints;
+    }
+
     FakeMetadataStore &store()
     {
         return m_store.store();
@@ -148,6 +156,7 @@
     WebServer m_reportServer;
     std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
     std::vector<std::unique_ptr<EndlessEndpoint>> m_endlessEndpoints;
+    std::vector<std::unique_ptr<BrokenEndpoint>> m_brokenEndpoints;
     std::vector<SoakNode> m_nodes;
     std::vector<std::string> m_peers;
     std::map<std::string, std::uint64_t> m_versions;
