--- a/tests/http/messageparser.cpp
+++ b/tests/http/messageparser.cpp
@@ -21,6 +21,22 @@
     }
 };
 
+/// Feeds each response in pieces of several sizes, and checks that none of them is completed, also at the end of the connection.
+void checkRejected(const std::vector<std::string> &responses)
+{
+    for (const auto &bytes : responses) {
+        for (const std::size_t pieceBytes : {bytes.size(), std::size_t(1), std::size_t(7)}) {
+            ParserFixture fixture;
+            MessageParser parser(MessageParser::Kind::Response, fixture.hooks());
+            for (std::size_t at = 0; at < bytes.size() && !parser.hasFailed() && fixture.completed == 0; at += pieceBytes) {
+                parser.feed(std::string_view(bytes).substr(at, pieceBytes));
+            }
+            parser.finish();
+            BOOST_TEST(fixture.completed == 0, bytes << " in pieces of " << pieceBytes);
+        }
+    }
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(http, *boost::unit_test::label("http"))
@@ -87,6 +103,136 @@
     BOOST_TEST(completed == 1);
 }
 
+// Guards against a response without a status that is taken for an interim one, so that what follows is taken for the answer, and against one
+// that is passed on with a status that there is not.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_status_line_is_rejected)
+{
+    const std::string rest = "Content-Length: 2\r\n\r\nab";
+    checkRejected({"HTTP/1.1 000 \r\n" + rest,
+                   "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+                   "HTTP/1.1 99 Odd\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+                   "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+                   "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: odd\r\n\r\nab",
+                   "HTTP/1.1 600 Odd\r\n" + rest,
+                   "HTTP/1.1 700 Odd\r\n" + rest,
+                   "HTTP/1.1 999 Odd\r\n" + rest,
+                   "HTTP/1.1 0200 OK\r\n" + rest,
+                   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 0200 OK\r\n" + rest,
+                   "HTTP/1.1 20 OK\r\n" + rest,
+                   "HTTP/1.1 +200 OK\r\n" + rest,
+                   "HTTP/9.9 200 OK\r\n" + rest,
+                   "HTTP/0.9 200 OK\r\n" + rest,
+                   "HTTP/2.0 200 OK\r\n" + rest});
+}
+
+// Guards against a response that is passed on without the lines of its head that are no fields, or with a body that such a line leaves open.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_is_rejected)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string rest = "Content-Length: 2\r\n\r\nab";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n";
+    checkRejected({ok + "X Odd: 1\r\n" + rest,
+                   ok + "X-Odd : 1\r\n" + rest,
+                   ok + " X-Odd: 1\r\n" + rest,
+                   ok + "X\tOdd: 1\r\n" + rest,
+                   ok + "X-Odd\t: 1\r\n" + rest,
+                   ok + "X\x01Odd: 1\r\n" + rest,
+                   ok + "X\x7fOdd: 1\r\n" + rest,
+                   ok + "X\xe4Odd: 1\r\n" + rest,
+                   ok + "X(Odd): 1\r\n" + rest,
+                   ok + "X-Odd: 1\x01\r\n" + rest,
+                   ok + "X-Odd: 1\rX-Two: 2\r\n" + rest,
+                   ok + ": 1\r\n" + rest,
+                   ok + "X-Odd\r\n" + rest,
+                   ok + "Content-Length : 2\r\n\r\nabc",
+                   ok + "Content Length: 2\r\n\r\nabc",
+                   ok + "Transfer-Encoding : chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+                   ok + chunked + "X Odd: 1\r\n\r\n",
+                   ok + chunked + "X-Odd : 1\r\n\r\n"});
+}
+
+// Guards against a body that is not the server's: its length or its coding is taken for another one.
+BOOST_AUTO_TEST_CASE(a_response_whose_length_or_coding_cannot_be_followed_is_rejected)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunks = "2\r\nab\r\n0\r\n\r\n";
+    checkRejected({ok + "Content-Length:\r\n\r\nabc",
+                   ok + "Content-Length: 2, 2\r\n\r\nabc",
+                   ok + "Content-Length: 2\r\n 3\r\n\r\nabc",
+                   ok + "Content-Length: +2\r\n\r\nabc",
+                   ok + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+                   ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+                   ok + "Transfer-Encoding:\r\n\r\nab",
+                   ok + "Transfer-Encoding: gzip\r\n\r\nab",
+                   ok + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+                   ok + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+                   ok + "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunks,
+                   "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nab" + ok + "Content-Length: 2\r\n\r\nab"});
+}
+
+// Guards against a valid response that is rejected together with invalid ones.
+BOOST_AUTO_TEST_CASE(a_valid_response_is_accepted_however_it_is_divided)
+{
+    const std::string rest = "Content-Length: 2\r\n\r\nab";
+    for (const auto &bytes : std::vector<std::string>{"HTTP/1.1 200 OK\r\n" + rest,
+                                                      "HTTP/1.0 200 OK\r\n" + rest,
+                                                      "HTTP/1.1 200\r\n" + rest,
+                                                      "HTTP/1.1 200 \r\n" + rest,
+                                                      "HTTP/1.1 200 OK\n" + rest,
+                                                      "HTTP/1.1 599 Odd\r\n" + rest,
+                                                      "HTTP/1.1 102 Processing\r\nX-Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+                                                      "HTTP/1.1 200 OK\r\nX-Text: \xc3\xa4\t1\r\n" + rest,
+                                                      "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: 1\r\n" + rest,
+                                                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nab\r\n0\r\nX-Sum: 1\r\n\r\n"}) {
+        for (const std::size_t pieceBytes : {bytes.size(), std::size_t(1), std::size_t(7)}) {
+            ParserFixture fixture;
+            MessageParser parser(MessageParser::Kind::Response, fixture.hooks());
+            for (std::size_t at = 0; at < bytes.size(); at += pieceBytes) {
+                parser.feed(std::string_view(bytes).substr(at, pieceBytes));
+            }
+            BOOST_TEST(!parser.hasFailed(), bytes);
+            BOOST_TEST(fixture.completed == 1, bytes << " in pieces of " << pieceBytes);
+            BOOST_TEST(fixture.body == "ab", bytes);
+        }
+    }
+}
+
+// Guards against a folded line that is taken for a field of its own, or is joined to its value without the space before it (RFC 9112, 5.2).
+BOOST_AUTO_TEST_CASE(the_lines_of_a_folded_value_are_one_value_however_they_are_divided)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nX-Versions: 1\r\n 2\r\nX-Long: one\r\n Content-Length: 9\r\nX-Late:\r\n late\r\n"
+                              "Content-Length: 2\r\n\r\n b";
+    for (std::size_t pieceBytes = 1; pieceBytes <= bytes.size(); ++pieceBytes) {
+        ParserFixture fixture;
+        MessageParser parser(MessageParser::Kind::Response, fixture.hooks());
+        for (std::size_t at = 0; at < bytes.size(); at += pieceBytes) {
+            parser.feed(std::string_view(bytes).substr(at, pieceBytes));
+        }
+        BOOST_REQUIRE(fixture.heads.size() == 1U);
+        const auto &fields = fixture.heads[0].fields;
+        BOOST_TEST(fields.value("X-Versions") == "1 2");
+        BOOST_TEST(fields.value("X-Long") == "one Content-Length: 9");
+        BOOST_TEST(fields.value("X-Late") == "late");
+        BOOST_TEST(fixture.body == " b");
+    }
+}
+
+// Guards against a client that takes the body of a response that must not have one for its next response.
+BOOST_AUTO_TEST_CASE(a_response_whose_status_allows_no_body_ends_with_its_head)
+{
+    for (const std::string head : {"HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n",
+                                   "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                   "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n"}) {
+        ParserFixture fixture;
+        MessageParser parser(MessageParser::Kind::Response, fixture.hooks());
+        BOOST_TEST(parser.feed(head + "ab") == head.size());
+        BOOST_TEST(fixture.completed == 1);
+        BOOST_TEST(fixture.body.empty());
+        BOOST_REQUIRE(fixture.heads.size() == 1U);
+        BOOST_TEST(fixture.heads[0].keepAlive == (fixture.heads[0].status == 304), head);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(interim_responses_are_skipped, ParserFixture)
 {
     MessageParser parser(MessageParser::Kind::Response, hooks());
