Clear three findings of the linter, and a name without internal linkage

clang-tidy asked for append() in two tests. trimmed() in curlexchange.cpp stands in an unnamed namespace now, and a comment says what the kept part of a status line is for.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -13,7 +13,7 @@
 /// Limit on interim (1xx) responses before a final one; a faulty server may send them endlessly.
 constexpr int MaxInterimResponses = 16;
 constexpr int CallbackFailure = -1;
-/// Of a status line no more is kept than a check of its version and its status needs.
+/// Of a status line no more is kept than the check of its status needs.
 constexpr std::size_t MaxStatusLineBytes = 64;
 constexpr int SupportedMajorVersion = 1;
 constexpr int NoContent = 204;
--- a/src/net/curlexchange.cpp
+++ b/src/net/curlexchange.cpp
@@ -25,6 +25,9 @@
 constexpr std::string_view StatusLineStart = "HTTP/";
 constexpr std::string_view SupportedVersion = "HTTP/1.";
 
+namespace
+{
+
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view Blanks = " \t";
@@ -32,6 +35,8 @@
     return text.substr(0, text.find_last_not_of(Blanks) + 1);
 }
 
+}
+
 CurlExchange::CurlExchange(HttpClientRequest request, HttpClient::DoneCallback done, HttpClient::DataCallback data)
     : m_request(std::move(request))
     , m_done(std::move(done))
--- a/tests/gateway/brokenanswers.cpp
+++ b/tests/gateway/brokenanswers.cpp
@@ -101,7 +101,8 @@
                 [](const RawEndpoint::ConnectionPtr &connection) { connection->write(RawAnswerFixture::WholeAnswer); });
             fixture.send(path);
             fixture.run(4000);
-            const auto seen = path + ": " + bytes;
+            auto seen = path;
+            seen.append(": ").append(bytes);
             BOOST_REQUIRE_MESSAGE(fixture.outcome.has_value(), seen);
             BOOST_TEST(fixture.body.find("odd") == std::string::npos, seen);
             BOOST_TEST(!fixture.gateway->picker.isAvailable(faulty, fixture.time.now()), seen);
--- a/tests/http/clientserver.cpp
+++ b/tests/http/clientserver.cpp
@@ -128,9 +128,10 @@
     const std::string next = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
     for (const auto &fields : requests) {
         // A line that begins with a blank belongs to the line before it, so it has to be the first field.
-        const auto host = fields.front() == ' ' ? std::string() : std::string("Host: h\r\n");
+        std::string bytes = fields.front() == ' ' ? "POST /p HTTP/1.1\r\n" : "POST /p HTTP/1.1\r\nHost: h\r\n";
+        bytes.append(fields).append(next);
         WebFixture fixture;
-        const auto response = fixture.rawExchange("POST /p HTTP/1.1\r\n" + host + fields + next);
+        const auto response = fixture.rawExchange(bytes);
         BOOST_TEST(response.substr(0, 12) == "HTTP/1.1 400", fields);
         BOOST_TEST(response.find("Connection: close") != std::string::npos, fields);
         BOOST_TEST(response.find("HTTP/1.1", 1) == std::string::npos, fields);
