Reject messages with an invalid end of a line or of a chunk

The same in requests of clients.

Cause: http_parser checks these places only if it is built in its strict mode, and the package is not.

Change: MessageParser feeds lines and the data of chunks apart. A carriage return outside of a body must be followed by a line feed, and the data of a chunk by a carriage return; otherwise the message is invalid, for requests 400 and a close. Heads of requests are fed line by line now, too.

Measured: the three tests of invalid line ends (http/messageparser, http/clientserver, gateway/brokenanswers) fail on the commit before and pass now; chunks that hold line ends themselves pass on both, in pieces of every size.

--- a/src/http/messageparser.cpp
+++ b/src/http/messageparser.cpp
@@ -70,6 +70,11 @@
             self(parser).m_hooks.onBody({at, n});
             return 0;
         };
+        s.on_chunk_header = [](http_parser *parser) {
+            self(parser).m_chunkBytesLeft = parser->content_length;
+            self(parser).m_part = parser->content_length > 0 ? Part::ChunkData : Part::Lines;
+            return 0;
+        };
         s.on_message_complete = [](http_parser *parser) { return self(parser).completeMessage(); };
         return s;
     }();
@@ -136,7 +141,9 @@
     m_head.fields = takeFields();
     m_readingHead = false;
     m_incompleteHeadBytes = 0;
-    const bool announcesBody = (m_parser.flags & F_CHUNKED) != 0 || ((m_parser.flags & F_CONTENTLENGTH) != 0 && m_parser.content_length > 0);
+    const bool isChunked = (m_parser.flags & F_CHUNKED) != 0;
+    m_part = isChunked ? Part::Lines : Part::Body;
+    const bool announcesBody = isChunked || ((m_parser.flags & F_CONTENTLENGTH) != 0 && m_parser.content_length > 0);
     if (m_kind == Kind::Request) {
         m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
     } else {
@@ -161,6 +168,7 @@
 
 int MessageParser::completeMessage()
 {
+    m_part = Part::Lines;
     // Trailer fields are ignored, but an invalid one shows that the message is not what the server meant to send.
     if (!areValidFields(takeFields())) {
         return CallbackFailure;
@@ -183,11 +191,11 @@
     http_parser_pause(&m_parser, 0);
     std::size_t used = 0;
     while (used < bytes.size()) {
-        const auto rest = bytes.substr(used);
-        // The library shows no status line, so heads of responses are fed line by line. Another one may follow an interim response.
-        const bool isResponseHead = m_kind == Kind::Response && (!m_insideMessage || m_readingHead);
-        const auto lineEnd = isResponseHead ? rest.find('\n') : std::string_view::npos;
-        const auto piece = lineEnd == std::string_view::npos ? rest : rest.substr(0, lineEnd + 1);
+        const auto piece = nextPiece(bytes.substr(used));
+        if (m_part == Part::Lines && !checkLineEnds(piece)) {
+            m_failed = true;
+            break;
+        }
         const auto n = execute(piece);
         used += n;
         if (m_failed || n < piece.size() || HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED) {
@@ -197,9 +205,37 @@
     return used;
 }
 
-std::size_t MessageParser::execute(std::string_view bytes)
+std::string_view MessageParser::nextPiece(std::string_view bytes) const
+{
+    switch (m_part) {
+    case Part::Lines:
+        return bytes.substr(0, std::min(bytes.find('\n'), bytes.size() - 1) + 1);
+    case Part::ChunkData:
+        return bytes.substr(0, std::min<std::uint64_t>(m_chunkBytesLeft, bytes.size()));
+    case Part::Body:
+        break;
+    }
+    return bytes;
+}
+
+bool MessageParser::checkLineEnds(std::string_view line)
+{
+    // http_parser takes any byte for a line feed in these places, and any two bytes for the end of a chunk.
+    const bool isMissing = (m_expectsChunkEnd && line.front() != '\r') || (m_expectsLineFeed && line.front() != '\n');
+    const auto end = line.find('\r');
+    m_expectsChunkEnd = false;
+    m_expectsLineFeed = end == line.size() - 1;
+    return !isMissing && (end == std::string_view::npos || m_expectsLineFeed || line.substr(end) == "\r\n");
+}
+
+std::size_t MessageParser::execute(std::string_view piece)
 {
-    const auto n = http_parser_execute(&m_parser, &callbacks(), bytes.data(), bytes.size());
+    if (m_part == Part::ChunkData) {
+        m_chunkBytesLeft -= piece.size();
+        m_expectsChunkEnd = m_chunkBytesLeft == 0;
+        m_part = m_expectsChunkEnd ? Part::Lines : Part::ChunkData;
+    }
+    const auto n = http_parser_execute(&m_parser, &callbacks(), piece.data(), piece.size());
     const auto error = HTTP_PARSER_ERRNO(&m_parser);
     if (error == HPE_PAUSED) {
         return n;
@@ -212,7 +248,7 @@
         m_incompleteHeadBytes += n;
     }
     if (m_readingStatusLine) {
-        checkStatusLine(bytes);
+        checkStatusLine(piece);
     }
     return n;
 }
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -33,7 +33,8 @@
 
 /// Parses a byte stream into HTTP/1.1 messages. Wraps http_parser, which rejects messages that allow request smuggling
 /// (both Content-Length and Transfer-Encoding, conflicting lengths, invalid chunk sizes), and rejects what that library accepts beside the
-/// protocol: invalid names of fields, statuses and versions, and bodies whose length or coding can't be followed.
+/// protocol: invalid names of fields, statuses and versions, bodies whose length or coding can't be followed, and line ends and ends of chunks
+/// that are none.
 class MessageParser
 {
 public:
@@ -84,6 +85,15 @@
     }
 
 private:
+    /// What the next bytes are a part of.
+    enum class Part {
+        /// The head, the size or the end of a chunk, or the trailers.
+        Lines,
+        ChunkData,
+        /// A body that is not chunked.
+        Body,
+    };
+
     /// Sizes of the name and the value of a field in m_headText.
     struct FieldSize {
         std::uint32_t name = 0;
@@ -98,8 +108,12 @@
     /// Keeps the beginning of a response's first line and checks it once it is complete.
     void checkStatusLine(std::string_view text);
     bool isAcceptableHead() const;
-    /// Feeds bytes to the library: of a response's head no more than one line. Returns how many were used.
-    std::size_t execute(std::string_view bytes);
+    /// Returns the beginning of the bytes that the library is fed at once: no more than one line or the data of one chunk.
+    std::string_view nextPiece(std::string_view bytes) const;
+    /// Whether the end of a chunk and a line end are where the text continues with them, and nowhere else.
+    bool checkLineEnds(std::string_view line);
+    /// Feeds one piece to the library. Returns how many bytes were used.
+    std::size_t execute(std::string_view piece);
     int completeHead();
     int completeMessage();
     static const http_parser_settings &callbacks();
@@ -117,6 +131,13 @@
     bool m_insideMessage = false;
     bool m_readingHead = false;
     bool m_readingStatusLine = false;
+    Part m_part = Part::Lines;
+    /// Bytes that are left of the current chunk's data.
+    std::uint64_t m_chunkBytesLeft = 0;
+    /// The data of a chunk has ended, and its line end comes next.
+    bool m_expectsChunkEnd = false;
+    /// The last byte of a line that has not ended was a carriage return.
+    bool m_expectsLineFeed = false;
     bool m_readingValue = false;
     bool m_isInterim = false;
     bool m_isBodyExpected = true;
--- a/tests/gateway/brokenanswers.cpp
+++ b/tests/gateway/brokenanswers.cpp
@@ -85,8 +85,8 @@
 const std::string OddChunks = "3\r\nodd\r\n0\r\n\r\n";
 
 /// Lets one endpoint answer with each of the responses, on each kind of route. No client may get it, a request that may run again runs elsewhere,
-/// and the endpoint counts as faulty.
-void checkReachesNoClient(const std::vector<std::string> &responses)
+/// and the endpoint counts as faulty. isHeadValid: only the body is invalid, so a stream begins and is broken off.
+void checkReachesNoClient(const std::vector<std::string> &responses, bool isHeadValid = false)
 {
     for (const auto &bytes : responses) {
         for (const std::string path : {"/once/a", "/often/a", "/kept/a", "/stream/a"}) {
@@ -106,7 +106,10 @@
             BOOST_REQUIRE_MESSAGE(fixture.outcome.has_value(), seen);
             BOOST_TEST(fixture.body.find("odd") == std::string::npos, seen);
             BOOST_TEST(!fixture.gateway->picker.isAvailable(faulty, fixture.time.now()), seen);
-            if (path == "/once/a" || path == "/stream/a") {
+            if (isHeadValid && path == "/stream/a") {
+                BOOST_TEST((*fixture.outcome == CallOutcome::Broken), seen);
+                BOOST_TEST(fixture.runs() == 1U, seen);
+            } else if (path == "/once/a" || path == "/stream/a") {
                 BOOST_TEST(fixture.status == 502, seen);
                 BOOST_TEST(fixture.runs() == 1U, seen);
             } else {
@@ -221,4 +224,12 @@
                           SignedHead + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n" + OddChunks});
 }
 
+// Guards against a client that gets a body without a part of the endpoint's, since a chunk is longer than its size says (MIXED).
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_line_end_reaches_no_client)
+{
+    checkReachesNoClient({SignedHead + "Content-Length: 3\r\n\rXodd"});
+    checkReachesNoClient(
+        {SignedHead + "Transfer-Encoding: chunked\r\n\r\n3\r\noddly0\r\n\r\n", SignedHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nodd\r\n0\r\n\rX"}, true);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/http/clientserver.cpp
+++ b/tests/http/clientserver.cpp
@@ -226,6 +226,15 @@
                   "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"});
 }
 
+// Guards against request smuggling: another reader finds the end of such a line or chunk in another place.
+BOOST_AUTO_TEST_CASE(a_request_with_an_invalid_line_end_gets_400_and_a_close)
+{
+    checkRefused({"Content-Length: 3\r\n\rXabc",
+                  "Transfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
+                  "Transfer-Encoding: chunked\r\n\r\n3\rXabc\r\n0\r\n\r\n",
+                  "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\rX"});
+}
+
 // Guards against a request of another version of the protocol that is read as one of this version.
 BOOST_FIXTURE_TEST_CASE(a_request_of_another_version_gets_400, WebFixture)
 {
--- a/tests/http/messageparser.cpp
+++ b/tests/http/messageparser.cpp
@@ -170,6 +170,41 @@
                    "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nab" + ok + "Content-Length: 2\r\n\r\nab"});
 }
 
+// Guards against a body that lacks a part of the server's, or a head that lacks a byte: something else stands where a line or a chunk ends.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_line_end_is_rejected)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    checkRejected({chunked + "2\r\nabcd0\r\n\r\n",
+                   chunked + "2\r\nab0\r\n\r\n\r\n",
+                   chunked + "2\r\nab\rc0\r\n\r\n",
+                   chunked + "2\r\nabc\n0\r\n\r\n",
+                   chunked + "2\r\nab\n0\r\n\r\n",
+                   chunked + "2\rcab\r\n0\r\n\r\n",
+                   chunked + "2\r\nab\r\n0\rc\r\n",
+                   chunked + "2\r\nab\r\n0\r\n\rc",
+                   chunked + "2\r\nab\r\n0\r\nX-Sum: 1\r\n\rc",
+                   "HTTP/1.1 200 OK\rcContent-Length: 2\r\n\r\nab",
+                   ok + "Content-Length: 2\rc\r\nab",
+                   ok + "Content-Length: 2\r\n\rcab"});
+}
+
+// Guards against data of a chunk that is taken for a line.
+BOOST_AUTO_TEST_CASE(chunks_may_hold_line_ends_however_they_are_divided)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na\rb\r\n4;x=1\r\n\n\r\r\n\r\n1\r\n\n\r\n0\r\nX-Sum: 1\r\n\r\n";
+    for (std::size_t pieceBytes = 1; pieceBytes <= bytes.size(); ++pieceBytes) {
+        ParserFixture fixture;
+        MessageParser parser(MessageParser::Kind::Response, fixture.hooks());
+        for (std::size_t at = 0; at < bytes.size(); at += pieceBytes) {
+            parser.feed(std::string_view(bytes).substr(at, pieceBytes));
+        }
+        BOOST_TEST(!parser.hasFailed());
+        BOOST_TEST(fixture.completed == 1);
+        BOOST_TEST(fixture.body == "a\rb\n\r\r\n\n");
+    }
+}
+
 // Guards against a valid response that is rejected together with invalid ones.
 BOOST_AUTO_TEST_CASE(a_valid_response_is_accepted_however_it_is_divided)
 {
