--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -33,8 +33,8 @@
 
 /// Parses a byte stream into HTTP/1.1 messages. Wraps http_parser, which rejects messages that allow request smuggling
 /// (both Content-Length and Transfer-Encoding, conflicting lengths, invalid chunk sizes), and rejects what that library accepts beside the
-/// protocol: invalid names of fields, statuses and versions, bodies whose length or coding can't be followed, and line ends and ends of chunks
-/// that are none.
+/// protocol: invalid names of fields, statuses and versions, bodies whose length or coding can't be followed, and invalid ends of lines
+/// and chunks.
 class MessageParser
 {
 public:
@@ -110,7 +110,7 @@
     bool isAcceptableHead() const;
     /// Returns the beginning of the bytes that the library is fed at once: no more than one line or the data of one chunk.
     std::string_view nextPiece(std::string_view bytes) const;
-    /// Whether the end of a chunk and a line end are where the text continues with them, and nowhere else.
+    /// Whether each carriage return of the text is followed by a line feed, and the data of a chunk by a line end.
     bool checkLineEnds(std::string_view line);
     /// Feeds one piece to the library. Returns how many bytes were used.
     std::size_t execute(std::string_view piece);
--- a/tests/gateway/brokenanswers.cpp
+++ b/tests/gateway/brokenanswers.cpp
@@ -172,6 +172,55 @@
     }
 }
 
+// Guards against part of a response that passes for all of it: its connection is reset after the whole request was sent, so that the read side
+// takes the error.
+BOOST_AUTO_TEST_CASE(a_response_without_a_length_is_not_whole_if_its_connection_is_reset_after_the_request)
+{
+    const auto part = RawEndpoint::head("r-1") + RawAnswerFixture::event(1) + RawAnswerFixture::event(2);
+    for (const std::string path : {"/once/a", "/often/a", "/kept/a", "/stream/a"}) {
+        RawAnswerFixture fixture;
+        fixture.script(
+            [&part](RawEndpoint &, const RawEndpoint::ConnectionPtr &connection) {
+                connection->write(part);
+                resetConnection(connection->socket);
+            },
+            [](const RawEndpoint::ConnectionPtr &connection) { connection->write(RawAnswerFixture::WholeAnswer); });
+        fixture.send(path);
+        fixture.run(4000);
+        BOOST_REQUIRE_MESSAGE(fixture.outcome.has_value(), path);
+        if (path == "/once/a") {
+            BOOST_TEST(fixture.status == 502, path);
+            BOOST_TEST(fixture.runs() == 1U, path);
+        } else if (path == "/stream/a") {
+            BOOST_TEST((*fixture.outcome == CallOutcome::Broken), path);
+            BOOST_TEST(fixture.runs() == 1U, path);
+        } else {
+            BOOST_TEST((*fixture.outcome == CallOutcome::Complete), path);
+            BOOST_TEST(fixture.runs() == 2U, path);
+        }
+        if (path == "/often/a") {
+            BOOST_TEST(fixture.body == "whole", path);
+        }
+    }
+}
+
+// Guards against a refusal that counts as a run because the read side, not the write side, takes the error of the reset.
+BOOST_AUTO_TEST_CASE(a_refusal_without_a_length_is_not_a_run_if_its_connection_is_reset_after_the_request)
+{
+    RawAnswerFixture fixture;
+    fixture.script(
+        [](RawEndpoint &, const RawEndpoint::ConnectionPtr &connection) {
+            connection->write(UnframedRefusal);
+            resetConnection(connection->socket);
+        },
+        [](const RawEndpoint::ConnectionPtr &connection) { connection->write(RawAnswerFixture::WholeAnswer); });
+    fixture.send("/once/a");
+    fixture.run(4000);
+    BOOST_TEST(fixture.status == 200);
+    BOOST_TEST(fixture.body == "whole");
+    BOOST_TEST(fixture.runs() == 2U);
+}
+
 // Guards against a whole early response that is lost, because the upload that it answers could not be sent: its length shows that it is whole.
 BOOST_AUTO_TEST_CASE(a_response_with_a_length_is_delivered_if_its_connection_ends_within_the_upload)
 {
--- a/tests/soak/brokenendpoint.cpp
+++ b/tests/soak/brokenendpoint.cpp
@@ -29,7 +29,7 @@
     /// Rest of the response after the fields that name the request.
     std::string rest;
     Ending ending;
-    /// Without the whole request the response is valid as far as it goes, and only its end is not.
+    /// The response is invalid only because its connection ends within the request.
     bool needsLongRequest = false;
 };
 
