--- /dev/null
+++ b/review/standins-3/process.cpp
@@ -0,0 +1,91 @@
+#include "process.h"
+
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+namespace Basilbend::Review
+{
+
+namespace
+{
+
+constexpr const char *Program = "target/basilbend";
+constexpr const char *SettingsVariable = "BASILBEND_CONFIG";
+
+}
+
+Process::Process(std::string role, std::string settingsFile, std::string logFile, std::uint64_t memory)
+    : m_role(std::move(role))
+    , m_settingsFile(std::move(settingsFile))
+    , m_logFile(std::move(logFile))
+    , m_memory(memory)
+{
+}
+
+Process::~Process()
+{
+    kill();
+}
+
+void Process::start()
+{
+    const auto parent = ::getpid();
+    m_pid = ::fork();
+    if (m_pid < 0) {
+        throw std::system_error(errno, std::generic_category(), "fork");
+    }
+    if (m_pid > 0) {
+        return;
+    }
+    // The process ends with the case, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent) {
+        ::_exit(127);
+    }
+    const int log = ::open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    if (m_memory > 0) {
+        const rlimit limit{m_memory, m_memory};
+        ::setrlimit(RLIMIT_DATA, &limit);
+    }
+    const rlimit noDump{0, 0};
+    ::setrlimit(RLIMIT_CORE, &noDump);
+    ::setenv(SettingsVariable, m_settingsFile.c_str(), 1);
+    ::execl(Program, Program, m_role.c_str(), static_cast<char *>(nullptr));
+    ::_exit(127);
+}
+
+void Process::signal(int number) const
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, number);
+    }
+}
+
+bool Process::isRunning()
+{
+    if (m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+        m_pid = 0;
+    }
+    return m_pid > 0;
+}
+
+void Process::kill()
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, SIGKILL);
+        ::waitpid(m_pid, nullptr, 0);
+        m_pid = 0;
+    }
+}
+
+}
