--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -582,6 +582,78 @@
     return broken > 0 ? Broken : Held;
 }
 
+/// A batch with an item whose path is that of orders to endpoints comes beside the steps of an ordinary trainer.
+int runItemOrders(Stage &stage)
+{
+    constexpr Milliseconds TimeLimit{13500};
+    constexpr std::uint64_t Steps = 4;
+    stage.addPlainEndpoint("desk-1");
+    for (int i = 0; i < 12; ++i) {
+        stage.addModelEngine("engine-" + std::to_string(i));
+    }
+    stage.publish({Key});
+    stage.startNodes({{"gateway"}, {"scheduler"}, {"scheduler"}, {"scheduler"}});
+    if (!stage.waitUntilReady(StartLimit) || !checkOrdinary(stage, "before")) {
+        return NotRun;
+    }
+    stage.runFor(Milliseconds(3000));
+    int openSteps = 0;
+    for (std::uint64_t step = 1; step <= Steps; ++step) {
+        if (step > 1) {
+            stage.nameVersion(step);
+        }
+        if (step == 3 && stage.hasTrouble()) {
+            const json order{{"operation", "version"},
+                             {"model", "model-1"},
+                             {"version", 1},
+                             {"switch_mode", "keep_running"},
+                             {"holder", "nobody"},
+                             {"fencing_token", 1'000'000'000'000}};
+            const json submission{{"step", 0},
+                                  {"model", "model-1"},
+                                  {"minimum_version", 1},
+                                  {"desired_count", 1},
+                                  {"items",
+                                   {{{"id", "order.0"},
+                                     {"path", "/-/order"},
+                                     {"headers", {{"Basilbend-Model", "model-1"}, {"Basilbend-Token-Counts", "16,16"}}},
+                                     {"body", toBase64(order.dump())},
+                                     {"tokens", 32},
+                                     {"group", "order"}}}}};
+            const auto answer = stage.clientRequest(stage.nodes().front(), "POST", "/steps/", submission.dump(), CallLimit);
+            stage.runUntil([&answer] { return answer->hasEnded; }, CallLimit);
+            stage.note("batch with an item for the path /-/order: " + summaryOf(*answer));
+        }
+        Trainer trainer;
+        trainer.batch = "step-" + std::to_string(step);
+        trainer.submission = makeStep(trainer.batch, step, 55, 4);
+        const auto start = stage.now();
+        while (!trainer.isDone && stage.now() - start < TimeLimit) {
+            advance(stage, trainer, true);
+            stage.runFor(Milliseconds(5));
+        }
+        std::string versions;
+        for (const auto &engine : stage.engines()) {
+            versions += " " + std::to_string(engine->version);
+        }
+        stage.note(trainer.batch + " ended after " + std::to_string((stage.now() - start).count()) + " ms, " + std::to_string(trainer.read)
+                   + " results read; versions of the engines:" + versions);
+        openSteps += trainer.isDone ? 0 : 1;
+    }
+    int lower = 0;
+    int accepted = 0;
+    for (const auto &engine : stage.engines()) {
+        lower += engine->lowerTokens;
+        accepted += engine->acceptedOrders;
+    }
+    if (!stage.allRun()) {
+        return NotRun;
+    }
+    stage.note(std::to_string(accepted) + " orders were carried out, " + std::to_string(lower)
+               + " orders came with a lower generation number after a higher one; " + std::to_string(openSteps) + " steps ran out of time");
+    return lower > 0 ? Broken : Held;
+}
+
 int run(int argc, char **argv)
 {
     const std::string name = argv[1];
@@ -604,6 +676,8 @@
         result = runOpenBatches(stage, number(3, 140), number(4, 220), number(5, 4200));
     } else if (name == "foreign-models") {
         result = runForeignModels(stage, static_cast<int>(number(3, 24)), number(4, 39'869));
+    } else if (name == "item-orders") {
+        result = runItemOrders(stage);
     } else if (name == "dense-batch") {
         result = runDenseBatch(stage, number(3, 700), stage.hasTrouble() ? number(4, 999) : 1, static_cast<int>(number(5, 4)));
     }
--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -415,7 +415,12 @@
     } else if (engine.isBusy || order.value("precondition", engine.sequence) != engine.sequence) {
         status = 409;
     }
-    note("order of version " + std::to_string(version) + " to " + engine.id + ": " + std::to_string(status));
+    const auto token = order.at("fencing_token").get<std::uint64_t>();
+    engine.lowerTokens += token < engine.highestToken ? 1 : 0;
+    engine.highestToken = std::max(engine.highestToken, token);
+    engine.acceptedOrders += status == 202 ? 1 : 0;
+    note("order of version " + std::to_string(version) + " to " + engine.id + " from holder " + order.at("holder").get<std::string>()
+         + " with generation number " + std::to_string(token) + ": " + std::to_string(status));
     exchange->respond({status, {}, {}});
     if (status != 202) {
         return;
--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -141,6 +141,10 @@
         bool isBusy = false;
         int running = 0;
         int peakRunning = 0;
+        /// The highest generation number of an order so far, and the orders with a lower one that came after it.
+        std::uint64_t highestToken = 0;
+        int lowerTokens = 0;
+        int acceptedOrders = 0;
     };
     const std::vector<std::unique_ptr<Engine>> &engines() const
     {
