--- a/review/standins-3/process.h
+++ b/review/standins-3/process.h
@@ -11,7 +11,8 @@
 class Process
 {
 public:
-    /// memory: limit of the private memory in bytes, as the machine has it; zero: none.
+    /// memory: the memory of the machine in bytes; zero: that of this one. The process learns it from the limit of the system on it, which is
+    /// lifted again once it has started: what counts is memory in use, see isOverMemory().
     Process(std::string role, std::string settingsFile, std::string logFile, std::uint64_t memory);
     ~Process();
     Process(const Process &) = delete;
@@ -20,6 +21,10 @@
     void start();
     void signal(int number) const;
     bool isRunning();
+    /// Private resident memory in KiB.
+    long privateKib() const;
+    bool isOverMemory() const;
+    void liftLimit() const;
     void kill();
 
     /// Zero when the process has ended.
--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -64,11 +64,13 @@
     std::uint16_t internalPort = 0;
     std::unique_ptr<FaultProxy> storeProxy;
     std::unique_ptr<Process> process;
-    /// Largest resident memory that was seen, in KiB.
+    /// Largest private resident memory that was seen, in KiB.
     long peakKib = 0;
     /// How often the process has ended by itself, and when it did last.
     int ends = 0;
     Timestamp endedAt;
+    Timestamp startedAt;
+    bool isLimitLifted = false;
 };
 
 /// The processes of the system on loopback addresses, with stand-ins for the metadata store, the platform's API, endpoints and clients.
@@ -102,7 +104,7 @@
     void addPlainEndpoint(const std::string &id);
     void addEngine(const std::string &id, std::size_t outputBytes);
 
-    /// Adds a model engine as a deployment has it: 12 slots, streams of seven events, weights that are changed by order in 0.9 s.
+    /// Adds a model engine as a deployment has it: 12 slots, streams of 13 events, weights that are changed by order in 0.9 s.
     void addModelEngine(const std::string &id);
     /// Names a version of the weights.
     void nameVersion(std::uint64_t version);
@@ -176,6 +178,8 @@
 private:
     std::uint16_t freePort();
     void writeSettings(std::size_t index);
+    void startNode(Node &node);
+    /// Stands for the platform: a process that uses more than the memory of its machine is killed.
     void watchMemory();
     void servePlain(const std::string &id, const std::shared_ptr<ServerExchange> &exchange);
     void serveEngine(const std::string &id, std::size_t outputBytes, const std::shared_ptr<ServerExchange> &exchange);
