--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -259,7 +259,7 @@
 /// Trainers read the results of their batches and go away without ending them.
 int runOpenBatches(Stage &stage, std::size_t batches, std::size_t items, std::size_t outputBytes)
 {
-    constexpr Milliseconds Interval{250};
+    constexpr Milliseconds Interval{150};
     constexpr Milliseconds PlayLimit{100000};
     stage.addPlainEndpoint("desk-1");
     for (int i = 0; i < 6; ++i) {
@@ -596,7 +596,7 @@
     } else if (name == "result-reads") {
         result = runResultReads(stage, number(3, 220), number(4, 4200), static_cast<int>(number(5, 200)));
     } else if (name == "open-batches") {
-        result = runOpenBatches(stage, number(3, 350), number(4, 168), number(5, 4420));
+        result = runOpenBatches(stage, number(3, 600), number(4, 168), number(5, 4420));
     } else if (name == "foreign-models") {
         result = runForeignModels(stage, static_cast<int>(number(3, 24)), number(4, 39'869));
     } else if (name == "item-orders") {
