--- a/review/standins-3/process.cpp
+++ b/review/standins-3/process.cpp
@@ -1,6 +1,8 @@
 #include "process.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -21,6 +23,20 @@
 constexpr const char *Program = "target/basilbend";
 constexpr const char *SettingsVariable = "BASILBEND_CONFIG";
 
+long privateKib(pid_t pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+    std::string word;
+    while (file >> word) {
+        if (word == "RssAnon:") {
+            long kib = 0;
+            file >> kib;
+            return kib;
+        }
+    }
+    return 0;
+}
+
 }
 
 Process::Process(std::string role, std::string settingsFile, std::string logFile, std::uint64_t memory)
@@ -28,11 +44,14 @@
     , m_settingsFile(std::move(settingsFile))
     , m_logFile(std::move(logFile))
     , m_memory(memory)
+    , m_watcher([this] { watchMemory(); })
 {
 }
 
 Process::~Process()
 {
+    m_isEnding = true;
+    m_watcher.join();
     kill();
 }
 
@@ -44,6 +63,8 @@
         throw std::system_error(errno, std::generic_category(), "fork");
     }
     if (m_pid > 0) {
+        m_peakKib = 0;
+        m_watchedPid = m_pid;
         return;
     }
     // The process ends with the case, however that ends.
@@ -72,23 +93,19 @@
     }
 }
 
-long Process::privateKib() const
+void Process::watchMemory()
 {
-    std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
-    std::string word;
-    while (file >> word) {
-        if (word == "RssAnon:") {
-            long kib = 0;
-            file >> kib;
-            return kib;
+    while (!m_isEnding) {
+        const pid_t pid = m_watchedPid;
+        const auto kib = pid > 0 ? privateKib(pid) : 0;
+        m_peakKib = std::max<long>(m_peakKib, kib);
+        // The process is not waited for before the watch has ended, so the id is its own.
+        if (m_memory > 0 && static_cast<std::uint64_t>(kib) * 1024 > m_memory) {
+            ::kill(pid, SIGKILL);
+            m_watchedPid = 0;
         }
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
-    return 0;
-}
-
-bool Process::isOverMemory() const
-{
-    return m_memory > 0 && m_pid > 0 && static_cast<std::uint64_t>(privateKib()) * 1024 > m_memory;
 }
 
 void Process::liftLimit() const
@@ -101,7 +118,12 @@
 
 bool Process::isRunning()
 {
-    if (m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+    siginfo_t end{};
+    // The process stays a zombie until the watch has let go of it.
+    const bool hasEnded = m_pid > 0 && ::waitid(P_PID, static_cast<id_t>(m_pid), &end, WEXITED | WNOHANG | WNOWAIT) == 0 && end.si_pid == m_pid;
+    if (hasEnded) {
+        m_watchedPid = 0;
+        ::waitpid(m_pid, nullptr, 0);
         m_pid = 0;
     }
     return m_pid > 0;
@@ -109,6 +131,7 @@
 
 void Process::kill()
 {
+    m_watchedPid = 0;
     if (m_pid > 0) {
         ::kill(m_pid, SIGKILL);
         ::waitpid(m_pid, nullptr, 0);
--- a/review/standins-3/process.h
+++ b/review/standins-3/process.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <string>
 #include <sys/types.h>
+#include <thread>
 
 namespace Basilbend::Review
 {
@@ -12,7 +14,7 @@
 {
 public:
     /// memory: the memory of the machine in bytes; zero: that of this one. The process learns it from the limit of the system on it, which is
-    /// lifted again once it has started: what counts is memory in use, see isOverMemory().
+    /// lifted again once it has started: what counts is memory in use, see watchMemory().
     Process(std::string role, std::string settingsFile, std::string logFile, std::uint64_t memory);
     ~Process();
     Process(const Process &) = delete;
@@ -21,10 +23,13 @@
     void start();
     void signal(int number) const;
     bool isRunning();
-    /// Private resident memory in KiB.
-    long privateKib() const;
-    bool isOverMemory() const;
     void liftLimit() const;
+
+    /// Largest private resident memory since the start, in KiB.
+    long peakKib() const
+    {
+        return m_peakKib;
+    }
     void kill();
 
     /// Zero when the process has ended.
@@ -34,11 +39,18 @@
     }
 
 private:
+    /// Stands for the platform: a process that uses more than the memory of its machine is killed.
+    void watchMemory();
+
     std::string m_role;
     std::string m_settingsFile;
     std::string m_logFile;
     std::uint64_t m_memory;
     pid_t m_pid = 0;
+    std::atomic<pid_t> m_watchedPid{0};
+    std::atomic<long> m_peakKib{0};
+    std::atomic<bool> m_isEnding{false};
+    std::thread m_watcher;
 };
 
 }
--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -3,7 +3,6 @@
 #include "base/systemclock.h"
 #include "platform/wirenames.h"
 
-#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <nlohmann/json.hpp>
@@ -173,13 +172,9 @@
             node.isLimitLifted = true;
             node.process->liftLimit();
         }
-        node.peakKib = std::max(node.peakKib, node.process->privateKib());
-        if (node.process->isOverMemory()) {
-            note(node.name + " uses " + std::to_string(node.process->privateKib()) + " KiB, more than its machine has, and is killed");
-            node.process->signal(SIGKILL);
-        }
+        node.peakKib = std::max(node.peakKib, node.process->peakKib());
     }
-    m_loop.runAfter(Milliseconds(2), [this] { watchMemory(); });
+    m_loop.runAfter(Milliseconds(10), [this] { watchMemory(); });
 }
 
 Timestamp Stage::publish(const std::vector<std::string> &keys)
@@ -496,6 +491,7 @@
         }
         if (!hadEnded) {
             ++node.ends;
+            node.peakKib = std::max(node.peakKib, node.process->peakKib());
             node.endedAt = now();
             note(node.name + " has ended by itself; largest private memory seen " + std::to_string(node.peakKib) + " KiB");
         } else if (now() - node.endedAt >= RestartDelay) {
--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -179,7 +179,6 @@
     std::uint16_t freePort();
     void writeSettings(std::size_t index);
     void startNode(Node &node);
-    /// Stands for the platform: a process that uses more than the memory of its machine is killed.
     void watchMemory();
     void servePlain(const std::string &id, const std::shared_ptr<ServerExchange> &exchange);
     void serveEngine(const std::string &id, std::size_t outputBytes, const std::shared_ptr<ServerExchange> &exchange);
